--- /dev/null
+++ b/src/agatepick/messages.capnp
@@ -0,0 +1,211 @@
+# Messages between agatepick's own processes.  Times are seconds since the
+# epoch in the sender's clock; names are those of the processes' settings.
+@0xb7a1c94e0d5f3a26;
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    ping @1 :Ping;
+    pong @2 :Pong;
+    starts @3 :Starts;
+    results @4 :Results;
+    offer @5 :Offer;
+    ask @6 :Ask;
+    stopJob @7 :StopJob;
+    settle @8 :Settle;
+    orphans @9 :Orphans;
+    members @10 :Members;
+    forward @11 :Forward;
+    forwarded @12 :Forwarded;
+    grant @13 :Grant;
+    intent @14 :Intent;
+    intentAck @15 :IntentAck;
+    changes @16 :Changes;
+    quotaAsk @17 :QuotaAsk;
+    quotaGrant @18 :QuotaGrant;
+    goodbye @19 :Goodbye;
+    changesWanted @20 :ChangesWanted;
+  }
+}
+
+struct Hello {
+  name @0 :Text;
+  role @1 :Text;
+  incarnation @2 :UInt64;
+  zone @3 :Text;
+  rack @4 :Text;
+  address @5 :Text;
+  version @6 :UInt64;
+}
+
+struct Ping { sent @0 :Float64; }
+
+struct Pong {
+  sent @0 :Float64;
+  received @1 :Float64;
+  replied @2 :Float64;
+}
+
+struct Needs {
+  cpu @0 :Float64;
+  memoryMb @1 :UInt32;
+  accelerators @2 :UInt32;
+}
+
+struct StartTask {
+  job @0 :Text;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+  kind @3 :Text;
+  team @4 :Text;
+  payload @5 :Data;
+  needs @6 :Needs;
+  deadline @7 :Float64;
+}
+
+struct Starts {
+  owner @0 :Text;
+  ownerIncarnation @1 :UInt64;
+  agentIncarnation @2 :UInt64;
+  version @3 :UInt64;
+  startBefore @4 :Float64;
+  waiting @5 :UInt32;
+  tasks @6 :List(StartTask);
+}
+
+struct TaskReport {
+  job @0 :Text;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+  state @3 :Text;
+  body @4 :Data;
+  reason @5 :Text;
+  seconds @6 :Float64;
+}
+
+struct Results {
+  agentIncarnation @0 :UInt64;
+  credits @1 :UInt32;
+  reports @2 :List(TaskReport);
+}
+
+struct Offer {
+  agentIncarnation @0 :UInt64;
+  credits @1 :UInt32;
+  slots @2 :UInt32;
+  kinds @3 :List(Text);
+  capacity @4 :Needs;
+  leaving @5 :Bool;
+}
+
+struct Ask {
+  want @0 :UInt32;
+}
+
+struct StopJob {
+  job @0 :Text;
+  action @1 :Text;
+}
+
+struct TaskRef {
+  job @0 :Text;
+  index @1 :UInt32;
+  attempt @2 :UInt32;
+}
+
+struct Settle {
+  agentIncarnation @0 :UInt64;
+  tasks @1 :List(TaskRef);
+}
+
+struct Orphans {
+  owner @0 :Text;
+  ownerIncarnation @1 :UInt64;
+  reports @2 :List(TaskReport);
+  last @3 :Bool;
+}
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  zone @3 :Text;
+  listedAt @4 :Float64;
+  removedAt @5 :Float64;
+}
+
+struct Members {
+  version @0 :UInt64;
+  entries @1 :List(Member);
+}
+
+struct TaskSpec {
+  id @0 :Text;
+  kind @1 :Text;
+  payload @2 :Data;
+  needs @3 :Needs;
+  expectedSeconds @4 :Float64;
+}
+
+struct JobSpec {
+  key @0 :Text;
+  team @1 :Text;
+  tasks @2 :List(TaskSpec);
+  deadline @3 :Float64;
+  urgent @4 :Bool;
+  zones @5 :List(Text);
+  digest @6 :Data;
+}
+
+struct Forward {
+  request @0 :UInt64;
+  action @1 :Text;
+  key @2 :Text;
+  team @3 :Text;
+  jobs @4 :List(JobSpec);
+}
+
+struct Forwarded {
+  request @0 :UInt64;
+  answer @1 :Data;
+}
+
+struct Grant {
+  version @0 :UInt64;
+  sent @1 :Float64;
+  uncertain @2 :Data;
+}
+
+struct Intent {
+  version @0 :UInt64;
+  change @1 :Data;
+}
+
+struct IntentAck {
+  version @0 :UInt64;
+}
+
+struct Changes {
+  since @0 :UInt64;
+  rows @1 :List(Data);
+}
+
+struct ChangesWanted {
+  since @0 :UInt64;
+}
+
+struct QuotaAsk {
+  team @0 :Text;
+  want @1 :UInt32;
+  running @2 :UInt32;
+}
+
+struct QuotaGrant {
+  team @0 :Text;
+  amount @1 :UInt32;
+  until @2 :Float64;
+}
+
+struct Goodbye {
+  reason @0 :Text;
+}
--- /dev/null
+++ b/src/agatepick/messages.py
@@ -0,0 +1,411 @@
+"""Messages between agatepick's own processes, and their codec.
+
+Each class mirrors the struct of its name in ``messages.capnp``; fields are
+the same in snake case.  ``encode`` and ``decode`` turn a message into bytes
+and back; a peer's bytes are never trusted, so ``decode`` raises
+:class:`agatepick.exceptions.BadMessage` for whatever isn't one whole message.
+"""
+
+import dataclasses
+import functools
+import pathlib
+import types as pytypes
+import typing
+
+import capnp
+
+from agatepick import exceptions
+from agatepick import types
+
+SCHEMA = pathlib.Path(__file__).with_name('messages.capnp')
+MAX_NESTING = 8
+MAX_WORDS = 8 * 1024 * 1024
+"""Words a reader may traverse: bounds the work a hostile message causes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on a connection: who speaks."""
+
+    name: str
+    role: str
+    incarnation: int
+    zone: str
+    rack: str
+    address: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for a clock sample; also the heartbeat of a connection."""
+
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers :class:`Ping` with the instants that give the clock offset."""
+
+    sent: float
+    received: float
+    replied: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartTask:
+    """One task to start, inside :class:`Starts`."""
+
+    job: str
+    index: int
+    attempt: int
+    kind: str
+    team: str
+    payload: bytes
+    needs: types.Needs
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starts:
+    """Tasks an owner asks an agent to start before an instant.
+
+    :param start_before: end of the owner's read lease, in its clock.
+    :param waiting: tasks still queued at the owner: its demand for slots.
+    """
+
+    owner: str
+    owner_incarnation: int
+    agent_incarnation: int
+    version: int
+    start_before: float
+    waiting: int
+    tasks: tuple[StartTask, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskReport:
+    """What an agent knows of one task; ``state`` is a ``TaskState``."""
+
+    job: str
+    index: int
+    attempt: int
+    state: str
+    body: bytes = b''
+    reason: str = ''
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Results:
+    """Reports to an owner, with the slots it now holds at the agent."""
+
+    agent_incarnation: int
+    credits: int
+    reports: tuple[TaskReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """An agent's upstream, and the slots that the receiver may fill."""
+
+    agent_incarnation: int
+    credits: int
+    slots: int
+    kinds: tuple[str, ...]
+    capacity: types.Needs
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """An owner out of slots asks an agent for more."""
+
+    want: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopJob:
+    """Stop, throttle or checkpoint whatever runs of a job."""
+
+    job: str
+    action: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRef:
+    """Names one attempt at one task."""
+
+    job: str
+    index: int
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settle:
+    """Asks an agent what became of starts whose answer may be lost.
+
+    The agent refuses for good whatever it has not started.
+    """
+
+    agent_incarnation: int
+    tasks: tuple[TaskRef, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphans:
+    """Reports on a lost owner's tasks to the owner that takes over."""
+
+    owner: str
+    owner_incarnation: int
+    reports: tuple[TaskReport, ...]
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An entry in the cluster's configuration.
+
+    :param removed_at: when it left; 0 while it is listed.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    zone: str
+    listed_at: float
+    removed_at: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """The entries, told to agents."""
+
+    version: int
+    entries: tuple[Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """A caller's request passed on to the owner of its job.
+
+    :param action: ``submit``, ``ask`` or ``cancel``.
+    :param jobs: the job of a ``submit``, else empty.
+    """
+
+    request: int
+    action: str
+    key: str
+    team: str
+    jobs: tuple[types.JobSpec, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forwarded:
+    """Answer to :class:`Forward`: a ``JobAnswer`` as JSON."""
+
+    request: int
+    answer: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A peer's lease grant: at ``sent`` it was at ``version``, writing none.
+
+    :param uncertain: a change whose fate isn't known, encoded; else empty.
+    """
+
+    version: int
+    sent: float
+    uncertain: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intent:
+    """The sender is about to write ``change`` on top of ``version``."""
+
+    version: int
+    change: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IntentAck:
+    """The receiver has stopped relying on grants of that version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes of the configuration after version ``since``, encoded."""
+
+    since: int
+    rows: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangesWanted:
+    """Asks a peer for :class:`Changes` after a version."""
+
+    since: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaAsk:
+    """Asks a team's home entry for a share of the team's quota."""
+
+    team: str
+    want: int
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaGrant:
+    """A share of a team's quota, until an instant."""
+
+    team: str
+    amount: int
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Goodbye:
+    """Last message of a process that stops for good."""
+
+    reason: str = ''
+
+
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | Starts
+    | Results
+    | Offer
+    | Ask
+    | StopJob
+    | Settle
+    | Orphans
+    | Members
+    | Forward
+    | Forwarded
+    | Grant
+    | Intent
+    | IntentAck
+    | Changes
+    | ChangesWanted
+    | QuotaAsk
+    | QuotaGrant
+    | Goodbye
+)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of one message."""
+    kind: type = type(message)
+    body = _writer(kind)(message)
+    envelope = _schema().Envelope.new_message(**{_tags()[kind]: body})
+    return typing.cast(bytes, envelope.to_bytes())
+
+
+def decode(data: bytes) -> Message:
+    """The message in ``data``.
+
+    :raises agatepick.exceptions.BadMessage: if it isn't one whole message
+        of a known kind.
+    """
+    try:
+        with _schema().Envelope.from_bytes(
+            data,
+            traversal_limit_in_words=MAX_WORDS,
+            nesting_limit=MAX_NESTING,
+        ) as envelope:
+            tag = str(envelope.which())
+            kind = _kinds()[tag]
+            return typing.cast(Message, _reader(kind)(getattr(envelope, tag)))
+    # pycapnp raises its own and the standard errors for malformed bytes.
+    except (capnp.KjException, ValueError, KeyError, AttributeError) as exc:
+        raise exceptions.BadMessage(
+            f'not one whole message: {exc}', step='decode'
+        ) from exc
+
+
+@functools.cache
+def _schema() -> typing.Any:
+    return capnp.load(str(SCHEMA))
+
+
+@functools.cache
+def _tags() -> dict[type, str]:
+    return {
+        kind: _camel(kind.__name__[0].lower() + kind.__name__[1:])
+        for kind in typing.get_args(Message)
+    }
+
+
+@functools.cache
+def _kinds() -> dict[str, type]:
+    return {tag: kind for kind, tag in _tags().items()}
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.capitalize() for part in rest)
+
+
+def _fields(kind: type) -> list[tuple[str, str, typing.Any]]:
+    hints = typing.get_type_hints(kind)
+    return [
+        (field.name, _camel(field.name), hints[field.name])
+        for field in dataclasses.fields(kind)
+    ]
+
+
+def _item_kind(hint: typing.Any) -> typing.Any:
+    if isinstance(hint, pytypes.GenericAlias):
+        return typing.get_args(hint)[0]
+    return None
+
+
+@functools.cache
+def _writer(kind: type) -> typing.Callable[[typing.Any], dict[str, object]]:
+    steps = [(n, wire, _value_writer(h)) for n, wire, h in _fields(kind)]
+
+    def write(value: typing.Any) -> dict[str, object]:
+        return {wire: step(getattr(value, n)) for n, wire, step in steps}
+
+    return write
+
+
+def _value_writer(hint: typing.Any) -> typing.Callable[[typing.Any], object]:
+    item = _item_kind(hint)
+    if item is not None and dataclasses.is_dataclass(item):
+        write = _writer(typing.cast(type, item))
+        return lambda value: [write(one) for one in value]
+    if item is not None:
+        return list
+    if dataclasses.is_dataclass(hint):
+        return _writer(typing.cast(type, hint))
+    return lambda value: value
+
+
+@functools.cache
+def _reader(kind: type) -> typing.Callable[[typing.Any], object]:
+    steps = [(wire, _value_reader(h)) for _, wire, h in _fields(kind)]
+
+    def read(struct: typing.Any) -> object:
+        return kind(*[step(getattr(struct, wire)) for wire, step in steps])
+
+    return read
+
+
+def _value_reader(hint: typing.Any) -> typing.Callable[[typing.Any], object]:
+    item = _item_kind(hint)
+    if item is not None and dataclasses.is_dataclass(item):
+        read = _reader(typing.cast(type, item))
+        return lambda value: tuple([read(one) for one in value])
+    if item is not None:
+        return tuple
+    if dataclasses.is_dataclass(hint):
+        return _reader(typing.cast(type, hint))
+    return typing.cast(typing.Callable[[typing.Any], object], hint)
