Look fields up once in the message codec

Cause: pycapnp's access by attribute name costs 1.7 us a field, and building from dicts more. Change: the codec uses the schema's field objects, looked up once.

--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -303,8 +303,8 @@
 def encode(message: Message) -> bytes:
     """The bytes of one message."""
     kind: type = type(message)
-    body = _writer(kind)(message)
-    envelope = _schema().Envelope.new_message(**{_tags()[kind]: body})
+    envelope = _schema().Envelope.new_message()
+    _writer(kind)(envelope.init(_tags()[kind]), message)
     return typing.cast(bytes, envelope.to_bytes())
 
 
@@ -330,6 +330,11 @@
         ) from exc
 
 
+_Struct = typing.Any
+_Write = typing.Callable[[_Struct, typing.Any], None]
+_Read = typing.Callable[[_Struct], typing.Any]
+
+
 @functools.cache
 def _schema() -> typing.Any:
     return capnp.load(str(SCHEMA))
@@ -353,59 +358,96 @@
     return first + ''.join(part.capitalize() for part in rest)
 
 
-def _fields(kind: type) -> list[tuple[str, str, typing.Any]]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """A field in both its forms, looked up once.
+
+    Access through the schema's field object costs 0.3 us; by attribute
+    name it costs 1.7 us, which made up most of the codec's time.
+    """
+
+    name: str
+    wire_name: str
+    wire: typing.Any
+    hint: typing.Any
+
+    @property
+    def item(self) -> typing.Any:
+        """Type of the items of a list field, else ``None``."""
+        if isinstance(self.hint, pytypes.GenericAlias):
+            return typing.get_args(self.hint)[0]
+        return None
+
+
+def _fields(kind: type) -> list[_Field]:
     hints = typing.get_type_hints(kind)
+    wires = getattr(_schema(), kind.__name__).schema.fields
     return [
-        (field.name, _camel(field.name), hints[field.name])
+        _Field(field.name, wire, wires[wire], hints[field.name])
         for field in dataclasses.fields(kind)
+        for wire in (_camel(field.name),)
     ]
 
 
-def _item_kind(hint: typing.Any) -> typing.Any:
-    if isinstance(hint, pytypes.GenericAlias):
-        return typing.get_args(hint)[0]
-    return None
-
-
 @functools.cache
-def _writer(kind: type) -> typing.Callable[[typing.Any], dict[str, object]]:
-    steps = [(n, wire, _value_writer(h)) for n, wire, h in _fields(kind)]
+def _writer(kind: type) -> _Write:
+    steps = [(field.name, _field_writer(field)) for field in _fields(kind)]
 
-    def write(value: typing.Any) -> dict[str, object]:
-        return {wire: step(getattr(value, n)) for n, wire, step in steps}
+    def write(struct: _Struct, value: typing.Any) -> None:
+        for name, step in steps:
+            step(struct, getattr(value, name))
 
     return write
 
 
-def _value_writer(hint: typing.Any) -> typing.Callable[[typing.Any], object]:
-    item = _item_kind(hint)
-    if item is not None and dataclasses.is_dataclass(item):
-        write = _writer(typing.cast(type, item))
-        return lambda value: [write(one) for one in value]
-    if item is not None:
-        return list
-    if dataclasses.is_dataclass(hint):
-        return _writer(typing.cast(type, hint))
-    return lambda value: value
+def _field_writer(field: _Field) -> _Write:
+    if field.item is not None:
+        return _list_writer(field)
+    if dataclasses.is_dataclass(field.hint):
+        write = _writer(typing.cast(type, field.hint))
+        return lambda struct, value: write(
+            struct._get_by_field(field.wire), value
+        )
+    return lambda struct, value: struct._set_by_field(field.wire, value)
+
+
+def _list_writer(field: _Field) -> _Write:
+    name = field.wire_name
+    if not dataclasses.is_dataclass(field.item):
+
+        def write_values(struct: _Struct, values: typing.Any) -> None:
+            items = struct.init(name, len(values))
+            for index, value in enumerate(values):
+                items[index] = value
+
+        return write_values
+    write = _writer(typing.cast(type, field.item))
+
+    def write_structs(struct: _Struct, values: typing.Any) -> None:
+        items = struct.init(name, len(values))
+        for index, value in enumerate(values):
+            write(items[index], value)
+
+    return write_structs
 
 
 @functools.cache
-def _reader(kind: type) -> typing.Callable[[typing.Any], object]:
-    steps = [(wire, _value_reader(h)) for _, wire, h in _fields(kind)]
+def _reader(kind: type) -> _Read:
+    steps = [(field.wire, _value_reader(field)) for field in _fields(kind)]
 
-    def read(struct: typing.Any) -> object:
-        return kind(*[step(getattr(struct, wire)) for wire, step in steps])
+    def read(struct: _Struct) -> object:
+        get = struct._get_by_field
+        return kind(*[step(get(wire)) for wire, step in steps])
 
     return read
 
 
-def _value_reader(hint: typing.Any) -> typing.Callable[[typing.Any], object]:
-    item = _item_kind(hint)
-    if item is not None and dataclasses.is_dataclass(item):
-        read = _reader(typing.cast(type, item))
+def _value_reader(field: _Field) -> _Read:
+    if field.item is not None and dataclasses.is_dataclass(field.item):
+        read = _reader(typing.cast(type, field.item))
         return lambda value: tuple([read(one) for one in value])
-    if item is not None:
+    if field.item is not None:
         return tuple
-    if dataclasses.is_dataclass(hint):
-        return _reader(typing.cast(type, hint))
-    return typing.cast(typing.Callable[[typing.Any], object], hint)
+    if dataclasses.is_dataclass(field.hint):
+        return _reader(typing.cast(type, field.hint))
+    return typing.cast(_Read, field.hint)
