Judge bench runs from the upstreams' own count of starts

Cause: the product must not mark its own work, and every policy has to be compared with one ideal. Change: seeded arrivals for all patterns, an ideal central queue over the same slots, measures that hold callers' answers against the stand-in upstreams' starts, reports as JSON, table and picture.

--- /dev/null
+++ b/src/agatepick/bench_ideal.py
@@ -0,0 +1,95 @@
+"""The ideal that every run is compared with.
+
+One central queue in order of arrival, no latency, no message, perfect
+knowledge of free slots: the same jobs with the same run times over the same
+slots.  A job's response ends with its last task.
+"""
+
+import collections.abc
+import dataclasses
+import heapq
+
+from agatepick import bench_arrivals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closure:
+    """A zone in which no task may start from one instant to another."""
+
+    zone: str
+    since: float
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ideal:
+    """What the central queue would have done.
+
+    :param responses: seconds by number of the job.
+    :param runs: start and end of each task, seconds from the run's start.
+    """
+
+    responses: dict[int, float]
+    runs: tuple[tuple[float, float], ...]
+
+
+def simulate(
+    jobs: collections.abc.Iterable[bench_arrivals.JobPlan],
+    deployment: bench_arrivals.Deployment,
+    closures: collections.abc.Sequence[Closure] = (),
+) -> Ideal:
+    """Play jobs through the central queue."""
+    free = [
+        (0.0, worker, slot)
+        for worker in range(deployment.workers)
+        for slot in range(deployment.slots)
+    ]
+    heapq.heapify(free)
+    responses: dict[int, float] = {}
+    runs: list[tuple[float, float]] = []
+    for job in sorted(jobs, key=lambda one: one.at):
+        end = job.at
+        for task in job.tasks:
+            start, worker, slot = take_slot(free, job.at, deployment, closures)
+            stop = start + task.seconds
+            heapq.heappush(free, (stop, worker, slot))
+            runs.append((start, stop))
+            end = max(end, stop)
+        responses[job.number] = end - job.at
+    return Ideal(responses, tuple(runs))
+
+
+def take_slot(
+    free: list[tuple[float, int, int]],
+    at: float,
+    deployment: bench_arrivals.Deployment,
+    closures: collections.abc.Sequence[Closure],
+) -> tuple[float, int, int]:
+    """The slot that lets a task of ``at`` start soonest, and that instant."""
+    while True:
+        since, worker, slot = heapq.heappop(free)
+        start = max(since, at)
+        zone = deployment.zone_of(worker)
+        opens = max(
+            (
+                closure.until
+                for closure in closures
+                if closure.zone == zone
+                and closure.since <= start < closure.until
+            ),
+            default=start,
+        )
+        if opens == start:
+            return start, worker, slot
+        heapq.heappush(free, (opens, worker, slot))
+
+
+def work_between(
+    runs: collections.abc.Iterable[tuple[float, float]],
+    since: float,
+    until: float,
+) -> float:
+    """Slot-seconds that runs spent inside a window."""
+    return sum(
+        max(0.0, min(stop, until) - max(start, since)) for start, stop in runs
+    )
--- /dev/null
+++ b/src/agatepick/bench_report.py
@@ -0,0 +1,230 @@
+"""What a bench run tells: one report as JSON, as a table, or as a picture."""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import typing
+
+from agatepick import bench_ideal
+from agatepick import bench_measures
+
+PICTURE_DPI = 120
+WORK_BINS = 60
+"""Bins of the picture of work over time."""
+
+Figure = float | int | str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Figures of one run in the order in which they are shown.
+
+    :param series: work over time as (seconds, busy slots, the ideal's).
+    """
+
+    title: str
+    figures: collections.abc.Mapping[str, Figure]
+    series: tuple[tuple[float, float, float], ...] = ()
+
+    def as_json(self) -> str:
+        """One JSON object, figures at its top level."""
+        body = {name: rounded(val) for name, val in self.figures.items()}
+        return json.dumps(body, indent=2)
+
+    def as_table(self) -> str:
+        """Two columns for a person."""
+        width = max(map(len, self.figures), default=0)
+        lines = [self.title]
+        lines += [
+            f'  {name:<{width}}  {rounded(value)}'
+            for name, value in self.figures.items()
+        ]
+        return '\n'.join(lines)
+
+
+def rounded(value: Figure) -> Figure:
+    """A figure with no more digits than it can carry."""
+    return round(value, 4) if isinstance(value, float) else value
+
+
+def summarize(
+    evidence: bench_measures.Evidence,
+    ideal: bench_ideal.Ideal,
+    extra: collections.abc.Mapping[str, Figure] | None = None,
+) -> Report:
+    """All figures of one run."""
+    load = evidence.load
+    figures: dict[str, Figure] = {
+        'pattern': load.pattern.value,
+        'deployment': evidence.deployment.name,
+        'seed': load.seed,
+        'seconds': load.seconds,
+        'load': load.load,
+        'jobs': len(load.jobs),
+        'tasks': sum(len(job.tasks) for job in load.jobs),
+        **response_figures(evidence, ideal),
+        **message_figures(evidence),
+        **outcome_figures(evidence),
+        **dataclasses.asdict(bench_measures.judge(evidence)),
+        **departure_figures(evidence, ideal),
+        **(extra or {}),
+    }
+    title = f'{load.pattern} seed={load.seed} load={load.load}'
+    return Report(title, figures, work_series(evidence, ideal))
+
+
+def response_figures(
+    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+) -> dict[str, Figure]:
+    """Response times of the completed jobs beside the ideal's."""
+    times = bench_measures.response_times(evidence)
+    found = bench_measures.compare(times, ideal.responses)
+    figures: dict[str, Figure] = {
+        'fairness': bench_measures.fairness(evidence, ideal.responses)
+    }
+    if found is not None:
+        figures = {**dataclasses.asdict(found), **figures}
+        figures['completed_jobs'] = figures.pop('jobs')
+    return figures
+
+
+def message_figures(evidence: bench_measures.Evidence) -> dict[str, Figure]:
+    """Messages between the processes and the part that was wasted."""
+    traffic = evidence.traffic
+    total = sum(traffic.counts.values())
+    starts = len(evidence.runs)
+    figures: dict[str, Figure] = {
+        'task_starts': starts,
+        'starts_per_second': starts / evidence.load.seconds,
+        'messages': total,
+        'messages_per_task': total / starts if starts else None,
+        'wasted_messages_share': traffic.wasted_share(),
+        'wasted_messages_share_without_heartbeats': traffic.wasted_share(
+            bench_measures.HEARTBEATS
+        ),
+        'refused_starts_share': traffic.refused_starts,
+    }
+    figures |= {
+        f'messages_{kind}': count
+        for kind, count in sorted(traffic.counts.items())
+    }
+    return figures
+
+
+def outcome_figures(evidence: bench_measures.Evidence) -> dict[str, Figure]:
+    """How the jobs ended, from their callers' side."""
+    firsts = list(bench_measures.first_replies(evidence).values())
+    refused = sum(map(bench_measures.is_refused, firsts))
+    done = len(bench_measures.completed(evidence))
+    missed = bench_measures.missed_deadlines(evidence)
+    accepted = len(firsts) - refused
+    return {
+        'refused_jobs': refused,
+        'failed_jobs': accepted - done,
+        'failed_share': (accepted - done) / accepted if accepted else 0.0,
+        'missed_deadlines': missed,
+        'met_deadline_share': 1 - missed / accepted if accepted else None,
+        'goodput_share': bench_measures.goodput(evidence),
+    }
+
+
+def departure_figures(
+    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+) -> dict[str, Figure]:
+    """Work and last starts around the departures of zones."""
+    if not evidence.departures:
+        return {}
+    gone = evidence.departures[0]
+    starts = [
+        run.start - gone.accepted
+        for run in evidence.runs
+        if run.zone == gone.zone and run.start < gone.returned
+    ]
+    return {
+        'work_ratio': bench_measures.work_ratio(evidence, ideal),
+        'accepted_after_asked_seconds': gone.accepted - gone.asked,
+        'last_start_after_acceptance': max(starts, default=None),
+    }
+
+
+def work_series(
+    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+) -> tuple[tuple[float, float, float], ...]:
+    """Busy slots over time, the run's and the ideal's."""
+    width = evidence.load.seconds / WORK_BINS
+    spans = [(run.start, run.end) for run in evidence.runs]
+    return tuple(
+        (
+            place * width,
+            bench_ideal.work_between(spans, place * width, (place + 1) * width)
+            / width,
+            bench_ideal.work_between(
+                ideal.runs, place * width, (place + 1) * width
+            )
+            / width,
+        )
+        for place in range(WORK_BINS)
+    )
+
+
+def plot_work(
+    report: Report,
+    departures: collections.abc.Iterable[bench_measures.Departure],
+    path: pathlib.Path,
+) -> None:
+    """Draw busy slots over time, with each zone's stay out shaded."""
+    figure, axes = new_picture()
+    times = [point[0] for point in report.series]
+    axes.step(times, [point[1] for point in report.series], label='measured')
+    axes.step(
+        times, [point[2] for point in report.series], '--', label='ideal'
+    )
+    for gone in departures:
+        axes.axvspan(
+            gone.in_force, gone.returned, alpha=0.15, label=f'{gone.zone} out'
+        )
+    axes.set(title=report.title, xlabel='seconds', ylabel='busy slots')
+    finish_picture(figure, axes, path)
+
+
+def plot_loads(
+    reports: collections.abc.Sequence[Report], path: pathlib.Path
+) -> None:
+    """Draw response over ideal by load, one point a report."""
+    figure, axes = new_picture()
+    loads = [report.figures['load'] for report in reports]
+    for name in ('response_over_ideal_mean', 'median', 'p99'):
+        values = [report.figures.get(name) for report in reports]
+        axes.plot(loads, values, marker='o', label=name)
+    axes.axhline(1.0, color='grey', linewidth=0.8)
+    axes.set(
+        title=f'{reports[0].figures["pattern"]}: response over ideal',
+        xlabel='load (share of all slots)',
+        ylabel='measured / ideal',
+    )
+    finish_picture(figure, axes, path)
+
+
+def new_picture() -> tuple[typing.Any, typing.Any]:
+    """An empty picture; matplotlib is loaded only here, for its memory."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    return figure, axes
+
+
+def finish_picture(
+    figure: typing.Any, axes: typing.Any, path: pathlib.Path
+) -> None:
+    """Write a picture to a file and let go of it."""
+    from matplotlib import pyplot
+
+    axes.set_ylim(bottom=0)
+    axes.legend(loc='lower right')
+    figure.tight_layout()
+    figure.savefig(path, dpi=PICTURE_DPI)
+    pyplot.close(figure)
--- /dev/null
+++ b/tests/test_bench_arrivals.py
@@ -0,0 +1,32 @@
+import pytest
+
+from agatepick import bench_arrivals
+
+LECTORES = bench_arrivals.DEPLOYMENTS['lectores']
+
+
+def make(pattern, load=None, seed=1):
+    return bench_arrivals.plan(pattern, seed, 20.0, load, LECTORES)
+
+
+@pytest.mark.parametrize('pattern', list(bench_arrivals.Pattern))
+def test_a_seed_gives_one_load_and_another_seed_another(pattern):
+    assert make(pattern) == make(pattern)
+    assert make(pattern).jobs != make(pattern, seed=2).jobs
+
+
+@pytest.mark.parametrize('load', [0.5, 0.8, 1.5])
+def test_arrivals_fill_the_wanted_share_of_the_slots(load):
+    jobs = make(bench_arrivals.Pattern.STEADY, load).jobs
+    share = sum(job.work for job in jobs) / (20.0 * LECTORES.total_slots)
+    assert load <= share < load + 0.05
+    assert all(
+        0.05 <= task.seconds <= 5.0 for job in jobs for task in job.tasks
+    )
+
+
+def test_three_callers_send_four_fifths_of_a_hot_load():
+    jobs = make(bench_arrivals.Pattern.HOT).jobs
+    heavy = [job.work for job in jobs if job.team.startswith('heavy')]
+    share = sum(heavy) / sum(job.work for job in jobs)
+    assert 0.7 < share < 0.9
