Judge a job's owner from its key

Cause: every entry must agree on one owner of a job without asking. Conclusion: a key changes owner only by a removal.

--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -33,6 +33,10 @@
     """A peer sent what isn't a message, or not one it may send."""
 
 
+class BadKey(AgatepickError):
+    """An idempotency key isn't one that agatepick can serve."""
+
+
 class BadSettings(AgatepickError):
     """A settings file can't be used; lists every fault in it."""
 
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,94 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from agatepick import exceptions
+from agatepick import messages
+from agatepick import ownership
+
+NOW = 1_800_000_000.0
+
+
+def key_at(instant, seed=0):
+    text = f'{int(instant * 1000):012x}'
+    return f'{text[:8]}-{text[8:]}-7{seed % 4096:03x}-8000-{seed:012x}'
+
+
+def member(name, listed_at, removed_at=0.0):
+    return messages.Member(name, 1, '', 'z', listed_at, removed_at)
+
+
+def test_a_key_tells_its_instant_and_is_refused_out_of_the_window():
+    assert ownership.stamp(key_at(NOW)) == NOW
+    faults = ownership.KeyFault
+    for shift, fault in (
+        (0, None),
+        (-600, None),
+        (-600.1, faults.EXPIRED),
+        (2, None),
+        (2.1, faults.AHEAD),
+    ):
+        assert ownership.check(key_at(NOW + shift), NOW) is fault
+
+
+@pytest.mark.parametrize('change', [str.upper, lambda key: key[:-1] + '\n'])
+def test_another_spelling_of_a_key_is_refused(change):
+    """A caller writes the same UUID in capitals when it submits again.  Taken
+    as another key it would hash to another owner and run a second time."""
+    key = change(key_at(NOW, 0xABC))
+    assert ownership.check(key, NOW) is ownership.KeyFault.MALFORMED
+    with pytest.raises(exceptions.BadKey):
+        ownership.stamp(key)
+
+
+def test_keys_spread_evenly_and_nobody_owns_them_without_entries():
+    members = tuple(member(name, NOW - 60) for name in 'abc')
+    owners = [
+        ownership.owner(key_at(NOW, seed), members).name
+        for seed in range(3000)
+    ]
+    assert all(900 < owners.count(name) < 1100 for name in 'abc')
+    assert ownership.owner(key_at(NOW), ()) is None
+
+
+times = st.floats(0, 20).map(lambda shift: NOW + round(shift, 1))
+members_drawn = st.lists(
+    st.tuples(times, st.none() | times), min_size=1, max_size=5
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(
+    members_drawn, times, st.floats(-2, 20), st.integers(0, 4095)
+)
+def test_a_key_changes_owner_only_by_removal_which_marks_it_taken_over(
+    drawn, first, stamped_later, seed
+):
+    """Entries come and go while a caller submits a key again and again.  If
+    the key had another owner that didn't know of the first one's starts, its
+    tasks would run twice."""
+    members = [
+        member(str(index), listed, removed and max(removed, listed + 0.1))
+        for index, (listed, removed) in enumerate(drawn)
+    ]
+    key = key_at(first + stamped_later, seed)
+    before = None
+    for step in range(0, 230, 3):
+        now = NOW + step / 10
+        if ownership.check(key, now):
+            continue
+        seen = tuple(
+            one
+            if one.removed_at and one.removed_at <= now
+            else dataclasses.replace(one, removed_at=0.0)
+            for one in members
+            if one.listed_at <= now
+        )
+        found = ownership.owner(key, seen)
+        if found is None:
+            continue
+        if before is not None and found.name != before:
+            assert ownership.taken_over(key, seen)
+        before = before or found.name
