--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -39,6 +39,10 @@
     exit_status = 2
 
 
+class TooManyCalls(AgatepickError):
+    """More requests are open than the process holds; nothing was done."""
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,121 @@
+"""Fixtures that several test files share."""
+
+import asyncio
+import dataclasses
+import json
+
+import pytest
+import tornado.httpclient
+import tornado.netutil
+
+from agatepick import callers
+from agatepick import calls
+from agatepick import settings
+from agatepick import web
+
+NOW = 1_700_000_000.0
+OPERATOR = 'operator-token-0123'
+TEAM_TOKEN = 'talca-team-token-01'
+
+
+class FixedClock:
+    """A clock that tests set."""
+
+    def __init__(self, now=NOW):
+        self.instant = now
+
+    def now(self):
+        return self.instant
+
+
+class NoTimeline:
+    """A time line that keeps nothing."""
+
+    def lines(self, job='', task='', zone=''):
+        return []
+
+
+class Site:
+    """An HTTP server over a fake reducer, and a client to it."""
+
+    def __init__(self, front, routes):
+        self.front = front
+        self._server = web.server(front, routes)
+        socks = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        self.port = socks[0].getsockname()[1]
+        self._server.add_sockets(socks)
+        self._client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+
+    @property
+    def url(self):
+        return f'http://127.0.0.1:{self.port}'
+
+    async def fetch(self, method, path, body=None, **headers):
+        """The response, whatever its status, with its JSON as ``data``."""
+        if body is not None and not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        names = {key.replace('_', '-'): val for key, val in headers.items()}
+        response = await self._client.fetch(
+            self.url + path,
+            method=method,
+            body=body,
+            headers=names,
+            raise_error=False,
+            allow_nonstandard_methods=True,
+        )
+        response.data = json.loads(response.body) if response.body else None
+        return response
+
+    async def close(self):
+        self._client.close()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+@pytest.fixture
+def clock():
+    return FixedClock()
+
+
+@pytest.fixture
+def front(clock):
+    """Builds what handlers work with, over a function as the reducer."""
+
+    def build(feed, teams=None, **limits):
+        http = settings.Http(listen='127.0.0.1:0')
+        return web.Front(
+            name='entry-1',
+            calls=calls.Calls(feed),
+            clock=clock,
+            limits=dataclasses.replace(http, **limits),
+            tokens=settings.Tokens(operator=OPERATOR, teams=teams or {}),
+            timeline=NoTimeline(),
+        )
+
+    return build
+
+
+@pytest.fixture
+def serve(front):
+    """Runs a scenario against a server over a fake reducer.
+
+    ``answer(event)`` gives the reply to an event; ``None`` gives none.
+    """
+
+    def run(answer, scenario, routes=callers.routes, **options):
+        async def main():
+            def feed(event):
+                value = answer(event)
+                if value is not None:
+                    built.calls.reply(calls.Reply(event.call, value))
+
+            built = front(feed, **options)
+            site = Site(built, routes(built))
+            try:
+                return await scenario(site)
+            finally:
+                await site.close()
+
+        return asyncio.run(main())
+
+    return run
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,300 @@
+import asyncio
+import uuid
+
+import pytest
+
+from agatepick import callers
+from agatepick import types
+from tests import conftest
+
+KEY = '0190a5e4-7b00-7000-8000-000000000001'
+JOB = {
+    'team': 'talca',
+    'tasks': [
+        {'id': 'a', 'kind': 'slot', 'payload': {'club': 7}},
+        {'id': 'b', 'kind': 'slot', 'needs': {'cpu': 1.5}},
+    ],
+    'timeout_seconds': 5,
+}
+
+
+def answered(event):
+    """A reducer that finishes each task with its payload as the body."""
+    tasks = tuple(
+        types.TaskAnswer(task.id, types.Outcome.FINISHED, task.payload)
+        for task in event.job.tasks
+    )
+    return types.JobAnswer(event.job.key, types.JobStatus.COMPLETE, tasks)
+
+
+def silent(event):
+    return None
+
+
+def test_a_job_is_passed_on_whole_and_answered_under_the_callers_ids(serve):
+    events = []
+
+    def answer(event):
+        events.append(event)
+        return answered(event)
+
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', JOB, Idempotency_Key=KEY)
+
+    response = serve(answer, scenario)
+    assert response.code == 200
+    assert response.data == {
+        'job': KEY,
+        'run': 'complete',
+        'tasks': [
+            {'id': 'a', 'outcome': 'finished', 'body': {'club': 7}},
+            {'id': 'b', 'outcome': 'finished', 'body': None},
+        ],
+    }
+    (event,) = events
+    assert event.job.deadline == conftest.NOW + 5
+    assert event.job.tasks[1].needs == types.Needs(cpu=1.5)
+
+
+def test_an_entry_mints_a_key_for_a_caller_who_sends_none(serve):
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', JOB)
+
+    response = serve(answered, scenario)
+    assert uuid.UUID(response.data['job']).version == 7
+
+
+def test_a_job_that_takes_long_is_pending_and_can_be_asked_for(serve):
+    """The work takes longer than an entry holds a request open.
+
+    A caller gets the address where the answer will be, not an error.
+    """
+
+    async def scenario(site):
+        held = await site.fetch(
+            'POST', '/v1/jobs', JOB, Idempotency_Key=KEY, Prefer='wait=0'
+        )
+        assert len(site.front.calls) == 0
+        return held
+
+    response = serve(silent, scenario)
+    assert response.code == 202
+    assert response.data['run'] == 'pending'
+    assert response.headers['Location'] == f'/v1/jobs/{KEY}'
+    assert response.headers['Retry-After'] == '1'
+
+
+@pytest.mark.parametrize(
+    'status, code, retry_after, http',
+    [
+        (types.JobStatus.NOT_RUN, 'overload', 2.2, 503),
+        (types.JobStatus.NOT_RUN, 'never_fits', 0.0, 422),
+        (types.JobStatus.NOT_RUN, 'quota', 1.0, 429),
+        (types.JobStatus.FAILED, '', 0.0, 502),
+        (types.JobStatus.FAILED, 'deadline', 0.0, 504),
+    ],
+)
+def test_a_job_that_did_not_complete_is_a_problem(
+    serve, status, code, retry_after, http
+):
+    """A job is refused at the door, or some of its tasks fail.
+
+    The caller reads from one field whether anything ran, and from another
+    when to try again.
+    """
+    task = types.TaskAnswer('a', types.Outcome.UNKNOWN, reason='agent lost')
+
+    def answer(event):
+        return types.JobAnswer(
+            event.job.key,
+            status,
+            (task,),
+            code=code,
+            reason='why',
+            step='admit',
+            peer='entry-2',
+            retry_after=retry_after,
+        )
+
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', JOB)
+
+    response = serve(answer, scenario)
+    assert response.code == http
+    assert response.headers['Content-Type'] == 'application/problem+json'
+    assert response.data['run'] == status.value
+    assert response.data['peer'] == 'entry-2'
+    assert response.data['tasks'][0]['outcome'] == 'unknown'
+    expected = str(int(-(-retry_after // 1))) if retry_after else None
+    assert response.headers.get('Retry-After') == expected
+
+
+@pytest.mark.parametrize(
+    'change, field',
+    [
+        ({'tasks': []}, '$.tasks'),
+        ({'tasks': [{'id': 'a'}]}, '$.tasks[0]'),
+        ({'tasks': JOB['tasks'][:1] * 2}, '$.tasks[1].id'),
+        ({'tasks': [{'id': 1, 'kind': 'k'}]}, '$.tasks[0].id'),
+        ({'deadline': 1.0, 'timeout_seconds': None}, '$.deadline'),
+        ({'team': ''}, '$.team'),
+        ({'tusks': 1}, '$'),
+    ],
+)
+def test_a_faulty_body_is_refused_with_the_field_at_fault(
+    serve, change, field
+):
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', {**JOB, **change})
+
+    response = serve(pytest.fail, scenario)
+    assert response.code == 422
+    assert response.data['run'] == 'not_run'
+    assert response.data['field'] == field
+
+
+@pytest.mark.parametrize(
+    'body, options, http, code',
+    [
+        (b'{"tasks": [', {}, 400, 'bad_json'),
+        (b'x' * 3000, {'max_body_bytes': 2048}, 413, 'body_too_large'),
+        (JOB, {'max_tasks': 1}, 413, 'too_many_tasks'),
+        (JOB, {'max_header_bytes': 100}, 431, 'headers_too_large'),
+    ],
+)
+def test_a_request_over_a_limit_is_refused_as_not_run(
+    serve, body, options, http, code
+):
+    """A caller sends what is too large or isn't JSON.
+
+    It reads which limit it broke, and that nothing ran.
+    """
+
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', body)
+
+    response = serve(pytest.fail, scenario, **options)
+    assert (response.code, response.data['code']) == (http, code)
+    assert response.data['run'] == 'not_run'
+
+
+def test_a_body_that_never_ends_is_refused(serve):
+    """A caller's connection stalls in the middle of its request.
+
+    It is told so after the idle limit, and its place is free again.
+    """
+
+    async def scenario(site):
+        reader, writer = await asyncio.open_connection('127.0.0.1', site.port)
+        writer.write(
+            b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{'
+        )
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    answer = serve(pytest.fail, scenario, idle_seconds=0.05)
+    assert answer.startswith(b'HTTP/1.1 408')
+    assert b'"run":"not_run"' in answer
+
+
+def test_a_key_that_is_no_uuid7_is_refused(serve):
+    async def scenario(site):
+        return await site.fetch(
+            'POST', '/v1/jobs', JOB, Idempotency_Key=str(uuid.UUID(int=4))
+        )
+
+    response = serve(pytest.fail, scenario)
+    assert (response.code, response.data['code']) == (422, 'bad_key')
+
+
+def test_a_token_names_the_team_of_its_caller(serve):
+    """One team's caller sends another team's name, or no token at all.
+
+    It is refused, so that no team uses up another's quota.
+    """
+    good = {'Authorization': f'Bearer {conftest.TEAM_TOKEN}'}
+    teams = []
+
+    def answer(event):
+        teams.append(event.job.team)
+        return answered(event)
+
+    async def scenario(site):
+        nameless = {**JOB, 'team': ''}
+        other = {**JOB, 'team': 'curico'}
+        return [
+            (await site.fetch('POST', '/v1/jobs', nameless, **good)).code,
+            (await site.fetch('POST', '/v1/jobs', other, **good)).code,
+            (await site.fetch('POST', '/v1/jobs', JOB)).code,
+        ]
+
+    codes = serve(answer, scenario, teams={'talca': conftest.TEAM_TOKEN})
+    assert codes == [200, 403, 401]
+    assert teams == ['talca']
+
+
+def test_a_caller_that_goes_away_does_not_cancel_its_job(serve):
+    """A caller's connection breaks while its request is held open.
+
+    The job goes on: only a DELETE ends it, and the answer can be asked for.
+    """
+    events = []
+
+    async def scenario(site):
+        _, writer = await asyncio.open_connection('127.0.0.1', site.port)
+        body = b'{"team":"t","tasks":[{"id":"a","kind":"k"}]}'
+        writer.write(
+            b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+        )
+        while not events:
+            await asyncio.sleep(0.001)
+        writer.close()
+        while len(site.front.calls):
+            await asyncio.sleep(0.001)
+
+    serve(events.append, scenario)
+    assert [type(event).__name__ for event in events] == ['JobSubmitted']
+
+
+def test_a_cancelled_job_and_an_unknown_one(serve):
+    def answer(event):
+        if event.key == KEY:
+            return types.JobAnswer(
+                KEY, types.JobStatus.FAILED, code='cancelled'
+            )
+        return types.JobAnswer(
+            event.key, types.JobStatus.NOT_RUN, code='unknown_job'
+        )
+
+    async def scenario(site):
+        other = KEY[:-1] + '2'
+        return [
+            (await site.fetch('DELETE', f'/v1/jobs/{KEY}')).code,
+            (await site.fetch('GET', f'/v1/jobs/{KEY}')).code,
+            (await site.fetch('DELETE', f'/v1/jobs/{other}')).code,
+            (await site.fetch('GET', '/v1/jobs/x')).code,
+            (await site.fetch('GET', '/v1/nothing')).code,
+            (await site.fetch('PUT', '/v1/jobs', {})).code,
+        ]
+
+    assert serve(answer, scenario) == [200, 409, 404, 404, 404, 405]
+
+
+def test_an_upstreams_body_that_is_no_json_leaves_the_answer_whole(serve):
+    """An upstream answers with bytes that are no JSON.
+
+    The caller can still read the outcome of every task.
+    """
+
+    def answer(event):
+        task = types.TaskAnswer('a', types.Outcome.FINISHED, b'{"oh\xff')
+        return types.JobAnswer(KEY, types.JobStatus.COMPLETE, (task,))
+
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', JOB)
+
+    body = serve(answer, scenario).data['tasks'][0]['body']
+    assert body.startswith('{"oh')
+    assert callers.job_key(f'"{KEY}"') == KEY
