--- /dev/null
+++ b/src/agatepick/links.py
@@ -0,0 +1,326 @@
+"""Connections to peers: Cap'n Proto messages, framed, over TCP.
+
+A frame is a big-endian 32-bit length and one encoded message.  Both sides
+first send a :class:`~agatepick.messages.Hello`.  One connection serves both
+ways; when a peer connects again, the newer connection takes over.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import random
+import ssl
+import struct
+import typing
+
+from tornado import iostream
+from tornado import tcpclient
+from tornado import tcpserver
+
+from agatepick import core
+from agatepick import exceptions
+from agatepick import messages
+from agatepick import types
+
+LOG = logging.getLogger(__name__)
+
+HEADER = struct.Struct('>I')
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+"""The largest frame taken: a job of 130 tasks with 100 kB bodies fits."""
+MAX_UNSENT_BYTES = 64 * 1024 * 1024
+"""A peer that reads nothing is cut off here, before memory runs out."""
+HELLO_SECONDS = 5.0
+HEARTBEAT_SECONDS = 1.0
+SILENCE_SECONDS = 5.0
+"""Five missed heartbeats: longer than a garbage collection or a busy loop,
+shorter than what a caller waits."""
+REDIAL_FIRST_SECONDS = 0.05
+REDIAL_MAX_SECONDS = 1.0
+
+
+class Delay(typing.Protocol):
+    """Extra one-way latency towards a peer; used by the bench."""
+
+    def seconds(self, peer: types.PeerName) -> float:
+        """Seconds by which delivery to ``peer`` is held up."""
+        ...
+
+
+@dataclasses.dataclass
+class Traffic:
+    """Counters of what one process sent and took over its links."""
+
+    messages_out: int = 0
+    messages_in: int = 0
+    bytes_out: int = 0
+    bytes_in: int = 0
+    by_kind: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def sent(self, message: messages.Message, size: int) -> None:
+        """Count one message out."""
+        kind = type(message).__name__
+        self.messages_out += 1
+        self.bytes_out += size
+        self.by_kind[kind] = self.by_kind.get(kind, 0) + 1
+
+    def took(self, size: int) -> None:
+        """Count one message in."""
+        self.messages_in += 1
+        self.bytes_in += size
+
+
+class Connection:
+    """One framed stream to one peer."""
+
+    def __init__(self, stream: iostream.IOStream, traffic: Traffic):
+        self.stream = stream
+        self.hello: messages.Hello | None = None
+        self.heard_at = 0.0
+        self._traffic = traffic
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message; a closed stream drops it."""
+        if self.stream.closed():
+            return
+        data = messages.encode(message)
+        self._traffic.sent(message, len(data) + HEADER.size)
+        try:
+            fut = self.stream.write(HEADER.pack(len(data)) + data)
+        except iostream.StreamBufferFullError:
+            self.stream.close()
+            return
+        except iostream.StreamClosedError:
+            return
+        # The reader notices a closed stream; nobody awaits this future.
+        fut.add_done_callback(lambda done: done.exception())
+
+    async def receive(self) -> messages.Message:
+        """The next message.
+
+        :raises tornado.iostream.StreamClosedError: at the end.
+        :raises agatepick.exceptions.BadMessage: for bytes that are none.
+        """
+        head = await self.stream.read_bytes(HEADER.size)
+        (size,) = HEADER.unpack(head)
+        if size > MAX_FRAME_BYTES:
+            raise exceptions.BadMessage(
+                f'frame of {size} bytes, at most {MAX_FRAME_BYTES}',
+                step='receive',
+            )
+        data = await self.stream.read_bytes(size)
+        self._traffic.took(size + HEADER.size)
+        return messages.decode(data)
+
+
+class Links(tcpserver.TCPServer):
+    """All connections of one process.
+
+    :param hello: returns the process's own Hello, with what it says now.
+    :param feed: takes the events ``PeerUp``, ``PeerDown`` and ``Received``.
+    """
+
+    def __init__(
+        self,
+        hello: typing.Callable[[], messages.Hello],
+        feed: typing.Callable[[object], None],
+        clock: types.Clock,
+        rng: random.Random,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+        delay: Delay | None = None,
+    ):
+        super().__init__(
+            ssl_options=server_tls, max_buffer_size=MAX_FRAME_BYTES * 2
+        )
+        self.traffic = Traffic()
+        self._hello = hello
+        self._feed = feed
+        self._clock = clock
+        self._rng = rng
+        self._client_tls = client_tls
+        self._delay = delay
+        self._peers: dict[types.PeerName, Connection] = {}
+        self._open: set[Connection] = set()
+        self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
+        self._client = tcpclient.TCPClient()
+        self._heartbeat: asyncio.Task[None] | None = None
+
+    def begin(self) -> None:
+        """Start sending heartbeats; call once, on the loop."""
+        loop = asyncio.get_running_loop()
+        self._heartbeat = loop.create_task(self._beat())
+
+    def end(self) -> None:
+        """Close everything at once."""
+        self.stop()
+        for task in self._dials.values():
+            task.cancel()
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+        for conn in list(self._open):
+            conn.stream.close()
+
+    def connected(self) -> tuple[types.PeerName, ...]:
+        """Names of the peers that a message would reach now."""
+        return tuple(self._peers)
+
+    def send(self, peer: types.PeerName, message: messages.Message) -> None:
+        """Send to a peer; dropped when there is no connection."""
+        conn = self._peers.get(peer)
+        if conn is None:
+            return
+        seconds = self._delay.seconds(peer) if self._delay else 0.0
+        if seconds <= 0:
+            conn.send(message)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, conn.send, message)
+
+    def dial(self, peer: types.PeerName, address: str) -> None:
+        """Keep a connection to ``peer`` at ``ip:port`` until hung up."""
+        if peer in self._dials:
+            return
+        loop = asyncio.get_running_loop()
+        self._dials[peer] = loop.create_task(self._keep(peer, address))
+
+    def hangup(self, peer: types.PeerName) -> None:
+        """Close the connection to a peer and dial it no more."""
+        task = self._dials.pop(peer, None)
+        if task is not None:
+            task.cancel()
+        conn = self._peers.get(peer)
+        if conn is not None:
+            conn.stream.close()
+
+    def cut(self, peer: types.PeerName) -> None:
+        """Close the connection to a peer; it may come back."""
+        conn = self._peers.get(peer)
+        if conn is not None:
+            conn.stream.close()
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: typing.Any
+    ) -> None:
+        """Serve one accepted connection to its end."""
+        conn = self._connection(stream)
+        if await self._greet(conn, str(address)):
+            await self._serve(conn)
+
+    def _connection(self, stream: iostream.IOStream) -> Connection:
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_UNSENT_BYTES
+        conn = Connection(stream, self.traffic)
+        conn.heard_at = self._clock.now()
+        self._open.add(conn)
+        stream.set_close_callback(lambda: self._open.discard(conn))
+        return conn
+
+    async def _greet(self, conn: Connection, address: str) -> bool:
+        conn.send(self._hello())
+        try:
+            hello = await asyncio.wait_for(conn.receive(), HELLO_SECONDS)
+        except (
+            iostream.StreamClosedError,
+            exceptions.BadMessage,
+            TimeoutError,
+        ) as exc:
+            LOG.info('event=greet_failed peer=%s reason=%r', address, exc)
+            conn.stream.close()
+            return False
+        if not isinstance(hello, messages.Hello):
+            LOG.warning('event=no_hello peer=%s', address)
+            conn.stream.close()
+            return False
+        conn.hello = hello
+        return True
+
+    async def _serve(self, conn: Connection) -> None:
+        hello = conn.hello
+        assert hello is not None
+        self._take_over(conn, hello)
+        try:
+            while True:
+                message = await conn.receive()
+                self._received(conn, hello.name, message)
+        except iostream.StreamClosedError:
+            pass
+        except exceptions.BadMessage as exc:
+            exc.peer = hello.name
+            LOG.warning('event=bad_message reason="%s"', exc.show())
+            conn.stream.close()
+        self._lost(conn, hello)
+
+    def _take_over(self, conn: Connection, hello: messages.Hello) -> None:
+        old = self._peers.get(hello.name)
+        self._peers[hello.name] = conn
+        if old is not None and old.hello is not None:
+            old.stream.close()
+            if old.hello.incarnation != hello.incarnation:
+                self._feed(
+                    core.PeerDown(hello.name, old.hello.incarnation, True)
+                )
+        self._feed(core.PeerUp(hello))
+        conn.send(messages.Ping(self._clock.now()))
+
+    def _lost(self, conn: Connection, hello: messages.Hello) -> None:
+        if self._peers.get(hello.name) is conn:
+            del self._peers[hello.name]
+            self._feed(core.PeerDown(hello.name, hello.incarnation))
+
+    def _received(
+        self, conn: Connection, peer: str, message: messages.Message
+    ) -> None:
+        now = self._clock.now()
+        conn.heard_at = now
+        if isinstance(message, messages.Ping):
+            conn.send(messages.Pong(message.sent, now, self._clock.now()))
+        else:
+            self._feed(core.Received(peer, message))
+
+    async def _keep(self, peer: types.PeerName, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        pause = REDIAL_FIRST_SECONDS
+        while True:
+            conn = await self._connect(peer, host, int(port))
+            if conn is not None and await self._greet(conn, address):
+                pause = REDIAL_FIRST_SECONDS
+                self._check_name(conn, peer, address)
+                await self._serve(conn)
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
+            pause = min(pause * 2, REDIAL_MAX_SECONDS)
+
+    def _check_name(self, conn: Connection, peer: str, address: str) -> None:
+        # Another process has the address: the one that had it is gone.
+        found = conn.hello.name if conn.hello else ''
+        if peer not in (address, found):
+            self._feed(core.PeerDown(peer, 0, True))
+
+    async def _connect(
+        self, peer: types.PeerName, host: str, port: int
+    ) -> Connection | None:
+        try:
+            stream = await self._client.connect(
+                host,
+                port,
+                ssl_options=self._client_tls,
+                max_buffer_size=MAX_FRAME_BYTES * 2,
+                timeout=HELLO_SECONDS,
+            )
+        except (OSError, TimeoutError) as exc:
+            cause = getattr(exc, 'real_error', None) or exc
+            # Nothing listens there: the process that did is gone.
+            dead = isinstance(cause, ConnectionRefusedError)
+            LOG.info('event=dial_failed peer=%s reason=%r', peer, cause)
+            self._feed(core.PeerDown(peer, 0, dead))
+            return None
+        return self._connection(stream)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            now = self._clock.now()
+            for conn in list(self._peers.values()):
+                if now - conn.heard_at > SILENCE_SECONDS:
+                    conn.stream.close()
+                else:
+                    conn.send(messages.Ping(now))
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,139 @@
+import asyncio
+import random
+import time
+
+import pytest
+
+from agatepick import core
+from agatepick import links
+from agatepick import messages
+
+
+class WallClock:
+    def now(self) -> float:
+        return time.time()
+
+
+class Node:
+    def __init__(self, name: str, incarnation: int = 1):
+        self.name = name
+        self.incarnation = incarnation
+        self.events: list[object] = []
+        self.changed = asyncio.Event()
+        self.links = links.Links(
+            self.hello, self.feed, WallClock(), random.Random(1)
+        )
+
+    def hello(self) -> messages.Hello:
+        return messages.Hello(
+            self.name, 'entry', self.incarnation, 'z', 'r', '', 0
+        )
+
+    def feed(self, event: object) -> None:
+        self.events.append(event)
+        self.changed.set()
+
+    def listen(self, port: int = 0) -> int:
+        self.links.bind(port, '127.0.0.1')
+        self.links.start()
+        (sock,) = self.links._sockets.values()
+        return sock.getsockname()[1]
+
+    async def wait_for(self, kind: type, where=lambda event: True):
+        async with asyncio.timeout(10):
+            while True:
+                for event in self.events:
+                    if isinstance(event, kind) and where(event):
+                        return event
+                self.changed.clear()
+                await self.changed.wait()
+
+
+def run(main):
+    return asyncio.run(main())
+
+
+def test_messages_go_both_ways_over_one_connection():
+    async def main():
+        left, right = Node('a'), Node('b')
+        port = right.listen()
+        left.links.dial('b', f'127.0.0.1:{port}')
+        await left.wait_for(core.PeerUp)
+        await right.wait_for(core.PeerUp)
+        left.links.send('b', messages.Goodbye('x'))
+        right.links.send('a', messages.Ask(3))
+        got = await right.wait_for(
+            core.Received, lambda e: isinstance(e.message, messages.Goodbye)
+        )
+        assert got == core.Received('a', messages.Goodbye('x'))
+        await left.wait_for(
+            core.Received, lambda e: e.message == messages.Ask(3)
+        )
+        left.links.end()
+        right.links.end()
+
+    run(main)
+
+
+def test_a_refused_connection_tells_that_the_peer_is_dead():
+    """A process was killed and its port closed.
+
+    Peers must learn that it is gone for certain, not only silent, or an
+    outage of the store would stop all starts.
+    """
+
+    async def main():
+        gone = Node('b')
+        port = gone.listen()
+        gone.links.end()
+        node = Node('a')
+        node.links.dial('b', f'127.0.0.1:{port}')
+        down = await node.wait_for(core.PeerDown)
+        assert down.dead
+        node.links.end()
+
+    run(main)
+
+
+def test_another_name_at_an_address_tells_that_the_peer_is_dead():
+    """A process died and another one was given its address.
+
+    The new one answers there, so the old one can't be running.
+    """
+
+    async def main():
+        other = Node('c')
+        port = other.listen()
+        node = Node('a')
+        node.links.dial('b', f'127.0.0.1:{port}')
+        down = await node.wait_for(core.PeerDown)
+        assert down == core.PeerDown('b', 0, True)
+        node.links.end()
+        other.links.end()
+
+    run(main)
+
+
+@pytest.mark.parametrize('data', [b'\xff' * 64, b'\0\0\0\1x', b'\0' * 64])
+def test_bytes_that_are_no_frame_end_only_their_connection(data):
+    """Something that isn't a peer connects and sends rubbish.
+
+    Its connection ends; the others go on and nothing is fed.
+    """
+
+    async def main():
+        node, good = Node('a'), Node('b')
+        port = node.listen()
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(data)
+        async with asyncio.timeout(10):
+            while await reader.read(65536):
+                pass
+        assert node.events == []
+        good.links.dial('a', f'127.0.0.1:{port}')
+        await node.wait_for(core.PeerUp)
+        writer.close()
+        good.links.end()
+        node.links.end()
+
+    run(main)
