Lay out the docstrings of the ownership tests as the linter asks

Cause: the linter wants a summary line, an empty line and the closing quotes on their own line in each docstring of several lines. Change: layout alone.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -35,8 +35,11 @@
 
 @pytest.mark.parametrize('change', [str.upper, lambda key: key[:-1] + '\n'])
 def test_another_spelling_of_a_key_is_refused(change):
-    """A caller writes the same UUID in capitals when it submits again.  Taken
-    as another key it would hash to another owner and run a second time."""
+    """A caller writes the same UUID in capitals when it submits again.
+
+    Taken as another key it would hash to another owner and its tasks would
+    run a second time.
+    """
     key = change(key_at(NOW, 0xABC))
     assert ownership.check(key, NOW) is ownership.KeyFault.MALFORMED
     with pytest.raises(exceptions.BadKey):
@@ -66,9 +69,11 @@
 def test_a_key_changes_owner_only_by_removal_which_marks_it_taken_over(
     drawn, first, stamped_later, seed
 ):
-    """Entries come and go while a caller submits a key again and again.  If
-    the key had another owner that didn't know of the first one's starts, its
-    tasks would run twice."""
+    """Entries come and go while a caller submits a key again and again.
+
+    If the key had another owner that didn't know of the first one's starts,
+    its tasks would run twice.
+    """
     members = [
         member(str(index), listed, removed and max(removed, listed + 0.1))
         for index, (listed, removed) in enumerate(drawn)
