--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -33,12 +33,20 @@
     """A peer sent what isn't a message, or not one it may send."""
 
 
+class BadKey(AgatepickError):
+    """An idempotency key isn't one that agatepick can serve."""
+
+
 class BadSettings(AgatepickError):
     """A settings file can't be used; lists every fault in it."""
 
     exit_status = 2
 
 
+class TooManyCalls(AgatepickError):
+    """More requests are open than the process holds; nothing was done."""
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
