--- a/src/agatepick/bench_arrivals.py
+++ b/src/agatepick/bench_arrivals.py
@@ -7,9 +7,10 @@
 
 import collections.abc
 import dataclasses
-import enum
 import random
 
+from agatepick import bench_plan
+
 SHORTEST_SECONDS = 0.05
 LONGEST_SHORT_SECONDS = 1.0
 LONG_SHARE = 0.05
@@ -25,107 +26,21 @@
 SATURATION_FACTOR = 2.0
 
 
-class Pattern(enum.StrEnum):
-    """The kinds of load and fault that the bench can play."""
-
-    STEADY = 'steady'
-    BURST = 'burst'
-    HOT = 'hot'
-    SLOW_UPSTREAM = 'slow-upstream'
-    LONG_AMONG_SHORT = 'long-among-short'
-    SATURATION = 'saturation'
-    FAILING_WORKER = 'failing-worker'
-    CANCEL_WAVE = 'cancel-wave'
-    WRONG_SIZES = 'wrong-sizes'
-    ZONE = 'zone'
-    OUTAGE = 'outage'
-    ROLLING = 'rolling'
-    RESUBMIT = 'resubmit'
-    THROUGHPUT = 'throughput'
-
-
 DEFAULT_LOADS = {
-    Pattern.BURST: 0.5,
-    Pattern.HOT: 0.95,
-    Pattern.SATURATION: 1.5,
-    Pattern.OUTAGE: 0.5,
-    Pattern.ROLLING: 0.5,
-    Pattern.RESUBMIT: 0.5,
-    Pattern.CANCEL_WAVE: 0.7,
-    Pattern.FAILING_WORKER: 0.6,
-    Pattern.SLOW_UPSTREAM: 0.6,
+    bench_plan.Pattern.BURST: 0.5,
+    bench_plan.Pattern.HOT: 0.95,
+    bench_plan.Pattern.SATURATION: 1.5,
+    bench_plan.Pattern.OUTAGE: 0.5,
+    bench_plan.Pattern.ROLLING: 0.5,
+    bench_plan.Pattern.RESUBMIT: 0.5,
+    bench_plan.Pattern.CANCEL_WAVE: 0.7,
+    bench_plan.Pattern.FAILING_WORKER: 0.6,
+    bench_plan.Pattern.SLOW_UPSTREAM: 0.6,
 }
 """Share of all slots that the arrivals keep busy; 0.8 if not named here."""
 COMMON_LOAD = 0.8
 
 
-class Action(enum.StrEnum):
-    """What the bench does to the installation during a run."""
-
-    ZONE_OUT = 'zone_out'
-    ZONE_IN = 'zone_in'
-    STORE_DOWN = 'store_down'
-    STORE_UP = 'store_up'
-    KILL_ENTRY = 'kill_entry'
-    REPLACE_ENTRY = 'replace_entry'
-    REPLACE_AGENT = 'replace_agent'
-    CANCEL_HALF = 'cancel_half'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """One planned act; ``target`` is a zone or the number of a process."""
-
-    at: float
-    action: Action
-    target: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Deployment:
-    """Size and one-way latencies (seconds) of one installation."""
-
-    name: str
-    zones: tuple[str, ...]
-    zone_latency: float
-    client_latency: float
-    cores: float
-    memory_mb: int
-    entries: int = 2
-    workers: int = 10
-    slots: int = 8
-    rack_size: int = 3
-
-    @property
-    def total_slots(self) -> int:
-        """Slots of all workers."""
-        return self.workers * self.slots
-
-    def zone_of(self, worker: int) -> str:
-        """Zone of a worker by its number."""
-        return self.zones[worker % len(self.zones)]
-
-
-DEPLOYMENTS = {
-    'lectores': Deployment(
-        'lectores',
-        ('talca', 'curico', 'linares', 'chillan'),
-        zone_latency=0.001,
-        client_latency=0.003,
-        cores=64,
-        memory_mb=256 * 1024,
-    ),
-    'cascadia': Deployment(
-        'cascadia',
-        ('cascadia-a', 'cascadia-b', 'cascadia-c'),
-        zone_latency=0.0005,
-        client_latency=0.003,
-        cores=32,
-        memory_mb=128 * 1024,
-    ),
-}
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskPlan:
     """One task: its true run time and what its caller declares."""
@@ -170,12 +85,12 @@
     :param failing: numbers of the workers that fail all they start.
     """
 
-    pattern: Pattern
+    pattern: bench_plan.Pattern
     seed: int
     seconds: float
     load: float
     jobs: tuple[JobPlan, ...]
-    steps: tuple[Step, ...] = ()
+    steps: tuple[bench_plan.Step, ...] = ()
     slow: tuple[tuple[int, float], ...] = ()
     failing: tuple[int, ...] = ()
 
@@ -287,22 +202,22 @@
     return JobPlan(number, at, draw_team(rng), tasks)
 
 
-MAKERS: dict[Pattern, Maker] = {
-    Pattern.HOT: hot_job,
-    Pattern.SATURATION: saturating_job,
-    Pattern.LONG_AMONG_SHORT: mixed_job,
-    Pattern.WRONG_SIZES: misdeclared_job,
-    Pattern.RESUBMIT: resubmitted_job,
-    Pattern.THROUGHPUT: full_job,
+MAKERS: dict[bench_plan.Pattern, Maker] = {
+    bench_plan.Pattern.HOT: hot_job,
+    bench_plan.Pattern.SATURATION: saturating_job,
+    bench_plan.Pattern.LONG_AMONG_SHORT: mixed_job,
+    bench_plan.Pattern.WRONG_SIZES: misdeclared_job,
+    bench_plan.Pattern.RESUBMIT: resubmitted_job,
+    bench_plan.Pattern.THROUGHPUT: full_job,
 }
 
 
 def plan(
-    pattern: Pattern,
+    pattern: bench_plan.Pattern,
     seed: int,
     seconds: float,
     load: float | None,
-    deployment: Deployment,
+    deployment: bench_plan.Deployment,
 ) -> Load:
     """All jobs and acts of a run.
 
@@ -312,7 +227,7 @@
     if load is None:
         load = DEFAULT_LOADS.get(pattern, COMMON_LOAD)
     jobs = arrivals(rng, pattern, seconds, load, deployment)
-    if pattern is Pattern.BURST:
+    if pattern is bench_plan.Pattern.BURST:
         jobs += burst(rng, len(jobs), seconds, deployment)
     return Load(
         pattern,
@@ -320,18 +235,20 @@
         seconds,
         load,
         tuple(sorted(jobs, key=lambda job: job.at)),
-        steps=steps(pattern, seconds, deployment),
-        slow=((0, 5.0),) if pattern is Pattern.SLOW_UPSTREAM else (),
-        failing=(0,) if pattern is Pattern.FAILING_WORKER else (),
+        steps=bench_plan.steps(pattern, seconds, deployment),
+        slow=((0, 5.0),)
+        if pattern is bench_plan.Pattern.SLOW_UPSTREAM
+        else (),
+        failing=(0,) if pattern is bench_plan.Pattern.FAILING_WORKER else (),
     )
 
 
 def arrivals(
     rng: random.Random,
-    pattern: Pattern,
+    pattern: bench_plan.Pattern,
     seconds: float,
     load: float,
-    deployment: Deployment,
+    deployment: bench_plan.Deployment,
 ) -> list[JobPlan]:
     """Poisson arrivals whose work is exactly the wanted share of the slots.
 
@@ -351,7 +268,10 @@
 
 
 def burst(
-    rng: random.Random, first: int, seconds: float, deployment: Deployment
+    rng: random.Random,
+    first: int,
+    seconds: float,
+    deployment: bench_plan.Deployment,
 ) -> list[JobPlan]:
     """Work for all slots for a tenth of the run, within a quarter second."""
     wanted = 0.1 * seconds * deployment.total_slots
@@ -362,45 +282,3 @@
         jobs.append(plain_job(rng, first + len(jobs), at))
         work += jobs[-1].work
     return jobs
-
-
-def steps(
-    pattern: Pattern, seconds: float, deployment: Deployment
-) -> tuple[Step, ...]:
-    """Acts on the installation that belong to a pattern."""
-    third = seconds / 3
-    half = seconds / 2
-    if pattern is Pattern.ZONE:
-        zone = deployment.zones[0]
-        return (
-            Step(third, Action.ZONE_OUT, zone),
-            Step(2 * third, Action.ZONE_IN, zone),
-        )
-    if pattern is Pattern.OUTAGE:
-        return (
-            Step(third, Action.STORE_DOWN),
-            Step(half, Action.KILL_ENTRY, '1'),
-            Step(2 * third, Action.STORE_UP),
-        )
-    if pattern is Pattern.RESUBMIT:
-        return (Step(half, Action.KILL_ENTRY, '1'),)
-    if pattern is Pattern.CANCEL_WAVE:
-        return (Step(half, Action.CANCEL_HALF),)
-    if pattern is Pattern.ROLLING:
-        return rolling_steps(seconds, deployment)
-    return ()
-
-
-def rolling_steps(seconds: float, deployment: Deployment) -> tuple[Step, ...]:
-    """Replace each entry, then each agent, spread over the run."""
-    acts = [
-        (Action.REPLACE_ENTRY, str(num)) for num in range(deployment.entries)
-    ]
-    acts += [
-        (Action.REPLACE_AGENT, str(num)) for num in range(deployment.workers)
-    ]
-    gap = seconds * 0.9 / len(acts)
-    return tuple(
-        Step(gap * (place + 0.5), action, target)
-        for place, (action, target) in enumerate(acts)
-    )
--- a/src/agatepick/bench_ideal.py
+++ b/src/agatepick/bench_ideal.py
@@ -10,6 +10,7 @@
 import heapq
 
 from agatepick import bench_arrivals
+from agatepick import bench_plan
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
 
 def simulate(
     jobs: collections.abc.Iterable[bench_arrivals.JobPlan],
-    deployment: bench_arrivals.Deployment,
+    deployment: bench_plan.Deployment,
     closures: collections.abc.Sequence[Closure] = (),
 ) -> Ideal:
     """Play jobs through the central queue."""
@@ -62,7 +63,7 @@
 def take_slot(
     free: list[tuple[float, int, int]],
     at: float,
-    deployment: bench_arrivals.Deployment,
+    deployment: bench_plan.Deployment,
     closures: collections.abc.Sequence[Closure],
 ) -> tuple[float, int, int]:
     """The slot that lets a task of ``at`` start soonest, and that instant."""
--- /dev/null
+++ b/src/agatepick/bench_plan.py
@@ -0,0 +1,135 @@
+"""What a bench run consists of besides its jobs: pattern, size, planned acts.
+
+Instants are seconds from the start of the run.
+"""
+
+import dataclasses
+import enum
+
+
+class Pattern(enum.StrEnum):
+    """The kinds of load and fault that the bench can play."""
+
+    STEADY = 'steady'
+    BURST = 'burst'
+    HOT = 'hot'
+    SLOW_UPSTREAM = 'slow-upstream'
+    LONG_AMONG_SHORT = 'long-among-short'
+    SATURATION = 'saturation'
+    FAILING_WORKER = 'failing-worker'
+    CANCEL_WAVE = 'cancel-wave'
+    WRONG_SIZES = 'wrong-sizes'
+    ZONE = 'zone'
+    OUTAGE = 'outage'
+    ROLLING = 'rolling'
+    RESUBMIT = 'resubmit'
+    THROUGHPUT = 'throughput'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Size and one-way latencies (seconds) of one installation."""
+
+    name: str
+    zones: tuple[str, ...]
+    zone_latency: float
+    client_latency: float
+    cores: float
+    memory_mb: int
+    entries: int = 2
+    workers: int = 10
+    slots: int = 8
+    rack_size: int = 3
+
+    @property
+    def total_slots(self) -> int:
+        """Slots of all workers."""
+        return self.workers * self.slots
+
+    def zone_of(self, worker: int) -> str:
+        """Zone of a worker by its number."""
+        return self.zones[worker % len(self.zones)]
+
+
+DEPLOYMENTS = {
+    'lectores': Deployment(
+        'lectores',
+        ('talca', 'curico', 'linares', 'chillan'),
+        zone_latency=0.001,
+        client_latency=0.003,
+        cores=64,
+        memory_mb=256 * 1024,
+    ),
+    'cascadia': Deployment(
+        'cascadia',
+        ('cascadia-a', 'cascadia-b', 'cascadia-c'),
+        zone_latency=0.0005,
+        client_latency=0.003,
+        cores=32,
+        memory_mb=128 * 1024,
+    ),
+}
+
+
+class Action(enum.StrEnum):
+    """What the bench does to the installation during a run."""
+
+    ZONE_OUT = 'zone_out'
+    ZONE_IN = 'zone_in'
+    STORE_DOWN = 'store_down'
+    STORE_UP = 'store_up'
+    KILL_ENTRY = 'kill_entry'
+    REPLACE_ENTRY = 'replace_entry'
+    REPLACE_AGENT = 'replace_agent'
+    CANCEL_HALF = 'cancel_half'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One planned act; ``target`` is a zone or the number of a process."""
+
+    at: float
+    action: Action
+    target: str = ''
+
+
+def steps(
+    pattern: Pattern, seconds: float, deployment: Deployment
+) -> tuple[Step, ...]:
+    """Acts on the installation that belong to a pattern."""
+    third = seconds / 3
+    half = seconds / 2
+    if pattern is Pattern.ZONE:
+        zone = deployment.zones[0]
+        return (
+            Step(third, Action.ZONE_OUT, zone),
+            Step(2 * third, Action.ZONE_IN, zone),
+        )
+    if pattern is Pattern.OUTAGE:
+        return (
+            Step(third, Action.STORE_DOWN),
+            Step(half, Action.KILL_ENTRY, '1'),
+            Step(2 * third, Action.STORE_UP),
+        )
+    if pattern is Pattern.RESUBMIT:
+        return (Step(half, Action.KILL_ENTRY, '1'),)
+    if pattern is Pattern.CANCEL_WAVE:
+        return (Step(half, Action.CANCEL_HALF),)
+    if pattern is Pattern.ROLLING:
+        return rolling_steps(seconds, deployment)
+    return ()
+
+
+def rolling_steps(seconds: float, deployment: Deployment) -> tuple[Step, ...]:
+    """Replace each entry, then each agent, spread over the run."""
+    acts = [
+        (Action.REPLACE_ENTRY, str(num)) for num in range(deployment.entries)
+    ]
+    acts += [
+        (Action.REPLACE_AGENT, str(num)) for num in range(deployment.workers)
+    ]
+    gap = seconds * 0.9 / len(acts)
+    return tuple(
+        Step(gap * (place + 0.5), action, target)
+        for place, (action, target) in enumerate(acts)
+    )
--- a/src/agatepick/bench_report.py
+++ b/src/agatepick/bench_report.py
@@ -6,8 +6,10 @@
 import pathlib
 import typing
 
+from agatepick import bench_evidence
 from agatepick import bench_ideal
 from agatepick import bench_measures
+from agatepick import bench_truth
 
 PICTURE_DPI = 120
 WORK_BINS = 60
@@ -49,7 +51,7 @@
 
 
 def summarize(
-    evidence: bench_measures.Evidence,
+    evidence: bench_evidence.Evidence,
     ideal: bench_ideal.Ideal,
     extra: collections.abc.Mapping[str, Figure] | None = None,
 ) -> Report:
@@ -66,7 +68,7 @@
         **response_figures(evidence, ideal),
         **message_figures(evidence),
         **outcome_figures(evidence),
-        **dataclasses.asdict(bench_measures.judge(evidence)),
+        **dataclasses.asdict(bench_truth.judge(evidence)),
         **departure_figures(evidence, ideal),
         **(extra or {}),
     }
@@ -75,7 +77,7 @@
 
 
 def response_figures(
-    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+    evidence: bench_evidence.Evidence, ideal: bench_ideal.Ideal
 ) -> dict[str, Figure]:
     """Response times of the completed jobs beside the ideal's."""
     times = bench_measures.response_times(evidence)
@@ -89,7 +91,7 @@
     return figures
 
 
-def message_figures(evidence: bench_measures.Evidence) -> dict[str, Figure]:
+def message_figures(evidence: bench_evidence.Evidence) -> dict[str, Figure]:
     """Messages between the processes and the part that was wasted."""
     traffic = evidence.traffic
     total = sum(traffic.counts.values())
@@ -101,7 +103,7 @@
         'messages_per_task': total / starts if starts else None,
         'wasted_messages_share': traffic.wasted_share(),
         'wasted_messages_share_without_heartbeats': traffic.wasted_share(
-            bench_measures.HEARTBEATS
+            bench_evidence.HEARTBEATS
         ),
         'refused_starts_share': traffic.refused_starts,
     }
@@ -112,7 +114,7 @@
     return figures
 
 
-def outcome_figures(evidence: bench_measures.Evidence) -> dict[str, Figure]:
+def outcome_figures(evidence: bench_evidence.Evidence) -> dict[str, Figure]:
     """How the jobs ended, from their callers' side."""
     firsts = list(bench_measures.first_replies(evidence).values())
     refused = sum(map(bench_measures.is_refused, firsts))
@@ -130,7 +132,7 @@
 
 
 def departure_figures(
-    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+    evidence: bench_evidence.Evidence, ideal: bench_ideal.Ideal
 ) -> dict[str, Figure]:
     """Work and last starts around the departures of zones."""
     if not evidence.departures:
@@ -149,7 +151,7 @@
 
 
 def work_series(
-    evidence: bench_measures.Evidence, ideal: bench_ideal.Ideal
+    evidence: bench_evidence.Evidence, ideal: bench_ideal.Ideal
 ) -> tuple[tuple[float, float, float], ...]:
     """Busy slots over time, the run's and the ideal's."""
     width = evidence.load.seconds / WORK_BINS
@@ -170,7 +172,7 @@
 
 def plot_work(
     report: Report,
-    departures: collections.abc.Iterable[bench_measures.Departure],
+    departures: collections.abc.Iterable[bench_evidence.Departure],
     path: pathlib.Path,
 ) -> None:
     """Draw busy slots over time, with each zone's stay out shaded."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,9 +8,14 @@
 import tornado.httpclient
 import tornado.netutil
 
+from agatepick import bench_arrivals
+from agatepick import bench_evidence
+from agatepick import bench_plan
+from agatepick import bench_truth
 from agatepick import callers
 from agatepick import calls
 from agatepick import settings
+from agatepick import types
 from agatepick import web
 
 NOW = 1_700_000_000.0
@@ -119,3 +124,52 @@
         return asyncio.run(main())
 
     return run
+
+
+@pytest.fixture
+def bench_answer():
+    """Builds a caller's answer to the bench's job ``key`` of two tasks."""
+
+    def build(status=types.JobStatus.COMPLETE, *tasks, key='key'):
+        return types.JobAnswer(key, status, tasks)
+
+    return build
+
+
+@pytest.fixture
+def bench_finished():
+    """Builds the answer of one task that its upstream ran."""
+
+    def build(place):
+        task = bench_truth.task_id(place)
+        body = bench_truth.echo('key', task)
+        return types.TaskAnswer(task, types.Outcome.FINISHED, body)
+
+    return build
+
+
+@pytest.fixture
+def bench_seen():
+    """Builds what a bench run of one job of two tasks left behind."""
+    tasks = (bench_arrivals.TaskPlan('k', 1.0, 1.0),) * 2
+    job = bench_arrivals.JobPlan(0, 0.0, 'team', tasks)
+    pattern = bench_plan.Pattern.STEADY
+    load = bench_arrivals.Load(pattern, 1, 10.0, 0.5, (job,))
+    traffic = bench_evidence.Traffic({'Starts': 1, 'Results': 1})
+
+    def build(answer, starts=(0, 1), departures=()):
+        reply = bench_evidence.Reply(0, 'key', 0.0, 2.0, answer)
+        runs = tuple(
+            bench_evidence.Run('key', f't{place}', 0, 'talca', 0.5, 1.5)
+            for place in starts
+        )
+        return bench_evidence.Evidence(
+            load,
+            bench_plan.DEPLOYMENTS['lectores'],
+            (reply,),
+            runs,
+            traffic,
+            departures,
+        )
+
+    return build
--- a/tests/test_bench_ideal.py
+++ b/tests/test_bench_ideal.py
@@ -2,9 +2,10 @@
 
 from agatepick import bench_arrivals
 from agatepick import bench_ideal
+from agatepick import bench_plan
 
 ONE_SLOT = dataclasses.replace(
-    bench_arrivals.DEPLOYMENTS['lectores'], workers=1, slots=1
+    bench_plan.DEPLOYMENTS['lectores'], workers=1, slots=1
 )
 TWO_SLOTS = dataclasses.replace(ONE_SLOT, slots=2)
 
--- a/tests/test_bench_report.py
+++ b/tests/test_bench_report.py
@@ -1,15 +1,18 @@
 import json
 
-import test_bench_measures as samples
-
+from agatepick import bench_evidence
 from agatepick import bench_ideal
-from agatepick import bench_measures
 from agatepick import bench_report
+from agatepick import types
 
 
-def test_a_report_names_its_run_and_every_broken_promise(tmp_path):
-    gone = bench_measures.Departure('talca', 0.1, 0.2, 0.4, 9.0)
-    seen = samples.evidence(samples.answer(), (0, 1, 1), departures=(gone,))
+def test_a_report_names_its_run_and_every_broken_promise(
+    tmp_path, bench_seen, bench_answer, bench_finished
+):
+    gone = bench_evidence.Departure('talca', 0.1, 0.2, 0.4, 9.0)
+    tasks = bench_finished(0), bench_finished(1)
+    answer = bench_answer(types.JobStatus.COMPLETE, *tasks)
+    seen = bench_seen(answer, (0, 1, 1), (gone,))
     ideal = bench_ideal.simulate(seen.load.jobs, seen.deployment)
     report = bench_report.summarize(seen, ideal, {'cut_requests': 0})
     body = json.loads(report.as_json())
