--- a/src/agatepick/bench_arrivals.py
+++ b/src/agatepick/bench_arrivals.py
@@ -16,6 +16,7 @@
 LONG_SHARE = 0.05
 """Share of tasks that take several seconds."""
 LONG_SECONDS = (2.0, 5.0)
+KINDS = ('kind-0', 'kind-1', 'kind-2', 'kind-3', 'long', 'short')
 TEAMS = 8
 HOT_TEAMS = 3
 HOT_SHARE = 0.8
--- /dev/null
+++ b/src/agatepick/bench_callers.py
@@ -0,0 +1,245 @@
+"""Callers of the bench: they send jobs over HTTP and keep what they got.
+
+A caller stands behind a balancer that knows which entries are ready.  When a
+connection breaks or the outcome is pending it asks again under the same key,
+by another entry, until well past the deadline; a refusal is final.
+"""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import msgspec
+import tornado.httpclient
+import tornado.simple_httpclient
+import uuid_utils
+
+from agatepick import bench_arrivals
+from agatepick import bench_evidence
+from agatepick import bench_truth
+from agatepick import bench_upstream
+from agatepick import types
+
+MAX_OPEN_REQUESTS = 10_000
+CONNECT_SECONDS = 2.0
+SLACK_SECONDS = 10.0
+"""How long after its deadline a caller still waits to learn the outcome."""
+PAUSE_SECONDS = (0.05, 0.25)
+
+
+class TaskBody(msgspec.Struct, frozen=True):
+    """One task of an answer; the body stays as the bytes that came."""
+
+    id: str
+    outcome: types.Outcome
+    body: msgspec.Raw = msgspec.Raw(b'')
+    reason: str = ''
+
+
+class AnswerBody(msgspec.Struct, frozen=True):
+    """An answer or a problem document, as far as the bench reads it."""
+
+    job: str = ''
+    run: str = ''
+    tasks: tuple[TaskBody, ...] = ()
+    code: str = ''
+    detail: str = ''
+
+
+class Balancer(typing.Protocol):
+    """Says where a caller's next connection goes."""
+
+    def pick(self, avoid: str = '') -> str:
+        """URL of a ready entry, another than ``avoid`` if there is one."""
+        ...
+
+
+@dataclasses.dataclass
+class Cuts:
+    """Requests that ended without an answer, by the error seen."""
+
+    by_error: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def add(self, error: str) -> None:
+        """Count one."""
+        self.by_error[error] = self.by_error.get(error, 0) + 1
+
+
+class Callers:
+    """All callers of one run.
+
+    :param latency: one-way seconds between a caller and an entry.
+    """
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        book: bench_upstream.StartBook,
+        latency: float,
+        rng: random.Random,
+    ):
+        self.replies: list[bench_evidence.Reply] = []
+        self.keys: dict[int, str] = {}
+        self.open: dict[int, str] = {}
+        self.cancelled: set[int] = set()
+        self.cuts = Cuts()
+        self._balancer = balancer
+        self._book = book
+        self._latency = latency
+        self._rng = rng
+        self._http = tornado.simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_OPEN_REQUESTS
+        )
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def submit(self, job: bench_arrivals.JobPlan) -> None:
+        """Send one job, and again if its plan says so."""
+        key = str(uuid_utils.uuid7())
+        self.keys[job.number] = key
+        self.open[job.number] = key
+        body = job_body(job)
+        url = self._balancer.pick()
+        sendings = [self._send(job, key, body, url, False)]
+        if job.resubmit_after is not None:
+            sendings.append(self._resubmit(job, key, body, url))
+        await asyncio.gather(*sendings)
+
+    async def cancel(self, number: int) -> None:
+        """Cancel a job by its number."""
+        key = self.keys[number]
+        self.cancelled.add(number)
+        await asyncio.sleep(self._latency)
+        await self._fetch(
+            tornado.httpclient.HTTPRequest(
+                f'{self._balancer.pick()}/v1/jobs/{key}', method='DELETE'
+            )
+        )
+
+    async def _resubmit(
+        self, job: bench_arrivals.JobPlan, key: str, body: bytes, url: str
+    ) -> None:
+        await asyncio.sleep(job.resubmit_after or 0.0)
+        if job.elsewhere:
+            url = self._balancer.pick(avoid=url)
+        await self._send(job, key, body, url, True)
+
+    async def _send(
+        self,
+        job: bench_arrivals.JobPlan,
+        key: str,
+        body: bytes,
+        url: str,
+        again: bool,
+    ) -> None:
+        sent = self._book.now()
+        until = sent + job.deadline_after + SLACK_SECONDS
+        while True:
+            answer, error = await self._post(key, body, url, until)
+            final = answer is not None and (
+                answer.status is not types.JobStatus.PENDING
+            )
+            if final or self._book.now() >= until:
+                break
+            await asyncio.sleep(self._rng.uniform(*PAUSE_SECONDS))
+            url = self._balancer.pick(avoid=url)
+        self.open.pop(job.number, None)
+        self.replies.append(
+            bench_evidence.Reply(
+                job.number,
+                key,
+                sent,
+                self._book.now(),
+                answer,
+                resubmission=again,
+                cancelled=job.number in self.cancelled,
+                error=error,
+            )
+        )
+
+    async def _post(
+        self, key: str, body: bytes, url: str, until: float
+    ) -> tuple[types.JobAnswer | None, str]:
+        await asyncio.sleep(self._latency)
+        response = await self._fetch(
+            tornado.httpclient.HTTPRequest(
+                f'{url}/v1/jobs',
+                method='POST',
+                body=body,
+                headers={
+                    'Content-Type': 'application/json',
+                    'Idempotency-Key': key,
+                },
+                connect_timeout=CONNECT_SECONDS,
+                request_timeout=max(1.0, until - self._book.now()),
+            )
+        )
+        await asyncio.sleep(self._latency)
+        if response is None:
+            return None, 'cut'
+        return read_answer(response.body, response.code, key), ''
+
+    async def _fetch(
+        self, req: tornado.httpclient.HTTPRequest
+    ) -> tornado.httpclient.HTTPResponse | None:
+        try:
+            return await self._http.fetch(req, raise_error=False)
+        except ConnectionRefusedError as exc:
+            # The balancer's knowledge was old; no request was in progress.
+            self.cuts.add(f'refused {type(exc).__name__}')
+            return None
+        except (OSError, tornado.httpclient.HTTPError) as exc:
+            self.cuts.add(type(exc).__name__)
+            return None
+
+
+def job_body(job: bench_arrivals.JobPlan) -> bytes:
+    """Body of ``POST /v1/jobs``."""
+    return msgspec.json.encode(
+        {
+            'team': job.team,
+            'timeout_seconds': job.deadline_after,
+            'urgent': job.urgent,
+            'tasks': [
+                {
+                    'id': bench_truth.task_id(place),
+                    'kind': task.kind,
+                    'payload': bench_upstream.Payload(
+                        bench_truth.task_id(place), task.seconds
+                    ),
+                    'needs': {'cpu': task.cpu},
+                    'expected_seconds': task.expected_seconds,
+                }
+                for place, task in enumerate(job.tasks)
+            ],
+        }
+    )
+
+
+def read_answer(
+    body: bytes, status: int, key: types.JobKey
+) -> types.JobAnswer | None:
+    """What an HTTP answer says; None if it says nothing of a job.
+
+    A refusal at the door names no job: then it is the sender's own key that
+    was refused.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=AnswerBody)
+        outcome = types.JobStatus(parsed.run)
+    except (msgspec.DecodeError, ValueError):
+        return None
+    tasks = tuple(
+        types.TaskAnswer(task.id, task.outcome, bytes(task.body), task.reason)
+        for task in parsed.tasks
+    )
+    return types.JobAnswer(
+        parsed.job or key,
+        outcome,
+        tasks,
+        code=parsed.code or str(status),
+        reason=parsed.detail,
+    )
--- /dev/null
+++ b/src/agatepick/bench_player.py
@@ -0,0 +1,118 @@
+"""Plays one load against a running installation: jobs and planned acts."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from agatepick import bench_arrivals
+from agatepick import bench_callers
+from agatepick import bench_cluster
+from agatepick import bench_evidence
+from agatepick import bench_plan
+from agatepick import bench_upstream
+from agatepick import cluster
+
+DRAIN_SECONDS = 45.0
+"""How long after the last arrival the bench waits for answers."""
+
+
+class Player:
+    """Plays one load against a running installation."""
+
+    def __init__(
+        self,
+        load: bench_arrivals.Load,
+        site: bench_cluster.Cluster,
+        callers: bench_callers.Callers,
+        book: bench_upstream.StartBook,
+    ):
+        self.departures: dict[str, bench_evidence.Departure] = {}
+        self.step_errors: list[str] = []
+        self._load = load
+        self._site = site
+        self._callers = callers
+        self._book = book
+        self._acts: dict[
+            bench_plan.Action,
+            collections.abc.Callable[
+                [str], collections.abc.Coroutine[object, object, None]
+            ],
+        ] = {
+            bench_plan.Action.ZONE_OUT: self._zone_out,
+            bench_plan.Action.ZONE_IN: self._zone_in,
+            bench_plan.Action.STORE_DOWN: self._store_down,
+            bench_plan.Action.STORE_UP: self._store_up,
+            bench_plan.Action.KILL_ENTRY: self._kill_entry,
+            bench_plan.Action.REPLACE_ENTRY: self._replace_entry,
+            bench_plan.Action.REPLACE_AGENT: self._replace_agent,
+            bench_plan.Action.CANCEL_HALF: self._cancel_half,
+        }
+
+    async def play(self) -> None:
+        """Play all jobs and acts; wait until every caller has an answer."""
+        tasks = [
+            asyncio.create_task(self._play_job(job)) for job in self._load.jobs
+        ]
+        acts = asyncio.create_task(self._play_steps())
+        left = self._load.seconds + DRAIN_SECONDS - self._book.now()
+        _, late = await asyncio.wait([*tasks, acts], timeout=left)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*tasks, acts, return_exceptions=True)
+
+    def unanswered(self) -> list[bench_evidence.Reply]:
+        """Replies that never came, for the jobs still open."""
+        now = self._book.now()
+        return [
+            bench_evidence.Reply(number, key, 0.0, now, None, error='silent')
+            for number, key in self._callers.open.items()
+        ]
+
+    async def _play_job(self, job: bench_arrivals.JobPlan) -> None:
+        await asyncio.sleep(job.at - self._book.now())
+        await self._callers.submit(job)
+
+    async def _play_steps(self) -> None:
+        for step in self._load.steps:
+            await asyncio.sleep(step.at - self._book.now())
+            try:
+                await self._acts[step.action](step.target)
+            except Exception as exc:
+                self.step_errors.append(f'{step.action}: {exc!r}')
+
+    async def _zone_out(self, zone: str) -> None:
+        asked = self._book.now()
+        verdict = await self._site.change(cluster.ZoneOut(zone))
+        accepted = self._book.now()
+        in_force = self._book.seconds_at(verdict.in_force_at)
+        self.departures[zone] = bench_evidence.Departure(
+            zone, asked, accepted, in_force, float('inf')
+        )
+
+    async def _zone_in(self, zone: str) -> None:
+        verdict = await self._site.change(cluster.ZoneIn(zone))
+        returned = self._book.seconds_at(verdict.in_force_at)
+        self.departures[zone] = dataclasses.replace(
+            self.departures[zone], returned=returned
+        )
+
+    async def _store_down(self, target: str) -> None:
+        self._site.set_store_down(True)
+
+    async def _store_up(self, target: str) -> None:
+        self._site.set_store_down(False)
+
+    async def _kill_entry(self, target: str) -> None:
+        await self._site.kill_entry(int(target))
+
+    async def _replace_entry(self, target: str) -> None:
+        await self._site.replace_entry(int(target))
+
+    async def _replace_agent(self, target: str) -> None:
+        await self._site.replace_agent(int(target))
+
+    async def _cancel_half(self, target: str) -> None:
+        numbers = sorted(self._callers.open)[::2]
+        await asyncio.gather(
+            *(self._callers.cancel(number) for number in numbers)
+        )
