--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -43,6 +43,12 @@
     """More requests are open than the process holds; nothing was done."""
 
 
+class Unreachable(AgatepickError):
+    """No answer came, so whether a job ran is not known."""
+
+    exit_status = 6
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
--- a/src/agatepick/settings.py
+++ b/src/agatepick/settings.py
@@ -1,27 +1,15 @@
-"""Settings of each program, read from TOML and checked whole at start.
-
-A file becomes one frozen data class.  Every fault in it is found in one go:
-an unknown key, a missing key, a wrong type or unit, a value out of range and
-pairs of values that can't stand together.  Each fault names the file, the
-key, what was found and what is allowed.
+"""Settings of each program, as frozen data classes with their defaults.
 
+:mod:`agatepick.settings_files` reads them from TOML and checks them whole.
 Durations are seconds and their keys end in ``_seconds``; sizes are bytes or
 MiB and end in ``_bytes`` or ``_mb``.
 """
 
 import dataclasses
-import difflib
-import ipaddress
-import pathlib
-import tomllib
 import typing
 
 import msgspec
 
-from agatepick import exceptions
-
-_T = typing.TypeVar('_T')
-
 Name = typing.Annotated[
     str,
     msgspec.Meta(
@@ -29,10 +17,12 @@
         description='1 to 63 letters, digits, ".", "_" or "-"',
     ),
 ]
+_OCTET = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
+_PORT = r'(6553[0-5]|655[0-2]\d|65[0-4]\d{2}|6[0-4]\d{3}|[1-5]?\d{1,4})'
 Address = typing.Annotated[
     str,
     msgspec.Meta(
-        pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$',
+        pattern=rf'^({_OCTET}(\.{_OCTET}){{3}}|\[[0-9a-fA-F:]+\]):{_PORT}$',
         description='an IP number and a port, such as "127.0.0.1:7070"',
     ),
 ]
@@ -169,6 +159,15 @@
     reload_seconds: Seconds = 30.0
 
 
+TLS_FILES = (
+    'http_certificate',
+    'http_key',
+    'peer_certificate',
+    'peer_key',
+    'peer_authority',
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tokens:
     """Bearer tokens: the operators' and each team's own."""
@@ -290,274 +289,3 @@
     'table': TableSettings,
     'upstream': UpstreamSettings,
 }
-_MARKS = {'http': 'entry', 'entries': 'agent', 'table': 'table'}
-
-
-def load(path: str | pathlib.Path, kind: type[_T]) -> _T:
-    """The settings in a file.
-
-    :param kind: one of the settings classes of this module.
-    :raises agatepick.exceptions.BadSettings: listing every fault, one a
-        line.
-    """
-    return parse(_read(path), kind, str(path))
-
-
-def load_any(path: str | pathlib.Path) -> Settings:
-    """The settings in a file of whichever program; told by its sections.
-
-    :raises agatepick.exceptions.BadSettings: listing every fault.
-    """
-    text = _read(path)
-    data = _toml(text, str(path))
-    name = next((_MARKS[key] for key in data if key in _MARKS), 'upstream')
-    if name == 'upstream' and 'worker' not in data:
-        marks = ', '.join(f'[{one}]' for one in (*_MARKS, 'worker'))
-        raise exceptions.BadSettings(
-            f'{path}: no section tells the program; '
-            f'found {_shown_keys(data)}; allowed: one of {marks}',
-            step='settings',
-        )
-    return parse(text, KINDS[name], str(path))
-
-
-def parse(text: str, kind: type[_T], file: str = '<text>') -> _T:
-    """The settings in TOML text; ``file`` names it in faults."""
-    data = _toml(text, file)
-    faults: list[str] = []
-    value = _section(data, kind, '', faults)
-    faults += pair_faults(value)
-    if faults:
-        lines = '\n'.join(f'{file}: {fault}' for fault in faults)
-        raise exceptions.BadSettings(lines, step='settings')
-    return typing.cast(_T, value)
-
-
-def is_loopback(address: str) -> bool:
-    """Whether an ``ip:port`` can be reached from this machine only."""
-    host = address.rpartition(':')[0].strip('[]')
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return False
-
-
-def _read(path: str | pathlib.Path) -> str:
-    try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as exc:
-        raise exceptions.BadSettings(
-            f'{path}: cannot be read: {exc}', step='settings'
-        ) from exc
-
-
-def _toml(text: str, file: str) -> dict[str, typing.Any]:
-    try:
-        return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        raise exceptions.BadSettings(
-            f'{file}: not TOML: {exc}', step='settings'
-        ) from exc
-
-
-def _section(
-    data: dict[str, typing.Any], kind: type, path: str, faults: list[str]
-) -> typing.Any:
-    """Build ``kind`` from what is sound; faulty parts are noted, left out.
-
-    A faulty or missing part becomes ``None``, so that the pairs that don't
-    need it can still be checked.
-    """
-    fields = {field.name: field for field in dataclasses.fields(kind)}
-    hints = typing.get_type_hints(kind, include_extras=True)
-    for key in data.keys() - fields.keys():
-        faults.append(_unknown(_join(path, key), key, list(fields)))
-    values = {}
-    for name, field in fields.items():
-        where = _join(path, name)
-        if name in data:
-            values[name] = _value(data[name], hints[name], where, faults)
-        elif _is_required(field):
-            faults.append(f'{where}: found nothing; {_allowed(hints[name])}')
-            values[name] = None
-    return kind(**values)
-
-
-def _value(
-    found: typing.Any, hint: typing.Any, path: str, faults: list[str]
-) -> typing.Any:
-    if dataclasses.is_dataclass(hint):
-        if isinstance(found, dict):
-            return _section(found, typing.cast(type, hint), path, faults)
-        faults.append(f'{path}: found {_shown(found, hint)}; allowed: a table')
-        return None
-    if typing.get_origin(hint) is tuple and isinstance(found, list):
-        item = typing.get_args(hint)[0]
-        return tuple(
-            _value(one, item, f'{path}[{index}]', faults)
-            for index, one in enumerate(found)
-        )
-    if typing.get_origin(hint) is dict and isinstance(found, dict):
-        key_hint, item = typing.get_args(hint)
-        return {
-            _value(key, key_hint, path, faults): _value(
-                one, item, _join(path, key), faults
-            )
-            for key, one in found.items()
-        }
-    try:
-        return msgspec.convert(found, hint)
-    except msgspec.ValidationError:
-        faults.append(f'{path}: found {_shown(found, hint)}; {_allowed(hint)}')
-        return None
-
-
-def pair_faults(cfg: object) -> list[str]:
-    """Faults of values that are sound alone but not together."""
-    faults = []
-    tls = getattr(cfg, 'tls', None)
-    for name in ('http', 'peers', 'upstream'):
-        section = getattr(cfg, name, None)
-        if section is not None and section.listen is not None:
-            faults += _bind_faults(name, section, tls)
-    if tls is not None:
-        faults += _tls_faults(cfg, tls)
-    timing = getattr(cfg, 'timing', None)
-    if timing is not None:
-        faults += _timing_faults(timing)
-    if isinstance(cfg, EntrySettings) and cfg.tokens is not None:
-        faults += _token_faults(cfg.tokens)
-    if isinstance(cfg, AgentSettings) and cfg.entries is not None:
-        if cfg.entries.seeds == ():
-            faults.append('entries.seeds: found []; allowed: one or more')
-    return faults
-
-
-def _bind_faults(name: str, section: typing.Any, tls: Tls | None) -> list[str]:
-    # An upstream's announcements come from its own machine, in the clear.
-    clear = name == 'upstream' or (tls is not None and not tls.enabled)
-    if (
-        clear
-        and not section.plain_beyond_loopback
-        and not is_loopback(section.listen)
-    ):
-        return [
-            f'{name}.listen: found {section.listen!r} without TLS; allowed: '
-            f'a loopback address, or TLS, or '
-            f'{name}.plain_beyond_loopback = true'
-        ]
-    return []
-
-
-def _tls_faults(cfg: object, tls: Tls) -> list[str]:
-    if not tls.enabled:
-        return []
-    wanted = ['peer_certificate', 'peer_key', 'peer_authority']
-    if isinstance(cfg, EntrySettings):
-        wanted += ['http_certificate', 'http_key']
-    return [
-        f'tls.{name}: found nothing with tls.enabled = true; '
-        f'allowed: path of a PEM file, or tls.enabled = false'
-        for name in wanted
-        if getattr(tls, name) == ''
-    ]
-
-
-def _timing_faults(timing: Timing) -> list[str]:
-    faults = []
-    fence, margin = timing.fence_seconds, timing.margin_seconds
-    if fence is not None and margin is not None and margin * 4 > fence:
-        faults.append(
-            f'timing.margin_seconds: found {margin} with fence_seconds = '
-            f'{fence}; allowed: at most a quarter of the fence'
-        )
-    beat = timing.heartbeat_seconds
-    if fence is not None and beat is not None and beat * 2 > fence:
-        faults.append(
-            f'timing.heartbeat_seconds: found {beat} with fence_seconds = '
-            f'{fence}; allowed: at most half of the fence'
-        )
-    keep, skew = timing.retention_seconds, timing.skew_seconds
-    if keep is not None and skew is not None and skew * 2 > keep:
-        faults.append(
-            f'timing.skew_seconds: found {skew} with retention_seconds = '
-            f'{keep}; allowed: at most half of the retention'
-        )
-    return faults
-
-
-def _token_faults(tokens: Tokens) -> list[str]:
-    owners: dict[str, str] = {}
-    faults = []
-    pairs = [('operator', tokens.operator)]
-    pairs += [(f'teams.{one}', val) for one, val in tokens.teams.items()]
-    for name, token in pairs:
-        if token is None:
-            continue
-        if token in owners:
-            faults.append(
-                f'tokens.{name}: found the token of tokens.{owners[token]}; '
-                f'allowed: a token of its own'
-            )
-        owners.setdefault(token, name)
-    return faults
-
-
-def _is_required(field: 'dataclasses.Field[typing.Any]') -> bool:
-    return (
-        field.default is dataclasses.MISSING
-        and field.default_factory is dataclasses.MISSING
-    )
-
-
-def _join(path: str, key: str) -> str:
-    return f'{path}.{key}' if path else key
-
-
-def _unknown(where: str, key: str, names: list[str]) -> str:
-    close = difflib.get_close_matches(key, names, n=1)
-    hint = f' (did you mean {close[0]!r}?)' if close else ''
-    return f'{where}: found an unknown key{hint}; allowed: {", ".join(names)}'
-
-
-def _metas(hint: typing.Any) -> list[msgspec.Meta]:
-    parts = [hint, *typing.get_args(hint)]
-    return [
-        meta
-        for part in parts
-        for meta in getattr(part, '__metadata__', ())
-        if isinstance(meta, msgspec.Meta)
-    ]
-
-
-_PLAIN = {
-    str: 'text',
-    bool: 'true or false',
-    int: 'a whole number',
-    float: 'a number',
-}
-
-
-def _allowed(hint: typing.Any) -> str:
-    for meta in _metas(hint):
-        if meta.description:
-            return f'allowed: {meta.description}'
-    if dataclasses.is_dataclass(hint):
-        names = [field.name for field in dataclasses.fields(hint)]
-        return f'allowed: a table with {", ".join(names)}'
-    if typing.get_origin(hint) is tuple:
-        return 'allowed: a list'
-    if typing.get_origin(hint) is dict:
-        return 'allowed: a table'
-    return f'allowed: {_PLAIN.get(hint, hint)}'
-
-
-def _shown(found: object, hint: typing.Any) -> str:
-    if any((meta.extra or {}).get('secret') for meta in _metas(hint)):
-        return f'a secret that is a {type(found).__name__}'
-    text = repr(found)
-    return text if len(text) <= 60 else f'{text[:57]}...'
-
-
-def _shown_keys(data: dict[str, typing.Any]) -> str:
-    return ', '.join(f'[{key}]' for key in data) or 'nothing'
