--- /dev/null
+++ b/src/agatepick/cluster.py
@@ -0,0 +1,435 @@
+"""The cluster configuration: one versioned document, and its changes.
+
+The document says which availability zones are out, which preset is in use,
+the quotas of teams, the upstreams that are leaving and the listed entries.
+Each version differs from the one before by one :class:`ChangeRow`.  The
+store's head row, :class:`Head`, names the last version.
+
+All values are immutable; :func:`apply` makes the next document.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from agatepick import exceptions
+from agatepick import messages
+
+PRESETS = ('ordinary', 'peak', 'maintenance')
+REMOVED_KEPT_SECONDS = 600.0
+"""How long a removed entry stays in the document: the owner of a job key as
+old as that is still found by counting the removed entry in."""
+
+
+class _Change(msgspec.Struct, frozen=True, tag_field='kind'):
+    """Base of the changes; the tag tells them apart in JSON."""
+
+
+class ZoneOut(_Change, frozen=True, tag='zone_out'):
+    """Take an availability zone out of service."""
+
+    zone: str
+
+
+class ZoneIn(_Change, frozen=True, tag='zone_in'):
+    """Return an availability zone to service."""
+
+    zone: str
+
+
+class PresetUse(_Change, frozen=True, tag='preset_use'):
+    """Switch to another preset."""
+
+    preset: str
+
+
+class QuotaSet(_Change, frozen=True, tag='quota_set'):
+    """Set how many slots a team may fill at once; ``None`` lifts it."""
+
+    team: str
+    slots: int | None
+
+
+class UpstreamLeaving(_Change, frozen=True, tag='upstream_leaving'):
+    """Start nothing more at an agent, because its upstream leaves."""
+
+    agent: str
+
+
+class UpstreamCleared(_Change, frozen=True, tag='upstream_cleared'):
+    """Forget that an agent's upstream was leaving."""
+
+    agent: str
+
+
+class EntryListed(_Change, frozen=True, tag='entry_listed'):
+    """List an entry; an older incarnation of its name is removed by it."""
+
+    name: str
+    incarnation: int
+    address: str
+    zone: str
+
+
+class EntryRemoved(_Change, frozen=True, tag='entry_removed'):
+    """Remove one incarnation of an entry."""
+
+    name: str
+    incarnation: int
+
+
+class SettingSet(_Change, frozen=True, tag='setting_set'):
+    """Set a free setting; ``None`` removes it."""
+
+    key: str
+    value: str | None
+
+
+Change = (
+    ZoneOut
+    | ZoneIn
+    | PresetUse
+    | QuotaSet
+    | UpstreamLeaving
+    | UpstreamCleared
+    | EntryListed
+    | EntryRemoved
+    | SettingSet
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone that has been out at least once.
+
+    :param since: when it went out, or came back.
+    """
+
+    name: str
+    out: bool
+    since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quota:
+    """How many slots a team may fill at once."""
+
+    team: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """A free setting."""
+
+    key: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClusterConfig:
+    """One version of the document.
+
+    :param in_force_at: instant at which processes switch to this version.
+    :param entries: listed entries, and those removed not long ago.
+    """
+
+    version: int = 0
+    in_force_at: float = 0.0
+    preset: str = PRESETS[0]
+    zones: tuple[Zone, ...] = ()
+    quotas: tuple[Quota, ...] = ()
+    leaving: tuple[str, ...] = ()
+    entries: tuple[messages.Member, ...] = ()
+    settings: tuple[Setting, ...] = ()
+
+    def listed(self) -> tuple[messages.Member, ...]:
+        """The entries that are listed now."""
+        return tuple(one for one in self.entries if not one.removed_at)
+
+    def member(self, name: str) -> messages.Member | None:
+        """The listed entry of that name."""
+        for one in self.entries:
+            if one.name == name and not one.removed_at:
+                return one
+        return None
+
+    def lists(self, me: messages.Member) -> bool:
+        """Whether this incarnation of an entry is listed."""
+        member = self.member(me.name)
+        return member is not None and member.incarnation == me.incarnation
+
+    def zone(self, name: str) -> Zone | None:
+        """What is known of a zone; ``None`` if it never was out."""
+        for one in self.zones:
+            if one.name == name:
+                return one
+        return None
+
+    def zone_out(self, name: str) -> bool:
+        """Whether a zone is out of service."""
+        zone = self.zone(name)
+        return zone is not None and zone.out
+
+    def quota(self, team: str) -> int | None:
+        """Slots a team may fill; ``None`` if it has no quota."""
+        for one in self.quotas:
+            if one.team == team:
+                return one.slots
+        return None
+
+    def setting(self, key: str) -> str | None:
+        """Value of a free setting."""
+        for one in self.settings:
+            if one.key == key:
+                return one.value
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRow:
+    """One accepted change, as the store keeps it.
+
+    :param version: the version it makes.
+    :param in_force_at: when processes switch to that version.
+    :param attempt: with the writer's name and incarnation, names the
+        transaction that wrote the row; a lost answer is settled by it.
+    """
+
+    version: int
+    in_force_at: float
+    change: Change
+    writer: str
+    incarnation: int
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The store's head row.
+
+    :param stamp: when an entry last wrote the row, by that entry's clock
+        and before its request was sent.
+    """
+
+    version: int
+    stamp: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uncertain:
+    """A change whose transaction may yet take effect.
+
+    :param stamp: the transaction takes effect only while the head carries
+        this stamp and the version before ``row.version``.
+    """
+
+    row: ChangeRow
+    stamp: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposed:
+    """Effect: how a proposed change ended, for whoever asked for it.
+
+    :param verdict: ``accepted``, ``conflict`` (another change won, nothing
+        was written), ``unknown`` (the store's answer was lost: it may yet
+        turn out either way), ``unavailable`` (nothing was written) or
+        ``invalid`` (``reason`` names the field).
+    :param version: the version that carries the change, or that won.
+    """
+
+    request_id: int
+    verdict: str
+    version: int
+    in_force_at: float = 0.0
+    reason: str = ''
+
+
+_Document = ClusterConfig | ChangeRow | Head | Uncertain
+_Kind = typing.TypeVar('_Kind', ClusterConfig, ChangeRow, Head, Uncertain)
+_encoder = msgspec.json.Encoder()
+
+
+def encode(value: _Document) -> bytes:
+    """JSON of a document, row or head; equal values give equal bytes."""
+    return _encoder.encode(value)
+
+
+def decode(data: bytes, kind: type[_Kind]) -> _Kind:
+    """The value in ``data``.
+
+    :raises agatepick.exceptions.BadMessage: naming the field at fault.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise exceptions.BadMessage(
+            f'{kind.__name__}: {exc}', step='decode'
+        ) from exc
+
+
+def change_from_json(data: bytes) -> Change:
+    """A change as an operator sends it.
+
+    :raises agatepick.exceptions.BadChange: naming the field at fault.
+    """
+    try:
+        return msgspec.json.decode(data, type=Change)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise exceptions.BadChange(str(exc), step='decode') from exc
+
+
+def change_to_json(change: Change) -> bytes:
+    """The form that :func:`change_from_json` takes."""
+    return _encoder.encode(change)
+
+
+def subject(change: Change) -> str:
+    """What a change is about; two changes of one subject exclude another."""
+    match change:
+        case ZoneOut(zone) | ZoneIn(zone):
+            return f'zone {zone}'
+        case PresetUse():
+            return 'preset'
+        case QuotaSet(team):
+            return f'quota {team}'
+        case UpstreamLeaving(agent) | UpstreamCleared(agent):
+            return f'upstream {agent}'
+        case EntryListed(name) | EntryRemoved(name):
+            return f'entry {name}'
+        case SettingSet(key):
+            return f'setting {key}'
+
+
+def alters(config: ClusterConfig, change: Change) -> bool:
+    """Whether a valid change would make a difference to a document."""
+    row = ChangeRow(config.version + 1, config.in_force_at, change, '', 0, 0)
+    after = apply(config, row)
+    return dataclasses.replace(after, version=config.version) != config
+
+
+def apply(config: ClusterConfig, row: ChangeRow) -> ClusterConfig:
+    """The document that ``row`` makes of ``config``.
+
+    :raises agatepick.exceptions.BadChange: if the row isn't for the next
+        version, would be in force before this one, or has a bad field.
+    """
+    if row.version != config.version + 1:
+        raise _bad('version', f'{row.version} after {config.version}')
+    if row.in_force_at < config.in_force_at:
+        raise _bad('in_force_at', 'before that of the version before')
+    base = dataclasses.replace(
+        config,
+        version=row.version,
+        in_force_at=row.in_force_at,
+        entries=_recent(config.entries, row.in_force_at),
+    )
+    return _changed(base, row.change, row.in_force_at)
+
+
+def _bad(field: str, why: str) -> exceptions.BadChange:
+    return exceptions.BadChange(f'{field}: {why}', step='apply')
+
+
+def _recent(
+    entries: tuple[messages.Member, ...], now: float
+) -> tuple[messages.Member, ...]:
+    oldest = now - REMOVED_KEPT_SECONDS
+    return tuple(
+        one
+        for one in entries
+        if not one.removed_at or one.removed_at >= oldest
+    )
+
+
+def _changed(base: ClusterConfig, change: Change, at: float) -> ClusterConfig:
+    match change:
+        case ZoneOut(zone):
+            return _with_zone(base, zone, True, at)
+        case ZoneIn(zone):
+            return _with_zone(base, zone, False, at)
+        case PresetUse(preset):
+            if preset not in PRESETS:
+                raise _bad('preset', f'{preset!r} is none of {PRESETS}')
+            return dataclasses.replace(base, preset=preset)
+        case QuotaSet(team, slots):
+            return _with_quota(base, team, slots)
+        case UpstreamLeaving(agent):
+            leaving = tuple(sorted({*base.leaving, _named('agent', agent)}))
+            return dataclasses.replace(base, leaving=leaving)
+        case UpstreamCleared(agent):
+            kept = tuple(one for one in base.leaving if one != agent)
+            return dataclasses.replace(base, leaving=kept)
+        case EntryListed():
+            return _with_entry(base, change, at)
+        case EntryRemoved(name, incarnation):
+            return _without_entry(base, name, incarnation, at)
+        case SettingSet(key, value):
+            return _with_setting(base, key, value)
+
+
+def _named(field: str, value: str) -> str:
+    if not value:
+        raise _bad(field, 'is empty')
+    return value
+
+
+def _with_zone(
+    base: ClusterConfig, name: str, out: bool, at: float
+) -> ClusterConfig:
+    if base.zone_out(_named('zone', name)) == out:
+        return base
+    others = tuple(one for one in base.zones if one.name != name)
+    return dataclasses.replace(base, zones=(*others, Zone(name, out, at)))
+
+
+def _with_quota(
+    base: ClusterConfig, team: str, slots: int | None
+) -> ClusterConfig:
+    _named('team', team)
+    kept = tuple(one for one in base.quotas if one.team != team)
+    if slots is None:
+        return dataclasses.replace(base, quotas=kept)
+    if slots < 0:
+        raise _bad('slots', f'{slots} is negative')
+    return dataclasses.replace(base, quotas=(*kept, Quota(team, slots)))
+
+
+def _with_entry(
+    base: ClusterConfig, change: EntryListed, at: float
+) -> ClusterConfig:
+    old = base.member(_named('name', change.name))
+    if old is not None and old.incarnation == change.incarnation:
+        return base
+    if old is not None:
+        base = _without_entry(base, old.name, old.incarnation, at)
+    member = messages.Member(
+        change.name, change.incarnation, change.address, change.zone, at
+    )
+    return dataclasses.replace(base, entries=(*base.entries, member))
+
+
+def _without_entry(
+    base: ClusterConfig, name: str, incarnation: int, at: float
+) -> ClusterConfig:
+    entries = tuple(
+        dataclasses.replace(one, removed_at=at)
+        if one.name == name
+        and one.incarnation == incarnation
+        and not one.removed_at
+        else one
+        for one in base.entries
+    )
+    return dataclasses.replace(base, entries=entries)
+
+
+def _with_setting(
+    base: ClusterConfig, key: str, value: str | None
+) -> ClusterConfig:
+    _named('key', key)
+    kept = tuple(one for one in base.settings if one.key != key)
+    if value is None:
+        return dataclasses.replace(base, settings=kept)
+    return dataclasses.replace(base, settings=(*kept, Setting(key, value)))
--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -39,6 +39,15 @@
     exit_status = 2
 
 
+class BadChange(AgatepickError):
+    """A change can't be applied to the cluster configuration.
+
+    The message names the field at fault.
+    """
+
+    exit_status = 2
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -183,6 +183,7 @@
 
 struct IntentAck {
   version @0 :UInt64;
+  attempt @1 :UInt64;
 }
 
 struct Changes {
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -230,9 +230,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IntentAck:
-    """The receiver has stopped relying on grants of that version."""
+    """The receiver holds the :class:`Intent` of that attempt."""
 
     version: int
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/agatepick/tablestore.py
@@ -0,0 +1,202 @@
+"""Client of the platform's table service: JSON over HTTP.
+
+A read may be repeated.  A transaction never is, once a byte of it may have
+reached the service: after a lost answer the repetition would meet the
+conditions that its first try has broken, and report a conflict for a change
+that took effect.  Its caller gets ``StoreUnknown`` and settles it by reading.
+"""
+
+import asyncio
+import dataclasses
+import errno
+import random
+import typing
+
+import msgspec
+import tornado.httpclient
+import tornado.simple_httpclient
+
+from agatepick import breaker
+from agatepick import exceptions
+from agatepick import ratelimit
+from agatepick import store
+
+BACKOFF_SECONDS = 0.02
+BACKOFF_MAX_SECONDS = 0.5
+
+_PATHS: dict[type[store.Request], str] = {
+    store.ReadRow: '/v1/rows/read',
+    store.ReadAfter: '/v1/rows/after',
+    store.Transact: '/v1/transact',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableSettings:
+    """How to reach the table service, and how much to ask of it.
+
+    :param address: ``ip:port``.
+    :param reads: reads a second that this process may send, at most.
+    :param writes: the same for transactions.
+    """
+
+    address: str
+    reads: float = 20.0
+    writes: float = 10.0
+
+
+@dataclasses.dataclass
+class Counts:
+    """What this process sent to the service, and what it held back."""
+
+    reads: int = 0
+    writes: int = 0
+    retries: int = 0
+    held_back: int = 0
+
+
+class TableStore:
+    """The table service at one address; implements ``store.Store``."""
+
+    def __init__(
+        self,
+        cfg: TableSettings,
+        rng: random.Random,
+        client: tornado.httpclient.AsyncHTTPClient,
+        now: typing.Callable[[], float],
+    ):
+        self._cfg = cfg
+        self._rng = rng
+        self._client = client
+        self._now = now
+        self._breaker = breaker.CircuitBreaker(rng)
+        self._budget = ratelimit.RetryBudget()
+        self._reads = ratelimit.TokenBucket(cfg.reads, cfg.reads, now())
+        self._writes = ratelimit.TokenBucket(cfg.writes, cfg.writes, now())
+        self.counts = Counts()
+
+    @classmethod
+    def from_config(
+        cls, cfg: TableSettings, rng: random.Random
+    ) -> 'TableStore':
+        """A client on the running event loop."""
+        client = tornado.simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True
+        )
+        loop = asyncio.get_running_loop()
+        return cls(cfg, rng, client, loop.time)
+
+    def close(self) -> None:
+        """Let go of the connections."""
+        self._client.close()
+
+    async def call(self, call: store.CallStore) -> store.StoreAnswered:
+        """Carry out one call; errors are in the answer, none is raised."""
+        self._budget.earn()
+        deadline = self._now() + call.timeout
+        tries = 0
+        while True:
+            answer = await self._once(call.request, deadline - self._now())
+            tries += 1
+            pause = self._backoff(tries)
+            if not _repeatable(call.request, answer):
+                break
+            if self._now() + pause >= deadline or not self._budget.spend():
+                break
+            self.counts.retries += 1
+            await asyncio.sleep(pause)
+        return store.StoreAnswered(call.id, answer)
+
+    def _backoff(self, tries: int) -> float:
+        longest = min(BACKOFF_MAX_SECONDS, BACKOFF_SECONDS * 2.0**tries)
+        return self._rng.uniform(0.0, longest)
+
+    async def _once(
+        self, request: store.Request, timeout: float
+    ) -> store.Answer:
+        held = self._held_back(request)
+        if held is not None:
+            self.counts.held_back += 1
+            return held
+        answer = await self._fetch(request, timeout)
+        if isinstance(
+            answer, exceptions.StoreUnavailable | exceptions.StoreUnknown
+        ):
+            self._breaker.failed(self._now())
+        else:
+            self._breaker.succeeded()
+        return answer
+
+    def _held_back(
+        self, request: store.Request
+    ) -> exceptions.StoreUnavailable | None:
+        now = self._now()
+        if not self._breaker.allow(now):
+            return self._error(exceptions.StoreUnavailable, 'circuit open')
+        write = isinstance(request, store.Transact)
+        if not (self._writes if write else self._reads).take(now):
+            return self._error(exceptions.StoreUnavailable, 'over our rate')
+        if write:
+            self.counts.writes += 1
+        else:
+            self.counts.reads += 1
+        return None
+
+    async def _fetch(
+        self, request: store.Request, timeout: float
+    ) -> store.Answer:
+        http = tornado.httpclient.HTTPRequest(
+            f'http://{self._cfg.address}{_PATHS[type(request)]}',
+            method='POST',
+            body=msgspec.json.encode(request),
+            connect_timeout=timeout,
+            request_timeout=timeout,
+        )
+        try:
+            resp = await self._client.fetch(http, raise_error=False)
+        except (OSError, tornado.httpclient.HTTPError) as exc:
+            return self._failed(request, exc)
+        if resp.code == 599:
+            return self._failed(request, resp.error)
+        return self._parsed(request, resp)
+
+    def _parsed(
+        self, request: store.Request, resp: tornado.httpclient.HTTPResponse
+    ) -> store.Answer:
+        if resp.code == 409:
+            return self._error(exceptions.StoreConflict, 'condition failed')
+        if resp.code in (429, 503):
+            return self._error(
+                exceptions.StoreUnavailable, f'status {resp.code}'
+            )
+        if resp.code != 200:
+            return self._error(exceptions.StoreUnknown, f'status {resp.code}')
+        if isinstance(request, store.Transact):
+            return store.Committed()
+        try:
+            return msgspec.json.decode(resp.body, type=store.Rows)
+        except msgspec.MsgspecError as exc:
+            return self._error(exceptions.StoreUnknown, str(exc))
+
+    def _failed(
+        self, request: store.Request, exc: BaseException | None
+    ) -> exceptions.StoreError:
+        refused = isinstance(exc, OSError) and exc.errno in (
+            errno.ECONNREFUSED,
+            errno.EHOSTUNREACH,
+            errno.ENETUNREACH,
+        )
+        if refused or not isinstance(request, store.Transact):
+            return self._error(exceptions.StoreUnavailable, repr(exc))
+        return self._error(exceptions.StoreUnknown, repr(exc))
+
+    _Error = typing.TypeVar('_Error', bound=exceptions.StoreError)
+
+    def _error(self, kind: type[_Error], why: str) -> _Error:
+        return kind(why, step='store', peer=self._cfg.address)
+
+
+def _repeatable(request: store.Request, answer: store.Answer) -> bool:
+    return isinstance(answer, exceptions.StoreUnavailable) and not isinstance(
+        request, store.Transact
+    )
--- /dev/null
+++ b/tests/test_clocks.py
@@ -0,0 +1,30 @@
+from agatepick import clocks
+
+
+def test_the_clock_counts_on_from_its_start_and_ignores_steps(monkeypatch):
+    """A time daemon steps the wall clock; leases must not notice."""
+    boot = iter([7.5, 8.0])
+    monkeypatch.setattr(clocks.time, 'clock_gettime', lambda which: next(boot))
+    clock = clocks.ProcessClock(1000.0, 7.0)
+    monkeypatch.setattr(clocks.time, 'time', lambda: 5.0)
+    assert [clock.now(), clock.now()] == [1000.5, 1001.0]
+
+
+def test_four_instants_give_the_offset_and_bound_its_error():
+    """The way there takes 10 ms, the way back 30 ms; the peer is 2 s ahead."""
+    found = clocks.offset(100.0, 102.01, 102.02, 100.05)
+    assert abs(found.seconds - 1.99) < 1e-9
+    assert abs(found.error - 0.02) < 1e-9
+    assert abs(found.seconds - 2.0) <= found.error
+    assert not found.within(1.0) and found.within(2.1)
+
+
+def test_an_offset_is_unknown_until_measured_and_old_samples_age_out():
+    """A peer's clock drifts away after one very good measurement."""
+    estimate = clocks.OffsetEstimate()
+    assert not estimate.best.within(1e9)
+    estimate.add(clocks.Offset(0.0, 0.001))
+    assert estimate.best.within(0.25)
+    for _ in range(clocks.SAMPLES_KEPT):
+        estimate.add(clocks.Offset(1.0, 0.01))
+    assert not estimate.best.within(0.25)
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,81 @@
+import pytest
+
+from agatepick import cluster
+from agatepick import exceptions
+
+
+def row(version, change, at=10.0):
+    return cluster.ChangeRow(version, at, change, 'e1', 1, 0)
+
+
+def applied(*changes):
+    config = cluster.ClusterConfig()
+    for number, change in enumerate(changes, 1):
+        config = cluster.apply(config, row(number, change, 10.0 * number))
+    return config
+
+
+def test_each_change_is_seen_in_the_document():
+    config = applied(
+        cluster.ZoneOut('a'),
+        cluster.PresetUse('peak'),
+        cluster.QuotaSet('books', 3),
+        cluster.UpstreamLeaving('w1'),
+        cluster.SettingSet('k', 'v'),
+        cluster.EntryListed('e1', 7, '127.0.0.1:1', 'a'),
+    )
+    assert config.zone_out('a') and not config.zone_out('b')
+    assert config.preset == 'peak'
+    assert config.quota('books') == 3 and config.quota('other') is None
+    assert config.leaving == ('w1',)
+    assert config.setting('k') == 'v'
+    assert [one.incarnation for one in config.listed()] == [7]
+    assert (config.version, config.in_force_at) == (6, 60.0)
+
+
+def test_a_new_incarnation_removes_the_old_one_but_keeps_it_on_record():
+    config = applied(
+        cluster.EntryListed('e1', 1, '127.0.0.1:1', 'a'),
+        cluster.EntryListed('e1', 2, '127.0.0.1:1', 'a'),
+    )
+    old, new = config.entries
+    assert (old.incarnation, old.removed_at) == (1, 20.0)
+    assert config.listed() == (new,) and config.member('e1') == new
+    late = cluster.apply(config, row(3, cluster.ZoneOut('a'), 700.0))
+    assert late.entries == (new,)
+
+
+def test_a_return_is_dated_and_a_repeated_departure_changes_nothing():
+    config = applied(cluster.ZoneOut('a'), cluster.ZoneIn('a'))
+    assert config.zone('a') == cluster.Zone('a', False, 20.0)
+    assert not cluster.alters(config, cluster.ZoneIn('a'))
+    assert cluster.alters(config, cluster.ZoneOut('a'))
+
+
+@pytest.mark.parametrize(
+    ('bad', 'field'),
+    [
+        (row(3, cluster.ZoneOut('a'), 30.0), 'version'),
+        (row(2, cluster.ZoneOut('a'), 1.0), 'in_force_at'),
+        (row(2, cluster.ZoneOut('')), 'zone'),
+        (row(2, cluster.PresetUse('fast')), 'preset'),
+        (row(2, cluster.QuotaSet('t', -1)), 'slots'),
+    ],
+)
+def test_a_bad_change_is_refused_and_its_field_named(bad, field):
+    config = applied(cluster.ZoneOut('b'))
+    with pytest.raises(exceptions.BadChange, match=f'^{field}: '):
+        cluster.apply(config, bad)
+
+
+def test_json_names_the_field_at_fault_and_survives_a_round_trip():
+    with pytest.raises(exceptions.BadChange, match='zone'):
+        cluster.change_from_json(b'{"kind": "zone_out", "zone": 4}')
+    with pytest.raises(exceptions.BadMessage, match='Head'):
+        cluster.decode(b'\xff', cluster.Head)
+    config = applied(cluster.EntryListed('e', 1, 'x', 'a'))
+    data = cluster.encode(config)
+    assert cluster.decode(data, cluster.ClusterConfig) == config
+    changed = row(1, cluster.QuotaSet('t', None))
+    data = cluster.encode(changed)
+    assert cluster.decode(data, cluster.ChangeRow) == changed
