--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -43,6 +43,15 @@
     exit_status = 2
 
 
+class BadChange(AgatepickError):
+    """A change can't be applied to the cluster configuration.
+
+    The message names the field at fault.
+    """
+
+    exit_status = 2
+
+
 class TooManyCalls(AgatepickError):
     """More requests are open than the process holds; nothing was done."""
 
