--- a/src/agatepick/bench_callers.py
+++ b/src/agatepick/bench_callers.py
@@ -19,6 +19,7 @@
 from agatepick import bench_evidence
 from agatepick import bench_truth
 from agatepick import bench_upstream
+from agatepick import standin_upstream
 from agatepick import types
 
 MAX_OPEN_REQUESTS = 10_000
@@ -207,9 +208,7 @@
                 {
                     'id': bench_truth.task_id(place),
                     'kind': task.kind,
-                    'payload': bench_upstream.Payload(
-                        bench_truth.task_id(place), task.seconds
-                    ),
+                    'payload': standin_upstream.Payload(task.seconds),
                     'needs': {'cpu': task.cpu},
                     'expected_seconds': task.expected_seconds,
                 }
--- a/src/agatepick/bench_cluster.py
+++ b/src/agatepick/bench_cluster.py
@@ -23,6 +23,7 @@
 from agatepick import processes
 from agatepick import settings
 from agatepick import standin_table
+from agatepick import standin_upstream
 from agatepick import types
 from agatepick import upstream
 
@@ -31,7 +32,8 @@
 ANY_PORT = '127.0.0.1:0'
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
-ANNOUNCE_SECONDS = 1.0
+ANNOUNCED_SECONDS = 5.0
+NO_URL = 'http://127.0.0.1:1'
 OPERATOR_TOKEN = 'bench-operator-token'
 OUTAGE_FAULTS = standin_table.Faults(outage=True)
 
@@ -125,8 +127,7 @@
     """One agent with the upstream beside it."""
 
     process: processes.AgentProcess
-    upstream: bench_upstream.CountingUpstream
-    announcer: asyncio.Task[None]
+    upstream: standin_upstream.LocalUpstream
 
 
 class Cluster:
@@ -167,7 +168,7 @@
     async def stop(self) -> None:
         """End everything at once."""
         for agent in self.agents:
-            agent.announcer.cancel()
+            agent.upstream.end()
             agent.process.kill()
         for entry in self.entries:
             entry.process.kill()
@@ -232,8 +233,8 @@
     async def replace_agent(self, number: int) -> None:
         """Stop an agent gracefully, then start a new one in its place."""
         old = self.agents[number]
-        old.announcer.cancel()
         await old.process.stop()
+        old.upstream.end()
         self._stopped.update(old.process.links.traffic.by_kind)
         self.agents[number] = await self._start_agent(number)
 
@@ -280,37 +281,37 @@
             upstream=settings.Upstreams(listen=ANY_PORT),
             tls=settings.Tls(enabled=False),
         )
-        worker = bench_upstream.Worker(
-            number,
-            zone,
-            dict(self._load.slow).get(number, 1.0),
-            number in self._load.failing,
+        process = processes.AgentProcess.from_settings(
+            cfg, self._outside(name, zone)
         )
-        runner = bench_upstream.CountingUpstream(worker, self._book)
-        outside = dataclasses.replace(
-            self._outside(name, zone), upstream=runner
-        )
-        process = processes.AgentProcess.from_settings(cfg, outside)
         await process.start()
         self._count(process)
-        announcer = asyncio.create_task(self._announce(process, name))
-        return AgentSite(process, runner, announcer)
-
-    async def _announce(
-        self, process: processes.AgentProcess, session: str
-    ) -> None:
-        needs = types.Needs(self._deployment.cores, self._deployment.memory_mb)
-        event = upstream.Announced(
-            session,
+        return AgentSite(process, self._attach(process, number, zone))
+
+    def _attach(
+        self, process: processes.AgentProcess, number: int, zone: str
+    ) -> standin_upstream.LocalUpstream:
+        faults = standin_upstream.Faults(
+            fail_all=number in self._load.failing,
+            slow_factor=dict(self._load.slow).get(number, 1.0),
+        )
+        announced = upstream.Announced(
+            process.name,
             bench_arrivals.KINDS,
             self._deployment.slots,
-            needs,
-            'http://127.0.0.1:1',
-            5 * ANNOUNCE_SECONDS,
+            types.Needs(self._deployment.cores, self._deployment.memory_mb),
+            NO_URL,
+            ANNOUNCED_SECONDS,
         )
-        while True:
-            process.shell.feed(event)
-            await asyncio.sleep(ANNOUNCE_SECONDS)
+        local = standin_upstream.LocalUpstream(
+            bench_upstream.Worker(number, zone, self._book, faults),
+            process.shell.feed,
+            announced,
+        )
+        process.shell.handle(upstream.RunTask, local.run)
+        process.shell.handle(upstream.StopTask, local.stop)
+        local.begin()
+        return local
 
     def _count(self, process: processes.Process) -> None:
         process.shell.reducer = CountingReducer(
--- a/src/agatepick/bench_truth.py
+++ b/src/agatepick/bench_truth.py
@@ -10,10 +10,14 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from agatepick import bench_arrivals
 from agatepick import bench_evidence
 from agatepick import types
 
+TASK_PREFIX = 't'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Truth:
@@ -101,7 +105,7 @@
 
 def task_id(place: int) -> str:
     """The caller's name for a task of a job."""
-    return f't{place}'
+    return f'{TASK_PREFIX}{place}'
 
 
 def is_incomplete(
@@ -138,12 +142,13 @@
         task.outcome is types.Outcome.FINISHED
         and (
             starts.get((reply.key, task.id), 0) == 0
-            or echo(reply.key, task.id) not in task.body
+            or echo(reply.key, task.id) != task.body
         )
         for task in answer.tasks
     )
 
 
 def echo(key: types.JobKey, task: str) -> bytes:
-    """What the stand-in upstream puts into the answer of a task."""
-    return f'{key}/{task}'.encode()
+    """What the stand-in upstream answers for a task."""
+    index = int(task.removeprefix(TASK_PREFIX))
+    return msgspec.json.encode({'job': key, 'index': index})
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,34 @@
+import os
+
+import pytest
+
+from agatepick import exceptions
+from agatepick import slopes
+from agatepick import slopes_process
+
+SUBJECT = slopes.Subject('bytes', 'agents', 'B/s', 'wire')
+
+
+def test_a_straight_line_is_found_again_with_no_residual(tmp_path):
+    line = slopes.fit(SUBJECT, [(1, 5.0), (2, 7.0), (4, 11.0), (8, 19.0)])
+    assert (line.slope, line.intercept) == pytest.approx((2.0, 3.0))
+    assert line.residual == pytest.approx(0.0, abs=1e-12)
+    assert line.at(100) == pytest.approx(203.0)
+    assert line.size_at(203.0) == pytest.approx(100.0)
+    path = tmp_path / 'slopes.json'
+    path.write_text(slopes.Slopes((line,)).as_json())
+    assert slopes.load(path).line('bytes') == line
+
+
+def test_three_points_are_too_few_for_a_line():
+    with pytest.raises(exceptions.BadSettings):
+        slopes.fit(SUBJECT, [(1, 5.0), (2, 7.0), (4, 11.0), (4, 12.0)])
+
+
+def test_a_process_is_read_by_its_pid():
+    before = slopes_process.sample(os.getpid())
+    assert before.resident_bytes > 1 << 20
+    sum(range(3_000_000))
+    after = slopes_process.sample(os.getpid())
+    used = slopes_process.use(before, after, 1.0)
+    assert used.core_share > 0.0
