--- a/src/agatepick/bench.py
+++ b/src/agatepick/bench.py
@@ -24,6 +24,7 @@
 from agatepick import bench_report
 from agatepick import bench_upstream
 from agatepick import clocks
+from agatepick import cluster
 
 DEFAULT_SECONDS = 20.0
 PLOTTED_LOADS = (0.5, 0.8, 0.95)
@@ -78,8 +79,12 @@
     load: bench_arrivals.Load,
     deployment: bench_plan.Deployment,
     policy: str = '',
+    first_changes: tuple[cluster.Change, ...] = (),
 ) -> Played:
-    """Play one load once."""
+    """Play one load once.
+
+    :param first_changes: changes of the configuration before it begins.
+    """
     clock = clocks.ProcessClock.start()
     book = bench_upstream.StartBook(clock)
     site = bench_cluster.Cluster(load, deployment, clock, book, policy)
@@ -88,12 +93,15 @@
     player = bench_player.Player(load, site, callers, book)
     try:
         await site.start()
-        before = site.traffic()
+        for change in first_changes:
+            await site.change(change)
+        before, sent = site.traffic(), site.bytes_sent()
         book.begin()
         cpu = time.process_time()
         await player.play()
         cpu = time.process_time() - cpu
         traffic = site.evidence_traffic(before)
+        sent = site.bytes_sent() - sent
     finally:
         callers.close()
         await site.stop()
@@ -108,6 +116,7 @@
     extra: Figures = {
         'policy': policy or 'default',
         **run_figures(evidence, callers, player, site),
+        'bytes': sent,
         'cpu_seconds_all_processes_and_bench': cpu,
     }
     report = bench_report.summarize(evidence, ideal_of(evidence), extra)
--- a/src/agatepick/bench_cluster.py
+++ b/src/agatepick/bench_cluster.py
@@ -185,10 +185,16 @@
     def traffic(self) -> collections.Counter[str]:
         """Messages by kind that all processes have sent so far."""
         total = collections.Counter(self._stopped)
-        for site in [*self.entries, *self.agents]:
+        sites: list[EntrySite | AgentSite] = [*self.entries, *self.agents]
+        for site in sites:
             total.update(site.process.links.traffic.by_kind)
         return total
 
+    def bytes_sent(self) -> int:
+        """Bytes that all processes have sent so far to one another."""
+        sites: list[EntrySite | AgentSite] = [*self.entries, *self.agents]
+        return sum(site.process.links.traffic.bytes_out for site in sites)
+
     def evidence_traffic(
         self, before: collections.Counter[str]
     ) -> bench_evidence.Traffic:
--- /dev/null
+++ b/src/agatepick/slopes_wire.py
@@ -0,0 +1,310 @@
+"""Messages and bytes of real links, over the sizes of an installation.
+
+The links count every frame exactly, so these figures need no process of
+their own; processor time and memory do (:mod:`agatepick.slopes_process`).
+"""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+
+from agatepick import bench
+from agatepick import bench_arrivals
+from agatepick import bench_cluster
+from agatepick import bench_plan
+from agatepick import bench_upstream
+from agatepick import clocks
+from agatepick import cluster
+from agatepick import links
+from agatepick import slopes
+
+IDLE_SECONDS = 8.0
+CHANGE_SECONDS = 12.0
+LOADED_SECONDS = 6.0
+LOAD = 0.5
+TASK_SECONDS = 0.1
+SETTLE_SECONDS = 2.0
+"""Greetings and listings are over by then."""
+AGENT_COUNTS = (4, 8, 16, 32)
+ENTRY_COUNTS = (2, 3, 4, 6)
+FEW_AGENTS = 4
+FEW_ENTRIES = 2
+CHANGES_PER_SECOND = (0.5, 1.0, 2.0, 4.0)
+TASKS_A_JOB = (1, 4, 16, 64, 130)
+TEAM_COUNTS = (2, 8, 24, 64)
+
+SUBJECTS = (
+    slopes.Subject(
+        'entry_control_bytes',
+        'agents',
+        'B/s',
+        'wire',
+        f'{FEW_ENTRIES} entries, idle',
+    ),
+    slopes.Subject(
+        'entry_control_messages',
+        'agents',
+        'messages/s',
+        'wire',
+        f'{FEW_ENTRIES} entries, idle',
+    ),
+    slopes.Subject(
+        'entry_control_bytes_by_entries',
+        'entries',
+        'B/s',
+        'wire',
+        f'{FEW_AGENTS} agents, idle',
+    ),
+    slopes.Subject(
+        'agent_control_bytes',
+        'entries',
+        'B/s',
+        'wire',
+        f'{FEW_AGENTS} agents, idle',
+    ),
+    slopes.Subject(
+        'table_reads',
+        'entries',
+        'reads/s',
+        'wire',
+        f'{FEW_AGENTS} agents, idle',
+    ),
+    slopes.Subject(
+        'table_writes',
+        'entries',
+        'writes/s',
+        'wire',
+        f'{FEW_AGENTS} agents, idle',
+    ),
+    slopes.Subject(
+        'entry_bytes_by_changes',
+        'changes/s',
+        'B/s',
+        'wire',
+        f'{FEW_ENTRIES} entries, {FEW_AGENTS} agents',
+    ),
+    slopes.Subject(
+        'table_reads_by_changes',
+        'changes/s',
+        'reads/s',
+        'wire',
+        f'{FEW_ENTRIES} entries, {FEW_AGENTS} agents',
+    ),
+    slopes.Subject(
+        'table_writes_by_changes',
+        'changes/s',
+        'writes/s',
+        'wire',
+        f'{FEW_ENTRIES} entries, {FEW_AGENTS} agents',
+    ),
+    slopes.Subject(
+        'job_messages',
+        'tasks a job',
+        'messages/job',
+        'wire',
+        'lectores, half of the slots busy, heartbeats left out',
+    ),
+    slopes.Subject(
+        'job_bytes',
+        'tasks a job',
+        'B/job',
+        'wire',
+        'lectores, half of the slots busy',
+    ),
+    slopes.Subject(
+        'team_messages',
+        'teams',
+        'messages/s',
+        'wire',
+        'quotas set, half of the slots busy',
+    ),
+)
+
+Points = dict[str, list[tuple[float, float]]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wire:
+    """Traffic of one process between two readings, a second."""
+
+    messages: float
+    bytes: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Counters of one installation at one instant."""
+
+    entries: tuple[tuple[int, int], ...]
+    agents: tuple[tuple[int, int], ...]
+    reads: int
+    writes: int
+
+
+def measure() -> tuple[slopes.Line, ...]:
+    """All lines of this module; takes about three minutes."""
+    points: Points = collections.defaultdict(list)
+    for count in AGENT_COUNTS:
+        asyncio.run(idle(points, FEW_ENTRIES, count, by_agents=True))
+    for count in ENTRY_COUNTS:
+        asyncio.run(idle(points, count, FEW_AGENTS, by_agents=False))
+    for rate in CHANGES_PER_SECOND:
+        asyncio.run(changing(points, rate))
+    for tasks in TASKS_A_JOB:
+        asyncio.run(loaded(points, tasks))
+    for teams in TEAM_COUNTS:
+        asyncio.run(with_quotas(points, teams))
+    return slopes.fit_all(SUBJECTS, points)
+
+
+def read(site: bench_cluster.Cluster) -> Reading:
+    """Read all counters."""
+    counts = site.table.counts
+    return Reading(
+        tuple(total(one.process.links.traffic) for one in site.entries),
+        tuple(total(one.process.links.traffic) for one in site.agents),
+        counts.reads,
+        counts.writes,
+    )
+
+
+def total(traffic: links.Traffic) -> tuple[int, int]:
+    """Messages and bytes both ways."""
+    return (
+        traffic.messages_in + traffic.messages_out,
+        traffic.bytes_in + traffic.bytes_out,
+    )
+
+
+def mean(
+    before: collections.abc.Sequence[tuple[int, int]],
+    after: collections.abc.Sequence[tuple[int, int]],
+    seconds: float,
+) -> Wire:
+    """Mean traffic of the processes of one role."""
+    count = len(before) * seconds
+    pairs = list(zip(before, after, strict=True))
+    return Wire(
+        sum(new[0] - old[0] for old, new in pairs) / count,
+        sum(new[1] - old[1] for old, new in pairs) / count,
+    )
+
+
+def installation(
+    entries: int, agents: int, jobs: tuple[bench_arrivals.JobPlan, ...] = ()
+) -> tuple[
+    bench_arrivals.Load, bench_plan.Deployment, bench_upstream.StartBook
+]:
+    """A load, a deployment and a book for one reading."""
+    deployment = dataclasses.replace(
+        bench_plan.DEPLOYMENTS['lectores'], entries=entries, workers=agents
+    )
+    pattern = bench_plan.Pattern.STEADY
+    load = bench_arrivals.Load(pattern, 1, LOADED_SECONDS, LOAD, jobs)
+    book = bench_upstream.StartBook(clocks.ProcessClock.start())
+    return load, deployment, book
+
+
+async def idle(
+    points: Points, entries: int, agents: int, by_agents: bool
+) -> None:
+    """Read an installation that has nothing to do."""
+    load, deployment, book = installation(entries, agents)
+    clock = clocks.ProcessClock.start()
+    site = bench_cluster.Cluster(load, deployment, clock, book)
+    try:
+        await site.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        before = read(site)
+        await asyncio.sleep(IDLE_SECONDS)
+        after = read(site)
+    finally:
+        await site.stop()
+    entry = mean(before.entries, after.entries, IDLE_SECONDS)
+    agent = mean(before.agents, after.agents, IDLE_SECONDS)
+    if by_agents:
+        points['entry_control_bytes'].append((agents, entry.bytes))
+        points['entry_control_messages'].append((agents, entry.messages))
+        return
+    reads = (after.reads - before.reads) / IDLE_SECONDS
+    writes = (after.writes - before.writes) / IDLE_SECONDS
+    points['entry_control_bytes_by_entries'].append((entries, entry.bytes))
+    points['agent_control_bytes'].append((entries, agent.bytes))
+    points['table_reads'].append((entries, reads))
+    points['table_writes'].append((entries, writes))
+
+
+async def changing(points: Points, rate: float) -> None:
+    """Read an installation whose configuration changes at a rate."""
+    load, deployment, book = installation(FEW_ENTRIES, FEW_AGENTS)
+    clock = clocks.ProcessClock.start()
+    site = bench_cluster.Cluster(load, deployment, clock, book)
+    try:
+        await site.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        before, since = read(site), book.now()
+        done = 0
+        while book.now() - since < CHANGE_SECONDS:
+            await asyncio.sleep(since + done / rate - book.now())
+            await site.change(cluster.SettingSet('bench', str(done)))
+            done += 1
+        seconds = book.now() - since
+        after = read(site)
+    finally:
+        await site.stop()
+    entry = mean(before.entries, after.entries, seconds)
+    real = done / seconds
+    points['entry_bytes_by_changes'].append((real, entry.bytes))
+    reads = (after.reads - before.reads) / seconds
+    writes = (after.writes - before.writes) / seconds
+    points['table_reads_by_changes'].append((real, reads))
+    points['table_writes_by_changes'].append((real, writes))
+
+
+def even_jobs(
+    deployment: bench_plan.Deployment, tasks: int, teams: int = 1
+) -> tuple[bench_arrivals.JobPlan, ...]:
+    """Jobs of equal size at equal distances that fill the load."""
+    plan = (bench_arrivals.TaskPlan('short', TASK_SECONDS, TASK_SECONDS),)
+    work = LOAD * LOADED_SECONDS * deployment.total_slots
+    count = max(4, round(work / (tasks * TASK_SECONDS)))
+    return tuple(
+        bench_arrivals.JobPlan(
+            number,
+            number * LOADED_SECONDS / count,
+            f'team-{number % teams}',
+            plan * tasks,
+        )
+        for number in range(count)
+    )
+
+
+async def loaded(points: Points, tasks: int) -> None:
+    """Read an installation that carries jobs of one size."""
+    deployment = bench_plan.DEPLOYMENTS['lectores']
+    jobs = even_jobs(deployment, tasks)
+    load, _, _ = installation(deployment.entries, deployment.workers, jobs)
+    played = await bench.play(load, deployment)
+    figures = played.report.figures
+    counts = played.evidence.traffic.counts
+    useful = counts.get('Starts', 0) + counts.get('Results', 0)
+    points['job_messages'].append((tasks, useful / len(jobs)))
+    sent = figures.get('bytes')
+    assert isinstance(sent, int | float)
+    points['job_bytes'].append((tasks, sent / len(jobs)))
+
+
+async def with_quotas(points: Points, teams: int) -> None:
+    """Read the messages about quotas with as many teams at work."""
+    deployment = bench_plan.DEPLOYMENTS['lectores']
+    jobs = even_jobs(deployment, 4, teams)
+    load, _, _ = installation(deployment.entries, deployment.workers, jobs)
+    quotas = tuple(
+        cluster.QuotaSet(f'team-{number}', deployment.total_slots)
+        for number in range(teams)
+    )
+    played = await bench.play(load, deployment, first_changes=quotas)
+    counts = played.evidence.traffic.counts
+    about = counts.get('QuotaAsk', 0) + counts.get('QuotaGrant', 0)
+    points['team_messages'].append((teams, about / LOADED_SECONDS))
