--- /dev/null
+++ b/src/agatepick/entries.py
@@ -0,0 +1,91 @@
+"""An agent's connections to entries: whom it dials and whose clock it knows.
+
+Seeds from the settings are dialled for ever, under their address as a name
+that stands in until the entry has said its own; the other entries are
+dialled while they are listed.
+"""
+
+import collections.abc
+import dataclasses
+
+from agatepick import clocks
+from agatepick import core
+from agatepick import ledger
+from agatepick import messages
+from agatepick import types
+
+ROLE_ENTRY = 'entry'
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """An entry that is connected.
+
+    :param joined: whether it may be given credits.
+    """
+
+    owner: ledger.Owner
+    clock: clocks.OffsetEstimate = dataclasses.field(
+        default_factory=clocks.OffsetEstimate
+    )
+    joined: bool = False
+
+
+class Entries:
+    """The entries that are connected or dialled."""
+
+    def __init__(self, seeds: tuple[str, ...]):
+        self._seeds = seeds
+        self._dialled: dict[str, types.PeerName] = {}
+        self._up: dict[types.PeerName, Entry] = {}
+
+    def __iter__(self) -> collections.abc.Iterator[Entry]:
+        return iter(tuple(self._up.values()))
+
+    def get(self, name: types.PeerName) -> Entry | None:
+        """The entry that is connected under a name."""
+        return self._up.get(name)
+
+    def reaches(self, owner: ledger.Owner) -> bool:
+        """Whether that life of an entry is connected."""
+        entry = self._up.get(owner.name)
+        return entry is not None and entry.owner == owner
+
+    def up(self, hello: messages.Hello) -> Entry:
+        """An entry has connected."""
+        owner = ledger.Owner(hello.name, hello.incarnation)
+        self._up[hello.name] = Entry(owner)
+        return self._up[hello.name]
+
+    def down(self, name: types.PeerName, incarnation: int) -> Entry | None:
+        """An entry's connection ended; ``None`` if it wasn't up."""
+        entry = self._up.get(name)
+        if entry is None or entry.owner.incarnation != incarnation:
+            return None
+        return self._up.pop(name)
+
+    def dial_seeds(self) -> list[object]:
+        """Dial each seed that isn't dialled yet."""
+        return self._dial({seed: seed for seed in self._seeds})
+
+    def dial_listed(self, listed: list[messages.Member]) -> list[object]:
+        """Dial the listed entries, and no longer those that aren't.
+
+        A seed's address isn't dialled a second time under the entry's name:
+        of two connections to one process each would end the other.
+        """
+        wanted = {one.address: one.name for one in listed}
+        effects: list[object] = []
+        for address, name in list(self._dialled.items()):
+            if address not in self._seeds and wanted.get(address) != name:
+                del self._dialled[address]
+                effects.append(core.Hangup(name))
+        return effects + self._dial(wanted)
+
+    def _dial(self, wanted: dict[str, types.PeerName]) -> list[object]:
+        effects: list[object] = []
+        for address, name in wanted.items():
+            if address not in self._dialled:
+                self._dialled[address] = name
+                effects.append(core.Dial(name, address))
+        return effects
--- /dev/null
+++ b/src/agatepick/operators.py
@@ -0,0 +1,359 @@
+"""Operators' HTTP: configuration, presets, zones, status and time line.
+
+Every call but the health check needs the operators' bearer token.  A change
+may name the version that it was based on (``If-Match``, from an ``ETag``):
+if another change has won since, it is refused as a conflict that names the
+version which won, and nothing of it is written.
+"""
+
+import re
+import typing
+
+import msgspec
+import tornado.routing
+
+from agatepick import calls
+from agatepick import cluster
+from agatepick import exceptions
+from agatepick import web
+
+JSON_LINES = 'application/jsonl'
+STATUS_OF_VERDICT = {
+    'accepted': 200,
+    'conflict': 409,
+    'invalid': 422,
+    'unavailable': 503,
+    'unknown': 504,
+}
+UNAVAILABLE_RETRY = 1.0
+_ETAG = re.compile(r'^(?:W/)?"(\d{1,18})"$')
+_NAME = r'([A-Za-z0-9][A-Za-z0-9._-]{0,62})'
+
+
+class ZoneBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``PUT /v1/zones/{name}``."""
+
+    state: typing.Literal['in', 'out']
+
+
+class ConfigReply(msgspec.Struct, frozen=True):
+    """The configuration: what is in force, and what was accepted last.
+
+    They differ between the acceptance of a change and the instant at which
+    it comes into force everywhere.
+    """
+
+    version: int
+    in_force: cluster.ClusterConfig
+    accepted: cluster.ClusterConfig
+
+
+class PresetsReply(msgspec.Struct, frozen=True):
+    """The presets, and which one is in force."""
+
+    version: int
+    in_force: str
+    accepted: str
+    known: tuple[str, ...]
+
+
+class ZoneReply(msgspec.Struct, frozen=True):
+    """An availability zone, by the configuration in force and accepted."""
+
+    name: str
+    in_force: str
+    accepted: str
+    since: float = 0.0
+
+
+class ZonesReply(msgspec.Struct, frozen=True):
+    """The availability zones that are known."""
+
+    version: int
+    zones: tuple[ZoneReply, ...]
+
+
+class VerdictReply(msgspec.Struct, frozen=True):
+    """How a change ended that is not a problem."""
+
+    verdict: str
+    version: int
+    in_force_at: float
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Whether a balancer may send requests here."""
+
+    ready: bool
+
+
+class ConfigurationView(typing.Protocol):
+    """What a status tells of the configuration."""
+
+    @property
+    def in_force(self) -> cluster.ClusterConfig:
+        """The version in force now."""
+        ...
+
+    @property
+    def accepted(self) -> cluster.ClusterConfig:
+        """The last version."""
+        ...
+
+
+class StatusView(typing.Protocol):
+    """What handlers need of an entry's status."""
+
+    @property
+    def configuration(self) -> ConfigurationView:
+        """State of the configuration."""
+        ...
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """Zones in which agents are connected."""
+        ...
+
+
+def routes(front: web.Front) -> list[tornado.routing.URLSpec]:
+    """Routes of the operators' side."""
+    args = {'front': front}
+    return [
+        tornado.routing.URLSpec(pattern, handler, args)
+        for pattern, handler in (
+            (r'/v1/config', Config),
+            (r'/v1/presets', Presets),
+            (rf'/v1/presets/{_NAME}', Preset),
+            (r'/v1/zones', Zones),
+            (rf'/v1/zones/{_NAME}', Zone),
+            (r'/v1/status', Status),
+            (r'/v1/timeline', Timeline),
+            (r'/healthz', Healthz),
+        )
+    ]
+
+
+class OperatorHandler(web.Handler):
+    """Base of the operators' handlers: checks the token first."""
+
+    run_if_refused = ''
+
+    def prepare(self) -> None:
+        super().prepare()
+        if not web.same_token(
+            web.bearer(self.request), self.front.tokens.operator
+        ):
+            raise web.Refused(
+                401,
+                'bad_token',
+                "the operators' bearer token is missing or wrong",
+                run='',
+                headers={'WWW-Authenticate': 'Bearer'},
+            )
+
+    async def status(self) -> StatusView:
+        """The entry's status."""
+        return typing.cast(
+            StatusView, await self.front.calls.call(calls.StatusAsked)
+        )
+
+    async def change(self, change: cluster.Change) -> None:
+        """Propose a change; answer with its verdict."""
+        based_on = self._based_on()
+        proposed = typing.cast(
+            cluster.Proposed,
+            await self.front.calls.call(
+                lambda number: calls.ChangeProposed(number, change, based_on)
+            ),
+        )
+        self._tag(proposed.version)
+        status = STATUS_OF_VERDICT[proposed.verdict]
+        if status == 200:
+            reply = VerdictReply(
+                proposed.verdict, proposed.version, proposed.in_force_at
+            )
+            self.send_json(200, msgspec.json.encode(reply))
+            return
+        if proposed.verdict == 'conflict' and based_on is not None:
+            status = 412
+        self.send_problem(_problem(proposed, status))
+
+    def send_tagged(self, reply: msgspec.Struct, version: int) -> None:
+        """Answer with JSON, tagged by the configuration's version."""
+        self._tag(version)
+        self.send_json(200, msgspec.json.encode(reply))
+
+    def _tag(self, version: int) -> None:
+        self.set_header('ETag', f'"{version}"')
+
+    def _based_on(self) -> int | None:
+        header = self.request.headers.get('If-Match', '*').strip()
+        if header == '*':
+            return None
+        found = _ETAG.match(header)
+        if found is None:
+            raise self.refused(
+                400, 'bad_if_match', f'If-Match: found {header[:60]!r}'
+            )
+        return int(found[1])
+
+
+class Config(OperatorHandler):
+    """``/v1/config``."""
+
+    async def get(self) -> None:
+        """The whole configuration."""
+        view = (await self.status()).configuration
+        version = view.accepted.version
+        self.send_tagged(
+            ConfigReply(version, view.in_force, view.accepted), version
+        )
+
+    async def post(self) -> None:
+        """Any change, as ``{"kind": ..., ...}``."""
+        self.body_is_whole()
+        try:
+            change = cluster.change_from_json(self.take_body())
+        except exceptions.BadChange as exc:
+            raise self.refused(422, 'bad_change', exc.message) from exc
+        if isinstance(change, cluster.EntryListed):
+            raise self.refused(
+                422, 'bad_change', 'entries list themselves when they start'
+            )
+        await self.change(change)
+
+
+class Presets(OperatorHandler):
+    """``/v1/presets``."""
+
+    async def get(self) -> None:
+        """The presets, and which is in force."""
+        view = (await self.status()).configuration
+        reply = PresetsReply(
+            view.accepted.version,
+            view.in_force.preset,
+            view.accepted.preset,
+            cluster.PRESETS,
+        )
+        self.send_tagged(reply, reply.version)
+
+
+class Preset(OperatorHandler):
+    """``/v1/presets/{name}``."""
+
+    async def put(self, name: str) -> None:
+        """Switch to this preset."""
+        self.body_is_whole()
+        if name not in cluster.PRESETS:
+            raise self.refused(
+                404,
+                'unknown_preset',
+                f'found {name!r}; allowed: {", ".join(cluster.PRESETS)}',
+            )
+        await self.change(cluster.PresetUse(name))
+
+
+class Zones(OperatorHandler):
+    """``/v1/zones``."""
+
+    async def get(self) -> None:
+        """The zones that agents are in or that the configuration names."""
+        status = await self.status()
+        view = status.configuration
+        named = {zone.name for zone in view.accepted.zones}
+        zones = tuple(
+            _zone_reply(name, view)
+            for name in sorted(named.union(status.zones))
+        )
+        reply = ZonesReply(view.accepted.version, zones)
+        self.send_tagged(reply, reply.version)
+
+
+class Zone(OperatorHandler):
+    """``/v1/zones/{name}``."""
+
+    async def put(self, name: str) -> None:
+        """Take the zone out of service, or return it."""
+        self.body_is_whole()
+        try:
+            body = msgspec.json.decode(self.take_body(), type=ZoneBody)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise self.refused(422, 'bad_field', str(exc)) from exc
+        if body.state == 'out':
+            await self.change(cluster.ZoneOut(name))
+        else:
+            await self.change(cluster.ZoneIn(name))
+
+
+class Status(OperatorHandler):
+    """``/v1/status``."""
+
+    async def get(self) -> None:
+        """State of this entry."""
+        self.send_json(200, msgspec.json.encode(await self.status()))
+
+
+class Timeline(OperatorHandler):
+    """``/v1/timeline``."""
+
+    async def get(self) -> None:
+        """This process's events, a line of JSON each."""
+        names = ('job', 'task', 'zone')
+        wanted = {name: self.get_query_argument(name, '') for name in names}
+        lines = self.front.timeline.lines(**wanted)
+        data = b''.join(line + b'\n' for line in lines)
+        self.send_json(200, data, JSON_LINES)
+
+
+class Healthz(web.Handler):
+    """``/healthz``."""
+
+    run_if_refused = ''
+
+    async def get(self) -> None:
+        """200 if a balancer may send requests here, else 503."""
+        ready = self.front.ready()
+        self.send_json(
+            200 if ready else 503, msgspec.json.encode(Health(ready))
+        )
+
+
+def _zone_reply(name: str, view: ConfigurationView) -> ZoneReply:
+    zone = view.accepted.zone(name)
+    return ZoneReply(
+        name,
+        _state(view.in_force.zone_out(name)),
+        _state(view.accepted.zone_out(name)),
+        0.0 if zone is None else zone.since,
+    )
+
+
+def _state(out: bool) -> str:
+    return 'out' if out else 'in'
+
+
+_DETAILS = {
+    'conflict': 'another change won; nothing of this one was written',
+    'invalid': 'the change is not valid; nothing was written',
+    'unavailable': 'the table service did not take the change',
+    'unknown': (
+        "the table service's answer was lost: the change may or may not "
+        'come into force; read the configuration again'
+    ),
+}
+
+
+def _problem(proposed: cluster.Proposed, status: int) -> web.Problem:
+    detail = _DETAILS[proposed.verdict]
+    if proposed.reason:
+        detail = f'{detail}: {proposed.reason}'
+    retry = UNAVAILABLE_RETRY if status == 503 else 0.0
+    return web.Problem(
+        title=web.title_of(status),
+        status=status,
+        detail=detail,
+        code=proposed.verdict,
+        step='propose',
+        retry_after=retry,
+        version=proposed.version,
+    )
--- a/src/agatepick/tls.py
+++ b/src/agatepick/tls.py
@@ -25,7 +25,7 @@
     whoever holds it uses the new certificate for the next connection.
     """
 
-    cfg: settings.Tls
+    cfg: settings.Tls = settings.Tls(enabled=False)
     http: ssl.SSLContext | None = None
     peer_server: ssl.SSLContext | None = None
     peer_client: ssl.SSLContext | None = None
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,134 @@
+import dataclasses
+
+import pytest
+
+from agatepick import calls
+from agatepick import cluster
+from agatepick import operators
+from tests import conftest
+
+TOKEN = {'Authorization': f'Bearer {conftest.OPERATOR}'}
+IN_FORCE = cluster.ClusterConfig(version=6)
+ACCEPTED = cluster.ClusterConfig(
+    version=7, zones=(cluster.Zone('talca', True, 5.0),), preset='peak'
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    in_force: cluster.ClusterConfig = IN_FORCE
+    accepted: cluster.ClusterConfig = ACCEPTED
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    configuration: View = View()
+    zones: tuple[str, ...] = ('curico', 'talca')
+
+
+def verdict(kind, version=8):
+    """A reducer that gives every change one verdict."""
+
+    def answer(event):
+        if isinstance(event, calls.StatusAsked):
+            return Status()
+        return cluster.Proposed(event.call, kind, version, 12.5)
+
+    return answer
+
+
+def ask(serve, answer, method, path, body=None, **headers):
+    async def scenario(site):
+        return await site.fetch(method, path, body, **{**TOKEN, **headers})
+
+    return serve(answer, scenario, routes=operators.routes)
+
+
+def test_what_is_in_force_is_told_apart_from_what_was_accepted(serve):
+    """A zone was taken out a second ago, and the fence has not passed.
+
+    An operator must see that work may still start there.
+    """
+    response = ask(serve, verdict('accepted'), 'GET', '/v1/zones')
+    assert response.headers['ETag'] == '"7"'
+    assert response.data['zones'] == [
+        {'name': 'curico', 'in_force': 'in', 'accepted': 'in', 'since': 0.0},
+        {'name': 'talca', 'in_force': 'in', 'accepted': 'out', 'since': 5.0},
+    ]
+    response = ask(serve, verdict('accepted'), 'GET', '/v1/presets')
+    assert response.data['in_force'] == 'ordinary'
+    assert response.data['accepted'] == 'peak'
+
+
+@pytest.mark.parametrize(
+    'path, body, change',
+    [
+        ('/v1/zones/talca', {'state': 'out'}, cluster.ZoneOut('talca')),
+        ('/v1/zones/talca', {'state': 'in'}, cluster.ZoneIn('talca')),
+        ('/v1/presets/peak', {}, cluster.PresetUse('peak')),
+    ],
+)
+def test_a_change_is_proposed_on_the_version_that_was_seen(
+    serve, path, body, change
+):
+    seen = []
+
+    def answer(event):
+        seen.append(event)
+        return verdict('accepted')(event)
+
+    response = ask(serve, answer, 'PUT', path, body, If_Match='"7"')
+    assert (response.code, response.headers['ETag']) == (200, '"8"')
+    assert response.data['in_force_at'] == 12.5
+    assert (seen[0].change, seen[0].based_on) == (change, 7)
+
+
+@pytest.mark.parametrize(
+    'kind, headers, http',
+    [
+        ('conflict', {'If_Match': '"7"'}, 412),
+        ('conflict', {}, 409),
+        ('unavailable', {}, 503),
+        ('unknown', {}, 504),
+        ('invalid', {}, 422),
+    ],
+)
+def test_a_change_that_was_not_accepted_says_so(serve, kind, headers, http):
+    """Two operators race, or the table service fails in the middle.
+
+    The loser learns which version won; after a lost answer nobody claims
+    that the change was or wasn't made.
+    """
+    body = {'kind': 'quota_set', 'team': 'talca', 'slots': 5}
+    answer = verdict(kind, version=9)
+    response = ask(serve, answer, 'POST', '/v1/config', body, **headers)
+    assert response.code == http
+    assert response.headers['Content-Type'] == 'application/problem+json'
+    assert (response.data['code'], response.data['version']) == (kind, 9)
+
+
+@pytest.mark.parametrize(
+    'method, path, body, headers, http',
+    [
+        ('GET', '/v1/status', None, {'Authorization': 'Bearer x'}, 401),
+        ('PUT', '/v1/zones/talca', {'state': 'off'}, {}, 422),
+        ('PUT', '/v1/zones/a%20b', {'state': 'out'}, {}, 404),
+        ('PUT', '/v1/presets/loud', {}, {}, 404),
+        ('POST', '/v1/config', {'kind': 'x'}, {}, 422),
+        ('POST', '/v1/config', {'kind': 'zone_out'}, {'If_Match': '7'}, 422),
+        ('PUT', '/v1/presets/peak', {}, {'If_Match': 'seven'}, 400),
+    ],
+)
+def test_a_faulty_request_changes_nothing(
+    serve, method, path, body, headers, http
+):
+    def answer(event):
+        pytest.fail('the request reached the reducer')
+
+    response = ask(serve, answer, method, path, body, **headers)
+    assert response.code == http
+
+
+def test_a_balancer_needs_no_token(serve):
+    response = ask(serve, None, 'GET', '/healthz', Authorization='')
+    assert (response.code, response.data) == (200, {'ready': True})
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,95 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from agatepick import ledger
+from agatepick import slots
+
+A, B, C = (ledger.Owner(name, 1) for name in 'abc')
+
+
+def leased(*owners, total=8):
+    found = slots.Slots()
+    found.resize(total)
+    for owner in owners:
+        found.join(owner)
+    found.revise()
+    return found
+
+
+def credits(found, *owners):
+    return [found.credits(owner) for owner in owners]
+
+
+def test_slots_that_nobody_waits_for_are_spread_evenly():
+    assert sorted(credits(leased(A, B, C), A, B, C)) == [2, 3, 3]
+
+
+def test_one_entry_with_all_the_demand_gets_all_slots():
+    """One caller's job fills the queue of one entry; the others are idle.
+
+    Slots kept for the others would stand empty and the job take longer.
+    """
+    found = leased(A, B)
+    found.want(A, 100)
+    assert set(found.revise()) == {A, B}
+    assert credits(found, A, B) == [8, 0]
+    assert found.revise() == []
+
+
+def test_a_burst_leaves_its_neighbour_an_equal_share_as_tasks_end():
+    """An entry asks for slots while a neighbour's burst holds them all.
+
+    Left waiting for the end of the burst, its callers would starve; the
+    first slot that comes free must be its own.
+    """
+    found = leased(A, B)
+    found.want(A, 100)
+    found.revise()
+    for _ in range(8):
+        found.take(A)
+    found.want(B, 100)
+    assert found.revise() == []
+    for given in range(1, 5):
+        found.release(A)
+        found.revise()
+        assert credits(found, A, B) == [8 - given, given]
+        found.take(B)
+    found.release(A)
+    found.revise()
+    assert credits(found, A, B) == [4, 4]
+
+
+moves = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['join', 'leave', 'take', 'release', 'want', 'resize']
+        ),
+        st.sampled_from([A, B, C]),
+        st.integers(0, 12),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(moves)
+def test_credits_never_exceed_the_slots_beyond_what_runs(drawn):
+    """Entries come, go and change their demand in any order.
+
+    Credits beyond the slots would make owners send starts that are refused.
+    """
+    found = leased()
+    for move, owner, number in drawn:
+        if move == 'take' and found.free > 0:
+            found.take(owner)
+        elif move == 'release' and found.runs(owner):
+            found.release(owner)
+        elif move == 'want':
+            found.want(owner, number)
+        elif move == 'resize':
+            found.resize(number)
+        elif move in ('join', 'leave'):
+            getattr(found, move)(owner)
+        found.revise()
+        given = sum(credits(found, A, B, C))
+        assert given <= max(found.total, found.running)
--- /dev/null
+++ b/tests/test_standin_upstream.py
@@ -0,0 +1,92 @@
+import asyncio
+
+from agatepick import standin_upstream
+from agatepick import types
+from agatepick import upstream
+from tests import agents
+
+
+def run(main):
+    return asyncio.run(main())
+
+
+def effect(index=0, payload=b'{"seconds": 0.001}'):
+    return upstream.RunTask(
+        'j', index, 1, 'k', payload, types.Needs(), 0.0, '', 's'
+    )
+
+
+class Events(list):
+    """Events fed, and a way to wait for the next ones."""
+
+    def __init__(self):
+        super().__init__()
+        self._changed = asyncio.Event()
+
+    def feed(self, event):
+        self.append(event)
+        self._changed.set()
+
+    async def until(self, count):
+        async with asyncio.timeout(10):
+            while len(self) < count:
+                self._changed.clear()
+                await self._changed.wait()
+        return self
+
+
+def local(events, **faults):
+    worker = standin_upstream.StandIn(standin_upstream.Faults(**faults))
+    return worker, standin_upstream.LocalUpstream(
+        worker, events.feed, agents.announced()
+    )
+
+
+def test_it_runs_tasks_counts_starts_and_fails_when_told():
+    async def main():
+        events = Events()
+        worker, found = local(events)
+        found.run(effect(0))
+        found.run(effect(0))
+        found.run(effect(1, b'{"fail": true}'))
+        await events.until(3)
+        states = {(one.index, one.state.value) for one in events}
+        assert states == {(0, 'finished'), (1, 'failed')}
+        assert worker.starts == {('j', 0): 2, ('j', 1): 1}
+        assert worker.most_running == 3
+
+    run(main)
+
+
+def test_it_stops_a_task_unless_it_ignores_that():
+    async def main():
+        events = Events()
+        worker, found = local(events)
+        stop = upstream.StopTask('j', 0, upstream.Action.STOP, '')
+        found.run(effect(0, b'{"seconds": 600}'))
+        worker.faults.ignores_stop = True
+        found.stop(stop)
+        assert worker.running == 1
+        worker.faults.ignores_stop = False
+        found.stop(stop)
+        assert [(one.state.value, one.reason) for one in events] == [
+            ('failed', 'stopped')
+        ]
+
+    run(main)
+
+
+def test_a_dead_worker_ends_nothing_and_renews_nothing():
+    async def main():
+        events = Events()
+        worker, found = local(events)
+        found.begin()
+        found.run(effect(0))
+        worker.die()
+        found.run(effect(1))
+        await asyncio.sleep(0.01)
+        assert list(events) == [agents.announced()]
+        assert worker.starts == {('j', 0): 1}
+        found.end()
+
+    run(main)
