--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -62,6 +62,36 @@
     exit_status = 6
 
 
+class BadUsage(AgatepickError):
+    """A command was given what it doesn't take."""
+
+    exit_status = 2
+
+
+class Rejected(AgatepickError):
+    """A request was refused, and did nothing."""
+
+    exit_status = 3
+
+
+class Conflict(Rejected):
+    """Another change of the configuration won; nothing was written."""
+
+    exit_status = 7
+
+
+class Unauthorised(Rejected):
+    """The bearer token is missing or wrong."""
+
+    exit_status = 8
+
+
+class OutcomeUnknown(AgatepickError):
+    """The answer was lost on its way: the change may or may not hold."""
+
+    exit_status = 5
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,171 @@
+import asyncio
+import json
+import threading
+
+import pytest
+
+from agatepick import callers
+from agatepick import calls
+from agatepick import cli
+from agatepick import cluster
+from agatepick import exceptions
+from agatepick import operators
+from agatepick import types
+from tests import conftest
+from tests import test_operators
+
+JOB = {'team': 'talca', 'tasks': [{'id': 'a', 'kind': 'slot'}]}
+GONE = '--entry=http://127.0.0.1:9'
+
+
+@pytest.fixture
+def entry(front, monkeypatch):
+    """A served entry over a fake reducer; gives its URL.
+
+    It runs on a thread, since a command starts an event loop of its own.
+    """
+    started = []
+    done = []
+
+    def start(answer):
+        ready = threading.Event()
+
+        async def main():
+            def feed(event):
+                reply = calls.Reply(event.call, answer(event))
+                built.calls.reply(reply)
+
+            built = front(feed)
+            routes = [*callers.routes(built), *operators.routes(built)]
+            site = conftest.Site(built, routes)
+            stop = asyncio.Event()
+            started.append((asyncio.get_running_loop(), stop, site.url))
+            ready.set()
+            await stop.wait()
+            await site.close()
+
+        thread = threading.Thread(target=lambda: asyncio.run(main()))
+        thread.start()
+        done.append(thread)
+        ready.wait()
+        monkeypatch.setenv('AGATEPICK_ENTRY', started[-1][2])
+        monkeypatch.setenv('AGATEPICK_TOKEN', conftest.OPERATOR)
+
+    yield start
+    for loop, stop, _ in started:
+        loop.call_soon_threadsafe(stop.set)
+    for thread in done:
+        thread.join()
+
+
+@pytest.mark.parametrize(
+    'line, status, words',
+    [
+        ('frobnicate', 2, 'frobnicate'),
+        ('zone out', 2, 'zone'),
+        ('zone out talca --wiat', 2, '--wiat'),
+        ('entry --config=/nowhere.toml', 2, '/nowhere.toml'),
+        ('submit /nowhere.json', 2, '/nowhere.json'),
+        ('config set quota.talca many', 2, 'quota.talca'),
+        ('status --entry=localhost', 2, '--entry'),
+        (f'status {GONE}', 6, 'http://127.0.0.1:9'),
+        (f'cancel k {GONE}', 6, 'http://127.0.0.1:9'),
+    ],
+)
+def test_an_error_is_one_line_that_says_where(capsys, line, status, words):
+    """A user mistypes a command, or nobody listens at the address.
+
+    One line says what was wrong and where; no traceback is shown.
+    """
+    assert cli.main(line.split()) == status
+    shown = capsys.readouterr()
+    assert shown.out == ''
+    (error,) = shown.err.splitlines()
+    assert words in error
+
+
+def test_every_fault_of_a_file_has_its_line(capsys, tmp_path):
+    """An operator starts a program with a file that has several faults."""
+    path = tmp_path / 'agent.toml'
+    path.write_text('[entries]\nseeds = 3\n[upstream]\nlisten = "here"\n')
+    assert cli.main(['agent', f'--config={path}']) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 6
+    assert all(f'{path}: ' in line for line in lines)
+    assert cli.main(['config', 'check', str(path), '--json']) == 2
+    assert len(json.loads(capsys.readouterr().out)['faults']) == 6
+
+
+@pytest.mark.parametrize(
+    'run, status',
+    [('complete', 0), ('not_run', 3), ('failed', 4)],
+)
+def test_the_exit_status_tells_what_became_of_a_job(
+    capsys, entry, tmp_path, run, status
+):
+    outcome = {'complete': 'finished'}.get(run, run)
+
+    def answer(event):
+        task = types.TaskAnswer('a', types.Outcome(outcome), b'{"slot":4}')
+        return types.JobAnswer(
+            event.job.key, types.JobStatus(run), (task,), code='some_code'
+        )
+
+    entry(answer)
+    path = tmp_path / 'job.json'
+    path.write_text(json.dumps(JOB))
+    assert cli.main(['submit', str(path), '--json']) == status
+    shown = json.loads(capsys.readouterr().out)
+    assert (shown['run'], shown['tasks'][0]['body']) == (run, {'slot': 4})
+    assert cli.main(['submit', str(path)]) == status
+    assert f'a: {outcome}' in capsys.readouterr().out
+
+
+def test_a_change_is_based_on_the_version_that_the_entry_knows(capsys, entry):
+    """Two operators change the same zone; the second one loses.
+
+    Its command ends with a status of its own and names the version.
+    """
+    seen = []
+
+    def answer(event):
+        if isinstance(event, calls.StatusAsked):
+            return test_operators.Status()
+        seen.append(event)
+        verdict = 'accepted' if len(seen) == 1 else 'conflict'
+        return cluster.Proposed(event.call, verdict, 8, 12.5)
+
+    entry(answer)
+    assert cli.main(['zone', 'out', 'talca']) == 0
+    assert capsys.readouterr().out == 'accepted: version 8\n'
+    assert (seen[0].change, seen[0].based_on) == (cluster.ZoneOut('talca'), 7)
+    assert cli.main(['zone', 'in', '1', '--based_on=3']) == 7
+    assert 'at version 8' in capsys.readouterr().err
+    assert (seen[1].change, seen[1].based_on) == (cluster.ZoneIn('1'), 3)
+    assert cli.main(['zone', 'list']) == 0
+    assert 'zones[talca].accepted = "out"' in capsys.readouterr().out
+
+
+def test_a_wrong_token_has_a_status_of_its_own(capsys, entry, monkeypatch):
+    entry(lambda event: None)
+    monkeypatch.setenv('AGATEPICK_TOKEN', 'wrong')
+    assert cli.main(['config', 'show']) == 8
+    assert 'token' in capsys.readouterr().err
+
+
+def test_help_and_version_need_no_entry(capsys):
+    assert cli.main(['--help']) == 0
+    assert 'standin' in capsys.readouterr().out
+    assert cli.main(['version', '--json']) == 0
+    assert json.loads(capsys.readouterr().out)['version']
+
+
+def test_what_config_set_means():
+    assert cli.named_change('quota.talca', '5') == cluster.QuotaSet('talca', 5)
+    assert cli.named_change('color', 'none') == cluster.SettingSet(
+        'color', None
+    )
+    leaving = cli.named_change('upstream.agent-1', 'leaving')
+    assert leaving == cluster.UpstreamLeaving('agent-1')
+    with pytest.raises(exceptions.BadUsage):
+        cli.named_change('upstream.agent-1', 'gone')
