--- /dev/null
+++ b/src/agatepick/slopes_command.py
@@ -0,0 +1,52 @@
+"""``agatepick bench slopes``: measure costs over sizes, print lines.
+
+Without options it measures what the links count, in its own process.  The
+other options serve ``scripts/measure_slopes.sh``, which starts processes:
+``--write=DIR`` leaves their settings, ``--read=DIR`` watches them and
+``--points=FILE`` adds the points so gained to the lines.
+"""
+
+import pathlib
+
+import msgspec
+
+from agatepick import commands
+from agatepick import slopes
+from agatepick import slopes_programs
+from agatepick import slopes_wire
+
+
+def run(
+    json: bool = False,
+    write: str = '',
+    entries: int = 2,
+    agents: int = 8,
+    read: str = '',
+    mode: str = slopes_programs.IDLE_BY_AGENTS,
+    points: str = '',
+) -> commands.Output:
+    """One step of a measurement; see the module's text."""
+    if write:
+        slopes_programs.write(pathlib.Path(write), entries, agents)
+        return commands.Output('')
+    if read:
+        found = slopes_programs.read(pathlib.Path(read), mode)
+        lines = [msgspec.json.encode(one).decode() for one in found]
+        return commands.Output('\n'.join(lines))
+    measured = slopes_wire.measure()
+    if points:
+        measured += slopes.fit_all(
+            slopes_programs.SUBJECTS,
+            slopes_programs.load_points(pathlib.Path(points)),
+        )
+    result = slopes.Slopes(measured)
+    return commands.Output(result.as_json() if json else as_table(result))
+
+
+def as_table(found: slopes.Slopes) -> str:
+    """One line of text for each fitted line."""
+    return '\n'.join(
+        f'{line.name:<32} {line.slope:12.4g} {line.unit} per {line.over}, '
+        f'{line.intercept:.4g} at 0, residual {line.residual:.1%}'
+        for line in found.lines
+    )
--- a/src/agatepick/slopes_wire.py
+++ b/src/agatepick/slopes_wire.py
@@ -9,10 +9,10 @@
 import collections.abc
 import dataclasses
 
-from agatepick import bench
 from agatepick import bench_arrivals
 from agatepick import bench_cluster
 from agatepick import bench_plan
+from agatepick import bench_run
 from agatepick import bench_upstream
 from agatepick import clocks
 from agatepick import cluster
@@ -285,7 +285,7 @@
     deployment = bench_plan.DEPLOYMENTS['lectores']
     jobs = even_jobs(deployment, tasks)
     load, _, _ = installation(deployment.entries, deployment.workers, jobs)
-    played = await bench.play(load, deployment)
+    played = await bench_run.play(load, deployment)
     figures = played.report.figures
     counts = played.evidence.traffic.counts
     useful = counts.get('Starts', 0) + counts.get('Results', 0)
@@ -304,7 +304,7 @@
         cluster.QuotaSet(f'team-{number}', deployment.total_slots)
         for number in range(teams)
     )
-    played = await bench.play(load, deployment, first_changes=quotas)
+    played = await bench_run.play(load, deployment, first_changes=quotas)
     counts = played.evidence.traffic.counts
     about = counts.get('QuotaAsk', 0) + counts.get('QuotaGrant', 0)
     points['team_messages'].append((teams, about / LOADED_SECONDS))
