--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -26,6 +26,7 @@
     goodbye @19 :Goodbye;
     changesWanted @20 :ChangesWanted;
   }
+  stamp @21 :UInt64;
 }
 
 struct Hello {
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -301,16 +301,33 @@
 )
 
 
-def encode(message: Message) -> bytes:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stamped:
+    """A message with the stamp of its sender's hybrid logical clock.
+
+    :param stamp: microseconds; 0 if the sender gave none.
+    """
+
+    message: Message
+    stamp: int
+
+
+def encode(message: Message, stamp: int = 0) -> bytes:
     """The bytes of one message."""
     kind: type = type(message)
     envelope = _schema().Envelope.new_message()
+    envelope.stamp = stamp
     _writer(kind)(envelope.init(_tags()[kind]), message)
     return typing.cast(bytes, envelope.to_bytes())
 
 
 def decode(data: bytes) -> Message:
-    """The message in ``data``.
+    """The message in ``data``; raises as :func:`decode_stamped`."""
+    return decode_stamped(data).message
+
+
+def decode_stamped(data: bytes) -> Stamped:
+    """The message in ``data`` with its stamp.
 
     :raises agatepick.exceptions.BadMessage: if it isn't one whole message
         of a known kind.
@@ -323,7 +340,8 @@
         ) as envelope:
             tag = str(envelope.which())
             kind = _kinds()[tag]
-            return typing.cast(Message, _reader(kind)(getattr(envelope, tag)))
+            message = _reader(kind)(getattr(envelope, tag))
+            return Stamped(typing.cast(Message, message), envelope.stamp)
     # pycapnp raises its own and the standard errors for malformed bytes.
     except (capnp.KjException, ValueError, KeyError, AttributeError) as exc:
         raise exceptions.BadMessage(
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -15,7 +15,10 @@
     )
     forward = messages.Forward(1, 'submit', 'key', 'team', (spec,))
     for message in (starts, forward, messages.Goodbye('x')):
-        assert messages.decode(messages.encode(message)) == message
+        data = messages.encode(message, 2**60)
+        assert messages.decode_stamped(data) == messages.Stamped(
+            message, 2**60
+        )
 
 
 @pytest.mark.parametrize('data', [b'', b'x', b'\0' * 8, b'\xff' * 64])
