--- a/src/agatepick/job_bodies.py
+++ b/src/agatepick/job_bodies.py
@@ -31,7 +31,7 @@
 
     id: _Text
     kind: _Text
-    payload: msgspec.Raw = msgspec.Raw(b'null')
+    payload: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
     needs: NeedsBody = NeedsBody()
     expected_seconds: typing.Annotated[float, msgspec.Meta(ge=0, le=86400)] = (
         0.0
@@ -157,7 +157,7 @@
     return types.TaskSpec(
         id=task.id,
         kind=task.kind,
-        payload=bytes(task.payload),
+        payload=_payload(task.payload),
         needs=types.Needs(
             task.needs.cpu, task.needs.memory_mb, task.needs.accelerators
         ),
@@ -190,3 +190,9 @@
     except (msgspec.DecodeError, UnicodeDecodeError):
         text = body.decode('utf-8', 'replace')
         return msgspec.Raw(msgspec.json.encode(text))
+
+
+def _payload(payload: msgspec.Raw | msgspec.UnsetType) -> bytes:
+    return (
+        b'null' if isinstance(payload, msgspec.UnsetType) else bytes(payload)
+    )
