--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,40 @@
+import asyncio
+import importlib.util
+import pathlib
+import re
+
+import pytest
+
+from agatepick import client
+from agatepick import settings_files
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+FILES = sorted(EXAMPLES.rglob('*.toml'))
+
+
+@pytest.mark.parametrize(
+    'path', FILES, ids=lambda path: str(path.relative_to(EXAMPLES))
+)
+def test_each_settings_file_is_sound(path, tmp_path):
+    """A newcomer starts from an example, after putting certificates there."""
+    text = path.read_text()
+    for name in re.findall(r'"(certificates/[^"]+)"', text):
+        (tmp_path / name).parent.mkdir(exist_ok=True)
+        (tmp_path / name).write_text('')
+    copy = tmp_path / path.name
+    copy.write_text(text)
+    settings_files.load_any(copy)
+
+
+def test_the_example_job_is_one():
+    job = client.decode((EXAMPLES / 'job.json').read_bytes())
+    assert [task.id for task in job.tasks] == ['club-7', 'club-9']
+    assert len(FILES) == 8
+
+
+def test_the_embedding_example_runs_its_tasks():
+    path = EXAMPLES / 'embed.py'
+    spec = importlib.util.spec_from_file_location('embed', path)
+    embed = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(embed)
+    assert asyncio.run(embed.main()) == [3, 60]
