--- a/src/agatepick/agent.py
+++ b/src/agatepick/agent.py
@@ -13,11 +13,12 @@
 from agatepick import entries
 from agatepick import ledger
 from agatepick import messages
-from agatepick import outbox
 from agatepick import ownership
+from agatepick import reporting
 from agatepick import running
 from agatepick import settings
 from agatepick import slots
+from agatepick import startcheck
 from agatepick import successors
 from agatepick import types
 from agatepick import upstream
@@ -29,19 +30,12 @@
 LINGER_SECONDS = 5.0
 """How long a stopping agent waits for an entry that it owes results."""
 
-REASON_CLOCK = 'clock'
 REASON_INCARNATION = 'other_incarnation'
-REASON_KIND = 'kind'
 REASON_LAPSED = 'upstream_lapsed'
-REASON_LEAVING = 'leaving'
-REASON_NO_ROOM = 'no_room'
-REASON_NO_SLOT = 'no_slot'
-REASON_NO_UPSTREAM = 'no_upstream'
 REASON_REMOVED = 'owner_removed'
 REASON_RESTARTED = 'upstream_restarted'
 REASON_SETTLED = 'settled'
 REASON_STOPPED = 'job_stopped'
-REASON_TOO_LATE = 'start_too_late'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,12 +90,17 @@
             cfg.max_body_bytes,
         )
         self._slots = slots.Slots()
-        self._outbox = outbox.Outbox(cfg.result_delay)
         self._running = running.Running(cfg.lease_seconds)
         self._entries = entries.Entries(cfg.seeds)
         self._successors = successors.Successors(cfg.skew_seconds)
-        self._owed: set[ledger.Owner] = set()
-        self._offer_to: set[ledger.Owner] = set()
+        self._reporting = reporting.Reporting(
+            incarnation,
+            cfg.result_delay,
+            self._ledger,
+            self._slots,
+            self._entries,
+            self._successors,
+        )
         self._ticked_at: float | None = None
         self._stopping_at: float | None = None
         self._done = False
@@ -117,9 +116,9 @@
     def reduce(self, event: object, now: float) -> list[object]:
         """Take one event; the effects to carry out, in order."""
         effects = self._take(event, now)
-        effects += self._send_due(now)
+        effects += self._reporting.due(self._running, self._draining, now)
         effects += self._goodbye(now)
-        at = self._outbox.next_at()
+        at = self._reporting.next_at()
         if at is not None:
             effects.append(core.WakeAt(at))
         return effects
@@ -165,7 +164,7 @@
             case messages.Members():
                 return self._take_members(message, now)
             case messages.Goodbye():
-                self._part(entry)
+                self._reporting.part(entry)
                 return []
         kind = type(message).__name__
         return [core.note('unexpected_message', peer=peer, kind=kind)]
@@ -177,22 +176,15 @@
             return [core.note('not_an_entry', peer=hello.name)]
         before = self._entries.get(hello.name)
         if before is not None:
-            self._part(before)
-        return self._orphans_for(self._entries.up(hello))
+            self._reporting.part(before)
+        return self._reporting.orphans_for(self._entries.up(hello))
 
     def _peer_down(self, event: core.PeerDown) -> list[object]:
         entry = self._entries.down(event.peer, event.incarnation)
         if entry is not None:
-            self._part(entry)
+            self._reporting.part(entry)
         return []
 
-    def _part(self, entry: entries.Entry) -> None:
-        entry.joined = False
-        self._slots.leave(entry.owner)
-        self._offer_to.discard(entry.owner)
-        if self._outbox.discard(entry.owner):
-            self._owed.add(entry.owner)
-
     def _pong(
         self, entry: entries.Entry, message: messages.Pong, now: float
     ) -> list[object]:
@@ -203,9 +195,7 @@
         if not entry.joined and not self._successors.lost(entry.owner):
             # Credits wait for the first sample: without it, every start
             # would have to be refused.
-            entry.joined = True
-            self._slots.join(entry.owner)
-            self._offer_to.add(entry.owner)
+            self._reporting.join(entry)
         return []
 
     def _take_members(
@@ -223,17 +213,11 @@
         effects: list[object] = []
         for entry in self._entries:
             if self._successors.lost(entry.owner):
-                self._part(entry)
+                self._reporting.part(entry)
             else:
-                effects += self._orphans_for(entry)
+                effects += self._reporting.orphans_for(entry)
         return effects
 
-    def _orphans_for(self, entry: entries.Entry) -> list[object]:
-        return [
-            core.Send(entry.owner.name, message)
-            for message in self._successors.orphans(entry.owner, self._ledger)
-        ]
-
     # Tasks: starts, ends, questions.
 
     def _starts(
@@ -250,10 +234,12 @@
             if report is None:
                 reason = self._refusal(entry, message, task, now)
                 if not reason:
-                    effects.append(self._start(owner, task, now))
+                    self._ledger.start(task, owner, now)
+                    self._slots.take(owner)
+                    effects.append(self._running.start(task, owner))
                     continue
                 report = self._ledger.refuse(task, owner, reason, now)
-            self._report(owner, report, hurry=True)
+            self._reporting.answer(owner, report)
         self._slots.want(owner, message.waiting)
         return effects
 
@@ -283,60 +269,18 @@
         now: float,
     ) -> str:
         """Why a new attempt is refused; empty if it may start."""
-        announced = self._running.announced
-        offset = entry.clock.best
-        if announced is None:
-            return REASON_NO_UPSTREAM
-        if self._draining:
-            return REASON_LEAVING
+        if self._stopping_at is not None:
+            return startcheck.REASON_LEAVING
         if self._successors.lost(entry.owner):
             return REASON_REMOVED
         if self._ledger.stopped(task.job):
             return REASON_STOPPED
-        if not offset.within(self._cfg.clock_margin):
-            return REASON_CLOCK
-        # The permit ends by the owner's clock; its end by ours may be
-        # earlier by as much as the offset errs.
-        if now >= message.start_before - offset.seconds - offset.error:
-            return REASON_TOO_LATE
-        if task.kind not in announced.kinds:
-            return REASON_KIND
         if self._ledger.full():
             return ledger.REASON_FULL
-        if self._slots.free <= 0:
-            return REASON_NO_SLOT
-        if not self._running.fits(task.needs):
-            return REASON_NO_ROOM
-        return ''
-
-    def _start(
-        self, owner: ledger.Owner, task: messages.StartTask, now: float
-    ) -> upstream.RunTask:
-        announced = self._running.announced
-        assert announced is not None
-        self._ledger.start(task, owner, now)
-        self._slots.take(owner)
-        self._running.add(
-            running.RunningTask(
-                task.job,
-                task.index,
-                task.attempt,
-                owner,
-                task.needs,
-                announced.session,
-            )
-        )
-        return upstream.RunTask(
-            task.job,
-            task.index,
-            task.attempt,
-            task.kind,
-            task.payload,
-            task.needs,
-            task.deadline,
-            announced.url,
-            announced.session,
-        )
+        permit = startcheck.Permit(message.start_before, entry.clock.best)
+        return permit.fault(
+            self._cfg.clock_margin, now
+        ) or startcheck.room_fault(task, self._running, self._slots)
 
     def _task_ended(
         self, event: upstream.TaskEnded, now: float
@@ -354,55 +298,25 @@
             event.reason,
             event.seconds,
         )
-        self._report_end(report)
+        self._reporting.ended(report)
         return []
 
-    def _lose(
-        self, tasks: list[running.RunningTask], reason: str, now: float
-    ) -> None:
-        lost = types.TaskState.LOST
-        for task in tasks:
-            self._report_end(
-                self._ledger.end(task.job, task.index, lost, now, b'', reason)
-            )
-
-    def _report_end(self, report: messages.TaskReport | None) -> None:
-        if report is None:
-            return
-        owner = self._ledger.owner(report.job)
-        assert owner is not None
-        owner = self._successors.current(report.job, owner)
-        if owner is not None:
-            self._report(owner, report, hurry=False)
-
-    def _report(
-        self, owner: ledger.Owner, report: messages.TaskReport, hurry: bool
-    ) -> None:
-        if not self._entries.reaches(owner):
-            # The owner asks by Settle once it is connected again.
-            self._owed.add(owner)
-            return
-        self._outbox.add(owner, report)
-        if hurry or not self._slots.runs(owner):
-            self._outbox.hurry(owner)
-
     def _settle(
         self, entry: entries.Entry, message: messages.Settle, now: float
     ) -> list[object]:
-        self._owed.discard(entry.owner)
+        self._reporting.settled(entry.owner)
         for ref in message.tasks:
             report = self._answer(message.agent_incarnation, ref, now)
             if report is None:
                 report = self._ledger.refuse(
                     ref, entry.owner, REASON_SETTLED, now
                 )
-            self._report(entry.owner, report, hurry=True)
+            self._reporting.answer(entry.owner, report)
         return []
 
     def _stop_job(
         self, entry: entries.Entry, message: messages.StopJob, now: float
     ) -> list[object]:
-        announced = self._running.announced
         try:
             action = upstream.Action(message.action)
         except ValueError:
@@ -411,12 +325,7 @@
             indexes = self._ledger.stop(message.job, entry.owner, now)
         else:
             indexes = self._ledger.running(message.job)
-        if announced is None:
-            return []
-        return [
-            upstream.StopTask(message.job, index, action, announced.url)
-            for index in indexes
-        ]
+        return [*self._running.act(message.job, indexes, action)]
 
     # The upstream: announcement, lapse, drain.
 
@@ -431,7 +340,7 @@
         gone = self._running.announce(event, now)
         for task in gone:
             self._slots.release(task.entry)
-        self._lose(gone, REASON_RESTARTED, now)
+        self._reporting.lost(gone, REASON_RESTARTED, now)
         if before == (event, self._draining):
             return []
         self._resize()
@@ -447,7 +356,7 @@
         announced = self._running.announced
         serving = announced is not None and not self._draining
         self._slots.resize(announced.slots if announced and serving else 0)
-        self._offer_to.update(one.owner for one in self._entries if one.joined)
+        self._reporting.offer_all()
 
     def _tick(self, now: float) -> list[object]:
         before, self._ticked_at = self._ticked_at, now
@@ -458,7 +367,7 @@
             self._running.extend(now)
         lost = self._running.lapse(now)
         if lost is not None:
-            self._lose(lost, REASON_LAPSED, now)
+            self._reporting.lost(lost, REASON_LAPSED, now)
             self._resize()
         self._ledger.forget(now)
         return [*self._entries.dial_seeds(), *self._take_over(now)]
@@ -474,7 +383,9 @@
         if self._stopping_at is None or self._done or len(self._running):
             return []
         waited = now - self._stopping_at >= LINGER_SECONDS
-        if self._outbox.next_at() is not None or self._owed and not waited:
+        if self._reporting.next_at() is not None:
+            return []
+        if self._reporting.owes() and not waited:
             return []
         self._done = True
         goodbyes = [
@@ -482,36 +393,3 @@
             for one in self._entries
         ]
         return [*goodbyes, core.Exit()]
-
-    # Messages out
-
-    def _send_due(self, now: float) -> list[object]:
-        """Results that are due, and leases that have changed.
-
-        A changed lease rides on results that wait; else it costs an Offer.
-        """
-        untold = set(self._slots.revise())
-        for owner in untold:
-            self._outbox.hurry(owner)
-        effects: list[object] = []
-        for owner in self._outbox.due(now):
-            untold.discard(owner)
-            credits = self._slots.credits(owner)
-            for reports in self._outbox.take(owner, now):
-                results = messages.Results(self._incarnation, credits, reports)
-                effects.append(core.Send(owner.name, results))
-        for owner in sorted(untold | self._offer_to, key=lambda o: o.name):
-            effects.append(core.Send(owner.name, self._offer(owner)))
-        self._offer_to.clear()
-        return effects
-
-    def _offer(self, owner: ledger.Owner) -> messages.Offer:
-        announced = self._running.announced
-        return messages.Offer(
-            self._incarnation,
-            self._slots.credits(owner),
-            self._slots.total,
-            announced.kinds if announced is not None else (),
-            announced.capacity if announced is not None else types.Needs(),
-            self._draining,
-        )
--- a/src/agatepick/running.py
+++ b/src/agatepick/running.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from agatepick import ledger
+from agatepick import messages
 from agatepick import types
 from agatepick import upstream
 
@@ -110,9 +111,42 @@
         )
         return total.fits(self._announced.capacity)
 
-    def add(self, task: RunningTask) -> None:
-        """A task starts."""
-        self._tasks[task.job, task.index] = task
+    def start(
+        self, task: messages.StartTask, owner: ledger.Owner
+    ) -> upstream.RunTask:
+        """A task starts; there must be an upstream."""
+        announced = self._announced
+        assert announced is not None
+        self._tasks[task.job, task.index] = RunningTask(
+            task.job,
+            task.index,
+            task.attempt,
+            owner,
+            task.needs,
+            announced.session,
+        )
+        return upstream.RunTask(
+            task.job,
+            task.index,
+            task.attempt,
+            task.kind,
+            task.payload,
+            task.needs,
+            task.deadline,
+            announced.url,
+            announced.session,
+        )
+
+    def act(
+        self, job: types.JobKey, indexes: list[int], action: upstream.Action
+    ) -> list[upstream.StopTask]:
+        """Pass an action on to running tasks of a job."""
+        if self._announced is None:
+            return []
+        url = self._announced.url
+        return [
+            upstream.StopTask(job, index, action, url) for index in indexes
+        ]
 
     def end(
         self, job: types.JobKey, index: int, attempt: int
