--- a/src/agatepick/bench_cluster.py
+++ b/src/agatepick/bench_cluster.py
@@ -287,37 +287,36 @@
             upstream=settings.Upstreams(listen=ANY_PORT),
             tls=settings.Tls(enabled=False),
         )
-        process = processes.AgentProcess.from_settings(
-            cfg, self._outside(name, zone)
-        )
+        made: list[standin_upstream.LocalUpstream] = []
+
+        def runner(feed: processes.Feed) -> standin_upstream.LocalUpstream:
+            made.append(self._upstream(name, number, zone, feed))
+            return made[0]
+
+        outside = dataclasses.replace(self._outside(name, zone), runner=runner)
+        process = processes.AgentProcess.from_settings(cfg, outside)
         await process.start()
         self._count(process)
-        return AgentSite(process, self._attach(process, number, zone))
+        made[0].begin()
+        return AgentSite(process, made[0])
 
-    def _attach(
-        self, process: processes.AgentProcess, number: int, zone: str
+    def _upstream(
+        self, name: str, number: int, zone: str, feed: processes.Feed
     ) -> standin_upstream.LocalUpstream:
         faults = standin_upstream.Faults(
             fail_all=number in self._load.failing,
             slow_factor=dict(self._load.slow).get(number, 1.0),
         )
+        worker = bench_upstream.Worker(number, zone, self._book, faults)
         announced = upstream.Announced(
-            process.name,
+            name,
             bench_arrivals.KINDS,
             self._deployment.slots,
             types.Needs(self._deployment.cores, self._deployment.memory_mb),
             NO_URL,
             ANNOUNCED_SECONDS,
         )
-        local = standin_upstream.LocalUpstream(
-            bench_upstream.Worker(number, zone, self._book, faults),
-            process.shell.feed,
-            announced,
-        )
-        process.shell.handle(upstream.RunTask, local.run)
-        process.shell.handle(upstream.StopTask, local.stop)
-        local.begin()
-        return local
+        return standin_upstream.LocalUpstream(worker, feed, announced)
 
     def _count(self, process: processes.Process) -> None:
         process.shell.reducer = CountingReducer(
--- a/src/agatepick/bench_run.py
+++ b/src/agatepick/bench_run.py
@@ -16,6 +16,7 @@
 from agatepick import bench_cluster
 from agatepick import bench_evidence
 from agatepick import bench_ideal
+from agatepick import bench_lag
 from agatepick import bench_measures
 from agatepick import bench_plan
 from agatepick import bench_player
@@ -93,9 +94,12 @@
             await site.change(change)
         before, sent = site.traffic(), site.bytes_sent()
         book.begin()
+        lag = bench_lag.Lag()
+        lag.begin()
         cpu = time.process_time()
         await player.play()
         cpu = time.process_time() - cpu
+        lag.end()
         traffic = site.evidence_traffic(before)
         sent = site.bytes_sent() - sent
     finally:
@@ -113,6 +117,7 @@
         'policy': policy or 'default',
         **run_figures(evidence, callers, player, site),
         'bytes': sent,
+        **lag.figures(),
         'cpu_seconds_all_processes_and_bench': cpu,
     }
     report = bench_report.summarize(evidence, ideal_of(evidence), extra)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,50 @@
+import pathlib
+
+import pytest
+
+from agatepick import capacity
+from agatepick import slopes
+
+DOCS = pathlib.Path(__file__).parents[1] / 'docs'
+LINES = {
+    'entry_cpu_by_tasks': (100e-6, 400e-6),
+    'entry_control_bytes': (64.0, 0.0),
+    'job_messages': (1.0, 1.0),
+    'job_bytes': (500.0, 0.0),
+}
+
+
+@pytest.fixture
+def found():
+    return slopes.Slopes(
+        tuple(
+            slopes.fit(
+                slopes.Subject(name, 'x', 'u', 'wire'),
+                [(size, size * slope + start) for size in (1, 2, 4, 8)],
+            )
+            for name, (slope, start) in LINES.items()
+        )
+    )
+
+
+def test_plan_sizes_follow_from_the_lines(found):
+    plan = capacity.Plan.from_slopes(found)
+    assert plan.cpu_per_task == pytest.approx(100e-6 + 400e-6 / 130)
+    assert plan.entries == 76
+    assert plan.subset == 32
+    assert plan.owners == pytest.approx(76 * 32 / 9100)
+
+
+def test_only_the_tables_between_markers_are_made_anew(found):
+    page = 'a\n<!-- table: control -->\nold\n<!-- end -->\nb\n'
+    made = capacity.update(page, found)
+    assert made.startswith('a\n<!-- table: control -->\n| role |')
+    assert made.endswith('|\n<!-- end -->\nb\n')
+    assert 'old' not in made and 'not measured' in made
+    assert capacity.update(made, found) == made
+
+
+def test_the_page_says_what_the_measurement_beside_it_says():
+    page = (DOCS / 'CAPACITY.md').read_text(encoding='utf-8')
+    measured = slopes.load(DOCS / 'slopes.json')
+    assert capacity.update(page, measured) == page
