--- /dev/null
+++ b/src/agatepick/answers.py
@@ -0,0 +1,112 @@
+"""The answers that callers get, and how they travel between entries."""
+
+import msgspec
+
+from agatepick import calls
+from agatepick import core
+from agatepick import dispatch
+from agatepick import jobs
+from agatepick import messages
+from agatepick import ownership
+from agatepick import types
+
+CODE_KEY_REUSED = 'key_reused'
+CODE_UNKNOWN_JOB = 'unknown_job'
+CODE_NO_LEASE = 'no_lease'
+CODE_STOPPING = 'stopping'
+
+
+def encode(answer: types.JobAnswer) -> bytes:
+    """An answer as bytes for :class:`agatepick.messages.Forwarded`."""
+    return msgspec.msgpack.encode(answer)
+
+
+def decode(data: bytes) -> types.JobAnswer:
+    """The answer in ``data``.
+
+    :raises msgspec.DecodeError: if it is none.
+    """
+    return msgspec.msgpack.decode(data, type=types.JobAnswer)
+
+
+def deliver(
+    waiters: tuple[jobs.Waiter, ...], answer: types.JobAnswer
+) -> list[object]:
+    """Effects that bring an answer to each one that waits for it."""
+    effects: list[object] = []
+    for waiter in waiters:
+        if isinstance(waiter, jobs.LocalWaiter):
+            effects.append(calls.Reply(waiter.call, answer))
+            continue
+        reply = messages.Forwarded(waiter.request, encode(answer))
+        effects.append(core.Send(waiter.peer, reply))
+    return effects
+
+
+def refused(
+    key: types.JobKey, refusal: dispatch.Refusal, peer: types.PeerName
+) -> types.JobAnswer:
+    """The answer "not run" to a job that was not let in."""
+    return types.JobAnswer(
+        key,
+        types.JobStatus.NOT_RUN,
+        code=refusal.code,
+        reason=refusal.reason,
+        step='admit',
+        peer=peer,
+        retry_after=refusal.retry_after,
+    )
+
+
+def bad_key(
+    key: types.JobKey, fault: ownership.KeyFault, peer: types.PeerName
+) -> types.JobAnswer:
+    """The answer to a key that is refused for good.
+
+    An expired key may have run long ago, so "not run" would be a guess.
+    """
+    status = types.JobStatus.NOT_RUN
+    if fault == ownership.KeyFault.EXPIRED:
+        status = types.JobStatus.FAILED
+    return types.JobAnswer(
+        key,
+        status,
+        code=f'key_{fault}',
+        reason=_KEY_FAULTS[fault],
+        step='admit',
+        peer=peer,
+    )
+
+
+def key_reused(key: types.JobKey, peer: types.PeerName) -> types.JobAnswer:
+    """The answer to another body under a key that is in use."""
+    return types.JobAnswer(
+        key,
+        types.JobStatus.NOT_RUN,
+        code=CODE_KEY_REUSED,
+        reason='this Idempotency-Key belongs to another request body',
+        step='admit',
+        peer=peer,
+    )
+
+
+def unknown_job(key: types.JobKey, peer: types.PeerName) -> types.JobAnswer:
+    """The answer about a key under which nothing is remembered."""
+    return types.JobAnswer(
+        key,
+        types.JobStatus.PENDING,
+        code=CODE_UNKNOWN_JOB,
+        reason='no job is remembered under this key',
+        step='ask',
+        peer=peer,
+    )
+
+
+_KEY_FAULTS = {
+    ownership.KeyFault.MALFORMED: 'the key is not a canonical UUIDv7',
+    ownership.KeyFault.EXPIRED: (
+        'the key is older than the retention window; '
+        'what became of it is no longer known'
+    ),
+    ownership.KeyFault.AHEAD: "the key's time stamp is ahead of our clock",
+}
--- /dev/null
+++ b/src/agatepick/entry.py
@@ -0,0 +1,360 @@
+"""The entry's reducer: callers' requests in, starts and answers out.
+
+An entry owns the jobs whose keys hash to it (:mod:`~agatepick.owner`) and
+passes other requests on (:mod:`~agatepick.forwarding`).  It follows the
+cluster's configuration (:mod:`~agatepick.configuration`), and after each
+event it lets waiting tasks start wherever slots are free
+(:mod:`~agatepick.dispatch`).
+"""
+
+import dataclasses
+import random
+import typing
+
+from agatepick import answers
+from agatepick import calls
+from agatepick import cluster
+from agatepick import configuration
+from agatepick import core
+from agatepick import dispatch
+from agatepick import forwarding
+from agatepick import jobs
+from agatepick import messages
+from agatepick import owner
+from agatepick import ownership
+from agatepick import presets
+from agatepick import store
+from agatepick import types
+
+AGENT = 'agent'
+ENTRY = 'entry'
+SUBMIT = 'submit'
+HANDOVER = 'handover'
+ASK = 'ask'
+CANCEL = 'cancel'
+
+_Effects = list[object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryConfig:
+    """What an entry's reducer needs of its settings."""
+
+    me: messages.Member
+    configuration: configuration.ConfigurationSettings
+    dispatch: dispatch.DispatchSettings
+    owner: owner.OwnerConfig = owner.OwnerConfig()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """State of one entry, for operators."""
+
+    name: str
+    incarnation: int
+    stopping: bool
+    ready: bool
+    jobs_running: int
+    jobs_remembered: int
+    forwarded: int
+    agents: tuple[str, ...]
+    configuration: configuration.ConfigurationStatus
+    dispatch: dispatch.DispatchStatus
+
+
+class Entry:
+    """Reducer of one entry process."""
+
+    def __init__(self, cfg: EntryConfig, rng: random.Random):
+        self._me = cfg.me
+        self._skew = cfg.owner.key_skew_seconds
+        self.configuration = configuration.Configuration.from_config(
+            cfg.configuration, cfg.me, rng
+        )
+        self.dispatch = dispatch.Dispatch.from_config(cfg.dispatch, rng)
+        self.owner = owner.Owner(
+            cfg.me.name,
+            cfg.me.incarnation,
+            cfg.owner,
+            self.configuration,
+            self.dispatch,
+        )
+        self.forwarding = forwarding.Forwarding()
+        self._entries_up: set[types.PeerName] = set()
+        self._members_version = 0
+        self._preset = ''
+        self._stopping = False
+        self._left = False
+        self._handlers = self._event_handlers()
+        self._message_handlers = self._handlers_of_messages()
+
+    @classmethod
+    def from_config(cls, cfg: EntryConfig, rng: random.Random) -> 'Entry':
+        """An entry that has not yet read the configuration."""
+        return cls(cfg, rng)
+
+    def reduce(self, event: object, now: float) -> _Effects:
+        """Take one event and return the effects to carry out, in order."""
+        effects = self._handlers[type(event)](event, now)
+        effects += self._follow_configuration(now)
+        effects += self.owner.advance(now)
+        return [self._outward(effect) for effect in effects]
+
+    def ready(self, now: float) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.configuration.serving(now) and not self._stopping
+
+    def status(self, now: float) -> EntryStatus:
+        """How this entry stands."""
+        return EntryStatus(
+            name=self._me.name,
+            incarnation=self._me.incarnation,
+            stopping=self._stopping,
+            ready=self.ready(now),
+            jobs_running=len(self.owner.jobs.running()),
+            jobs_remembered=len(self.owner.jobs),
+            forwarded=len(self.forwarding),
+            agents=tuple(sorted(self.owner.agents)),
+            configuration=self.configuration.status(now),
+            dispatch=self.dispatch.status(now),
+        )
+
+    def _event_handlers(
+        self,
+    ) -> dict[type, typing.Callable[[typing.Any, float], _Effects]]:
+        return {
+            calls.JobSubmitted: self._on_submitted,
+            calls.JobAsked: self._on_asked,
+            calls.JobCancelled: self._on_cancelled,
+            calls.ChangeProposed: self._on_proposed,
+            calls.StatusAsked: self._on_status,
+            core.Received: self._on_received,
+            core.PeerUp: self._on_peer_up,
+            core.PeerDown: self._on_peer_down,
+            core.Tick: self._on_tick,
+            core.StopRequested: self._on_stop,
+            store.StoreAnswered: self.configuration.on_store,
+        }
+
+    def _handlers_of_messages(
+        self,
+    ) -> dict[type, typing.Callable[[str, typing.Any, float], _Effects]]:
+        return {
+            messages.Results: self.owner.on_results,
+            messages.Offer: self.owner.on_offer,
+            messages.Forward: self._on_forward,
+            messages.Forwarded: self._on_forwarded,
+            messages.QuotaAsk: self.dispatch.quotas.on_message,
+            messages.QuotaGrant: self.dispatch.quotas.on_message,
+        }
+
+    # Requests of callers.
+
+    def _on_submitted(
+        self, event: calls.JobSubmitted, now: float
+    ) -> _Effects:
+        spec = event.job
+        waiter = jobs.LocalWaiter(event.call)
+        name = self._owner_of(spec.key, now)
+        if name == self._me.name:
+            return self._submit(spec, waiter, now)
+        return self._pass_on(
+            name, waiter, SUBMIT, spec.key, spec.team, (spec,)
+        )
+
+    def _on_asked(self, event: calls.JobAsked, now: float) -> _Effects:
+        waiter = jobs.LocalWaiter(event.call)
+        name = self._owner_of(event.key, now)
+        if name == self._me.name:
+            return self.owner.ask(event.key, event.team, waiter)
+        return self._pass_on(name, waiter, ASK, event.key, event.team)
+
+    def _on_cancelled(
+        self, event: calls.JobCancelled, now: float
+    ) -> _Effects:
+        waiter = jobs.LocalWaiter(event.call)
+        name = self._owner_of(event.key, now)
+        if name == self._me.name:
+            return self.owner.cancel(event.key, event.team, waiter, now)
+        return self._pass_on(name, waiter, CANCEL, event.key, event.team)
+
+    def _pass_on(
+        self,
+        name: types.PeerName,
+        waiter: jobs.Waiter,
+        action: str,
+        key: types.JobKey,
+        team: str,
+        specs: tuple[types.JobSpec, ...] = (),
+    ) -> _Effects:
+        if name not in self._entries_up:
+            reason = "the job's owner can't be reached"
+            answer = forwarding.pending(key, reason, name)
+            return answers.deliver((waiter,), answer)
+        return self.forwarding.pass_on(
+            name, waiter, action, key, team, specs
+        )
+
+    def _on_forward(
+        self, peer: types.PeerName, message: messages.Forward, now: float
+    ) -> _Effects:
+        waiter = jobs.RemoteWaiter(peer, message.request)
+        key, team = message.key, message.team
+        handed_over = message.action == HANDOVER
+        if not handed_over and self._owner_of(key, now) != self._me.name:
+            reason = 'this entry does not own the job'
+            answer = forwarding.pending(key, reason, self._me.name)
+            return answers.deliver((waiter,), answer)
+        if message.action == CANCEL:
+            return self.owner.cancel(key, team, waiter, now)
+        if not message.jobs:
+            return self.owner.ask(key, team, waiter)
+        return self._submit(message.jobs[0], waiter, now)
+
+    def _on_forwarded(
+        self, peer: types.PeerName, message: messages.Forwarded, now: float
+    ) -> _Effects:
+        return self._answered(self.forwarding.answered(message))
+
+    def _answered(self, answered: list[forwarding.Answered]) -> _Effects:
+        effects: _Effects = []
+        for one in answered:
+            effects += answers.deliver((one.waiter,), one.answer)
+        return effects
+
+    def _submit(
+        self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
+    ) -> _Effects:
+        known = self.owner.known(spec, waiter)
+        if known is None:
+            known = self.owner.check_key(spec, waiter, now)
+        if known is not None:
+            return known
+        if self._stopping:
+            return self._hand_over(spec, waiter, now)
+        return self.owner.submit(spec, waiter, now)
+
+    def _hand_over(
+        self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
+    ) -> _Effects:
+        """Pass a new key to the entry that owns it once this one has left.
+
+        A stopping entry that refused new keys would fail callers during
+        every rolling update.  The second choice of the hash owns the key as
+        soon as this entry's removal is in force, so nothing moves later.
+        """
+        others = [
+            one
+            for one in self.configuration.in_force(now).entries
+            if one.name != self._me.name
+        ]
+        heir = ownership.owner(spec.key, others, self._skew)
+        if heir is not None and heir.name in self._entries_up:
+            return self.forwarding.pass_on(
+                heir.name, waiter, HANDOVER, spec.key, spec.team, (spec,)
+            )
+        refusal = dispatch.Refusal(
+            answers.CODE_STOPPING,
+            'this entry is stopping and no other can be reached',
+            forwarding.RETRY_AFTER_SECONDS,
+        )
+        return self.owner.refuse(spec, refusal, waiter, now)
+
+    def _owner_of(self, key: types.JobKey, now: float) -> types.PeerName:
+        """Name of the owner; empty while that can't be told."""
+        if not self.configuration.serving(now):
+            return ''
+        members = self.configuration.in_force(now).entries
+        member = ownership.owner(key, members, self._skew)
+        return '' if member is None else member.name
+
+    # Peers, time, configuration.
+
+    def _on_received(self, event: core.Received, now: float) -> _Effects:
+        handler = self._message_handlers.get(type(event.message))
+        if handler is not None:
+            return handler(event.peer, event.message, now)
+        return self.configuration.on_message(event.peer, event.message, now)
+
+    def _on_peer_up(self, event: core.PeerUp, now: float) -> _Effects:
+        hello = event.hello
+        if hello.role == AGENT:
+            members = core.Send(hello.name, self._members(now))
+            return [members, *self.owner.agent_up(hello, now)]
+        self._entries_up.add(hello.name)
+        return self.configuration.on_peer_up(hello, now)
+
+    def _on_peer_down(self, event: core.PeerDown, now: float) -> _Effects:
+        if event.peer in self.owner.agents:
+            self.owner.agent_down(event.peer, now)
+            return []
+        self._entries_up.discard(event.peer)
+        return [
+            *self._answered(self.forwarding.owner_lost(event.peer)),
+            *self.configuration.on_peer_down(event, now),
+        ]
+
+    def _on_proposed(
+        self, event: calls.ChangeProposed, now: float
+    ) -> _Effects:
+        change = typing.cast(cluster.Change, event.change)
+        return self.configuration.propose(
+            event.call, change, event.based_on, now
+        )
+
+    def _on_status(self, event: calls.StatusAsked, now: float) -> _Effects:
+        return [calls.Reply(event.call, self.status(now))]
+
+    def _on_tick(self, event: core.Tick, now: float) -> _Effects:
+        queued = self.dispatch.status(now).queued
+        self.dispatch.quotas.waiting(dict(queued))
+        return [
+            *self.configuration.on_tick(now),
+            *self.dispatch.quotas.on_tick(now),
+            *self.owner.on_tick(now),
+            *self._leave_when_done(now),
+        ]
+
+    def _on_stop(self, event: core.StopRequested, now: float) -> _Effects:
+        self._stopping = True
+        return [core.note('entry_stopping')]
+
+    def _leave_when_done(self, now: float) -> _Effects:
+        if not self._stopping or self._left:
+            return []
+        if self.owner.jobs.running() or len(self.forwarding):
+            return []
+        if not self.configuration.left:
+            return self.configuration.leave(now)
+        self._left = True
+        peers = sorted([*self._entries_up, *self.owner.agents])
+        goodbye = messages.Goodbye('stopped')
+        return [
+            *[core.Send(peer, goodbye) for peer in peers],
+            core.note('entry_stopped'),
+            core.Exit(),
+        ]
+
+    def _follow_configuration(self, now: float) -> _Effects:
+        in_force = self.configuration.in_force(now)
+        if in_force.preset != self._preset:
+            self._preset = in_force.preset
+            self.dispatch.use_preset(presets.BY_NAME[self._preset], now)
+        if in_force.version == self._members_version:
+            return []
+        self._members_version = in_force.version
+        names = tuple([one.name for one in in_force.listed()])
+        limits = {one.team: one.slots for one in in_force.quotas}
+        self.dispatch.quotas.configure(limits, names, now)
+        self.owner.set_leaving(frozenset(in_force.leaving), now)
+        members = self._members(now)
+        return [core.Send(name, members) for name in sorted(self.owner.agents)]
+
+    def _members(self, now: float) -> messages.Members:
+        in_force = self.configuration.in_force(now)
+        return messages.Members(in_force.version, in_force.entries)
+
+    def _outward(self, effect: object) -> object:
+        if isinstance(effect, cluster.Proposed):
+            return calls.Reply(effect.request_id, effect)
+        return effect
--- a/src/agatepick/forwarding.py
+++ b/src/agatepick/forwarding.py
@@ -7,8 +7,7 @@
 
 import dataclasses
 
-import msgspec
-
+from agatepick import answers
 from agatepick import core
 from agatepick import jobs
 from agatepick import messages
@@ -31,16 +30,6 @@
     )
 
 
-def encode_answer(answer: types.JobAnswer) -> bytes:
-    """An answer as bytes for :class:`agatepick.messages.Forwarded`."""
-    return msgspec.msgpack.encode(answer)
-
-
-def decode_answer(data: bytes) -> types.JobAnswer:
-    """The answer in ``data``."""
-    return msgspec.msgpack.decode(data, type=types.JobAnswer)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Passed:
     waiter: jobs.Waiter
@@ -87,7 +76,7 @@
         passed = self._passed.pop(message.request, None)
         if passed is None:
             return []
-        return [Answered(passed.waiter, decode_answer(message.answer))]
+        return [Answered(passed.waiter, answers.decode(message.answer))]
 
     def owner_lost(self, owner: types.PeerName) -> list[Answered]:
         """Answers to what was passed to an owner that can't be reached."""
--- /dev/null
+++ b/src/agatepick/owner.py
@@ -0,0 +1,445 @@
+"""The owner's side of a job: in, started, ended, answered.
+
+One :class:`Owner` holds all jobs whose keys hash to its entry.  A task is
+handed to one agent at a time, with an attempt number that grows only after
+a refusal has come back; a start whose fate is unknown is never repeated.
+"""
+
+import dataclasses
+import heapq
+
+from agatepick import answers
+from agatepick import configuration
+from agatepick import core
+from agatepick import dispatch
+from agatepick import forwarding
+from agatepick import jobs
+from agatepick import messages
+from agatepick import ownership
+from agatepick import types
+
+STOP = 'stop'
+REASON_AGENT_LOST = 'agent_lost'
+
+_OUTCOMES = {
+    types.TaskState.FINISHED: types.Outcome.FINISHED,
+    types.TaskState.FAILED: types.Outcome.FAILED,
+    types.TaskState.LOST: types.Outcome.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerConfig:
+    """Limits of an owner.
+
+    :param retention_seconds: how long an ended job is remembered.
+    :param key_skew_seconds: how far a key's stamp may be ahead.
+    :param agent_lost_seconds: silence after which an agent's outstanding
+        tasks are unknown: two redials at their longest pause, and the time
+        for a loaded agent to answer.
+    """
+
+    retention_seconds: float = 600.0
+    key_skew_seconds: float = 2.0
+    agent_lost_seconds: float = 5.0
+
+
+class Owner:
+    """All jobs of one entry, their queue and their agents."""
+
+    def __init__(
+        self,
+        name: types.PeerName,
+        incarnation: int,
+        cfg: OwnerConfig,
+        config: configuration.Configuration,
+        dispatcher: dispatch.Dispatch,
+    ):
+        self.jobs = jobs.Jobs(cfg.retention_seconds)
+        self.agents: dict[types.PeerName, messages.Hello] = {}
+        self._name = name
+        self._incarnation = incarnation
+        self._cfg = cfg
+        self._config = config
+        self._dispatch = dispatcher
+        self._offers: dict[types.PeerName, messages.Offer] = {}
+        self._leaving: frozenset[types.PeerName] = frozenset()
+        self._lost_agents: dict[types.PeerName, float] = {}
+        self._deadlines: list[tuple[float, types.JobKey]] = []
+
+    # Requests.
+
+    def known(
+        self, spec: types.JobSpec, waiter: jobs.Waiter
+    ) -> list[object] | None:
+        """What a resubmission gets, or ``None`` for a key not seen yet."""
+        refusal = self.jobs.refusal(spec.key)
+        if refusal is not None:
+            return answers.deliver((waiter,), refusal)
+        job = self.jobs.get(spec.key)
+        if job is None:
+            return None
+        if job.spec.digest != spec.digest or job.spec.team != spec.team:
+            answer = answers.key_reused(spec.key, self._name)
+            return answers.deliver((waiter,), answer)
+        if job.answer is not None:
+            return answers.deliver((waiter,), job.answer)
+        job.waiters.append(waiter)
+        return []
+
+    def check_key(
+        self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
+    ) -> list[object] | None:
+        """The answer to a key that may not run, or ``None`` if it may."""
+        fault = ownership.check(
+            spec.key,
+            now,
+            self._cfg.retention_seconds,
+            self._cfg.key_skew_seconds,
+        )
+        if fault is None:
+            return None
+        answer = answers.bad_key(spec.key, fault, self._name)
+        return answers.deliver((waiter,), answer)
+
+    def submit(
+        self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
+    ) -> list[object]:
+        """Take a job under a new key, or refuse it."""
+        refusal = self._admit(spec, now)
+        if refusal is not None:
+            return self.refuse(spec, refusal, waiter, now)
+        job = self.jobs.add(spec, now)
+        job.waiters.append(waiter)
+        heapq.heappush(self._deadlines, (spec.deadline, spec.key))
+        self._dispatch.enqueue(spec, now)
+        count = len(spec.tasks)
+        return [
+            core.note(
+                'job_admitted', job=spec.key, team=spec.team, tasks=count
+            )
+        ]
+
+    def refuse(
+        self,
+        spec: types.JobSpec,
+        refusal: dispatch.Refusal,
+        waiter: jobs.Waiter,
+        now: float,
+    ) -> list[object]:
+        """Refuse a job for good under its key."""
+        answer = answers.refused(spec.key, refusal, self._name)
+        self.jobs.refuse(answer, now)
+        return [
+            core.note('job_refused', job=spec.key, code=refusal.code),
+            *answers.deliver((waiter,), answer),
+        ]
+
+    def ask(
+        self, key: types.JobKey, team: str, waiter: jobs.Waiter
+    ) -> list[object]:
+        """Tell how a job stands."""
+        job = self.jobs.get(key)
+        if job is None or job.spec.team != team:
+            answer = self.jobs.refusal(key)
+            answer = answer or answers.unknown_job(key, self._name)
+            return answers.deliver((waiter,), answer)
+        return answers.deliver((waiter,), job.answer or job.pending())
+
+    def cancel(
+        self, key: types.JobKey, team: str, waiter: jobs.Waiter, now: float
+    ) -> list[object]:
+        """End a job early; what runs is stopped at its agents."""
+        job = self.jobs.get(key)
+        if job is None or job.spec.team != team or job.ended:
+            return self.ask(key, team, waiter)
+        job.cancelled = True
+        for index in self._dispatch.drop(key):
+            job.end_task(
+                index,
+                types.Outcome.NOT_RUN,
+                reason=jobs.CODE_CANCELLED,
+                step='cancel',
+                peer=self._name,
+            )
+        return [
+            core.note('job_cancelled', job=key),
+            *self._stop_at_agents(job),
+            *self._settle(job, now),
+            *self.ask(key, team, waiter),
+        ]
+
+    # Agents.
+
+    def agent_up(self, hello: messages.Hello, now: float) -> list[object]:
+        """Settle what is open with an agent that has connected."""
+        name = hello.name
+        self.agents[name] = hello
+        self._lost_agents.pop(name, None)
+        effects: list[object] = []
+        refs = []
+        for job, ref, incarnation in self.jobs.outstanding(name):
+            if incarnation == hello.incarnation:
+                refs.append(ref)
+            else:
+                effects += self._unknown(job, ref.index, name, now)
+        if refs:
+            settle = messages.Settle(hello.incarnation, tuple(refs))
+            effects.append(core.Send(name, settle))
+        return effects
+
+    def agent_down(self, name: types.PeerName, now: float) -> None:
+        """Place nothing at an agent whose connection ended; wait for it."""
+        del self.agents[name]
+        self._offers.pop(name, None)
+        self._dispatch.agent_gone(name)
+        self._lost_agents[name] = now + self._cfg.agent_lost_seconds
+
+    def on_offer(
+        self, peer: types.PeerName, message: messages.Offer, now: float
+    ) -> list[object]:
+        """Take an agent's offer of slots."""
+        hello = self.agents.get(peer)
+        if hello is None or hello.incarnation != message.agent_incarnation:
+            return []
+        self._offers[peer] = message
+        self._take_offer(peer, now)
+        return []
+
+    def set_leaving(
+        self, leaving: frozenset[types.PeerName], now: float
+    ) -> None:
+        """Place nothing at agents that operators have marked as leaving."""
+        for name in sorted(leaving - self._leaving):
+            self._dispatch.agent_gone(name)
+        cleared = self._leaving - leaving
+        self._leaving = leaving
+        for name in sorted(cleared):
+            self._take_offer(name, now)
+
+    def _take_offer(self, name: types.PeerName, now: float) -> None:
+        hello = self.agents.get(name)
+        offer = self._offers.get(name)
+        if hello is None or offer is None or name in self._leaving:
+            return
+        info = dispatch.AgentInfo(
+            name, hello.incarnation, hello.zone, hello.rack
+        )
+        self._dispatch.agent_offers(info, offer, now)
+
+    def on_results(
+        self, peer: types.PeerName, message: messages.Results, now: float
+    ) -> list[object]:
+        """Take an agent's reports and the slots it grants."""
+        hello = self.agents.get(peer)
+        if hello is None or hello.incarnation != message.agent_incarnation:
+            return []
+        effects: list[object] = []
+        for report in message.reports:
+            effects += self._on_report(peer, report, now)
+        self._dispatch.agent_credits(peer, message.credits, now)
+        return effects
+
+    def _on_report(
+        self, agent: types.PeerName, report: messages.TaskReport, now: float
+    ) -> list[object]:
+        job = self.jobs.get(report.job)
+        if job is None or report.index >= len(job.tasks):
+            return []
+        record = job.tasks[report.index]
+        # An old report may cross with a later attempt elsewhere.
+        if record.agent != agent or record.attempt != report.attempt:
+            return []
+        if report.state == types.TaskState.REFUSED:
+            return self._on_refused(job, agent, report, now)
+        if report.state not in _OUTCOMES:
+            return []
+        return self._on_ended(job, agent, report, now)
+
+    def _on_refused(
+        self,
+        job: jobs.Job,
+        agent: types.PeerName,
+        report: messages.TaskReport,
+        now: float,
+    ) -> list[object]:
+        self._dispatch.refused(agent, job.spec.team, now)
+        record = job.tasks[report.index]
+        record.agent = ''
+        if record.answer is not None:
+            return []
+        task = dispatch.Pending(job.spec, report.index, record.attempt)
+        if not job.cancelled and self._dispatch.requeue(task, agent, now):
+            return []
+        job.end_task(
+            report.index,
+            types.Outcome.NOT_RUN,
+            reason=report.reason,
+            step='start',
+            peer=agent,
+        )
+        return self._settle(job, now)
+
+    def _on_ended(
+        self,
+        job: jobs.Job,
+        agent: types.PeerName,
+        report: messages.TaskReport,
+        now: float,
+    ) -> list[object]:
+        outcome = _OUTCOMES[types.TaskState(report.state)]
+        ok = outcome == types.Outcome.FINISHED
+        self._dispatch.ended(
+            agent, job.spec, report.index, ok, report.seconds, now
+        )
+        job.end_task(
+            report.index, outcome, report.body, report.reason, 'run', agent
+        )
+        # Tells a second copy of the report that the slot is free already.
+        job.tasks[report.index].agent = ''
+        return self._settle(job, now)
+
+    # Time.
+
+    def on_tick(self, now: float) -> list[object]:
+        """Forget old jobs; give up on agents that stay away."""
+        self.jobs.forget(now)
+        effects: list[object] = []
+        for name, until in list(self._lost_agents.items()):
+            if until <= now:
+                del self._lost_agents[name]
+                effects += self._agent_lost(name, now)
+        return effects
+
+    def advance(self, now: float) -> list[object]:
+        """End jobs at their deadlines and start what can start."""
+        effects: list[object] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, key = heapq.heappop(self._deadlines)
+            job = self.jobs.get(key)
+            if job is not None and not job.ended:
+                effects += self._end_at_deadline(job, now)
+        effects += self._place(now)
+        wakes = [self._deadlines[0][0]] if self._deadlines else []
+        wake = self._dispatch.next_wake(now)
+        if wake is not None:
+            wakes.append(wake)
+        if wakes:
+            effects.append(core.WakeAt(min(wakes)))
+        return effects
+
+    def _admit(
+        self, spec: types.JobSpec, now: float
+    ) -> dispatch.Refusal | None:
+        if self._config.lease_until(now) <= now:
+            return dispatch.Refusal(
+                answers.CODE_NO_LEASE,
+                'this entry may start nothing until it reads the '
+                'configuration again',
+                forwarding.RETRY_AFTER_SECONDS,
+            )
+        return self._dispatch.admit(
+            spec, lambda zone: self._config.zone_open(zone, now), now
+        )
+
+    def _stop_at_agents(self, job: jobs.Job) -> list[object]:
+        stop = messages.StopJob(job.spec.key, STOP)
+        return [core.Send(agent, stop) for agent in job.agents()]
+
+    def _end_at_deadline(self, job: jobs.Job, now: float) -> list[object]:
+        effects = self._stop_at_agents(job)
+        self._dispatch.drop(job.spec.key)
+        for index, record in enumerate(job.tasks):
+            started = bool(record.agent)
+            job.end_task(
+                index,
+                types.Outcome.UNKNOWN if started else types.Outcome.NOT_RUN,
+                reason=jobs.CODE_DEADLINE,
+                step='run' if started else 'queue',
+                peer=record.agent or self._name,
+            )
+        effects.append(core.note('job_deadline', job=job.spec.key))
+        return effects + self._settle(job, now)
+
+    def _settle(self, job: jobs.Job, now: float) -> list[object]:
+        settled = self.jobs.settle(job, now)
+        if settled is None:
+            return []
+        status = settled.answer.status
+        return [
+            core.note('job_ended', job=job.spec.key, status=status),
+            *answers.deliver(settled.waiters, settled.answer),
+        ]
+
+    def _place(self, now: float) -> list[object]:
+        if not self._dispatch.waiting():
+            return []
+        if self._config.lease_until(now) <= now:
+            return []
+        placed = self._dispatch.place(
+            lambda zone: self._config.zone_share(zone, now), now
+        )
+        effects: list[object] = [self._starts(one, now) for one in placed]
+        for agent, want in self._dispatch.asks(now):
+            effects.append(core.Send(agent, messages.Ask(want)))
+        return effects
+
+    def _starts(
+        self, placement: dispatch.Placement, now: float
+    ) -> core.Send:
+        zone = self.agents[placement.agent].zone
+        tasks = [self._start(placement, one) for one in placement.tasks]
+        starts = messages.Starts(
+            owner=self._name,
+            owner_incarnation=self._incarnation,
+            agent_incarnation=placement.incarnation,
+            version=self._config.version,
+            start_before=self._config.start_before(zone, now),
+            waiting=self._dispatch.waiting(),
+            tasks=tuple(tasks),
+        )
+        return core.Send(placement.agent, starts)
+
+    def _start(
+        self, placement: dispatch.Placement, one: dispatch.Pending
+    ) -> messages.StartTask:
+        job = self.jobs.get(one.job.key)
+        assert job is not None
+        record = job.tasks[one.index]
+        record.agent = placement.agent
+        record.incarnation = placement.incarnation
+        record.attempt = one.attempt
+        task = one.job.tasks[one.index]
+        return messages.StartTask(
+            one.job.key,
+            one.index,
+            one.attempt,
+            task.kind,
+            one.job.team,
+            task.payload,
+            task.needs,
+            one.job.deadline,
+        )
+
+    def _agent_lost(self, name: types.PeerName, now: float) -> list[object]:
+        effects: list[object] = [core.note('agent_lost', agent=name)]
+        for job, ref, _ in self.jobs.outstanding(name):
+            effects += self._unknown(job, ref.index, name, now)
+        return effects
+
+    def _unknown(
+        self, job: jobs.Job, index: int, agent: types.PeerName, now: float
+    ) -> list[object]:
+        """End a task whose agent is gone: started or not, nobody can say.
+
+        It is never started again: the first start may have taken effect,
+        and the caller would find a quote filed twice.
+        """
+        job.end_task(
+            index,
+            types.Outcome.UNKNOWN,
+            reason=REASON_AGENT_LOST,
+            step='run',
+            peer=agent,
+        )
+        return self._settle(job, now)
