--- a/src/agatepick/exceptions.py
+++ b/src/agatepick/exceptions.py
@@ -43,10 +43,25 @@
     exit_status = 2
 
 
+class BadChange(AgatepickError):
+    """A change can't be applied to the cluster configuration.
+
+    The message names the field at fault.
+    """
+
+    exit_status = 2
+
+
 class TooManyCalls(AgatepickError):
     """More requests are open than the process holds; nothing was done."""
 
 
+class Unreachable(AgatepickError):
+    """No answer came, so whether a job ran is not known."""
+
+    exit_status = 6
+
+
 class StoreError(AgatepickError):
     """The table service could not do what was asked."""
 
