--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -150,9 +150,7 @@
 
     # Requests of callers.
 
-    def _on_submitted(
-        self, event: calls.JobSubmitted, now: float
-    ) -> _Effects:
+    def _on_submitted(self, event: calls.JobSubmitted, now: float) -> _Effects:
         spec = event.job
         waiter = jobs.LocalWaiter(event.call)
         name = self._owner_of(spec.key, now)
@@ -169,9 +167,7 @@
             return self.owner.ask(event.key, event.team, waiter)
         return self._pass_on(name, waiter, ASK, event.key, event.team)
 
-    def _on_cancelled(
-        self, event: calls.JobCancelled, now: float
-    ) -> _Effects:
+    def _on_cancelled(self, event: calls.JobCancelled, now: float) -> _Effects:
         waiter = jobs.LocalWaiter(event.call)
         name = self._owner_of(event.key, now)
         if name == self._me.name:
@@ -191,9 +187,7 @@
             reason = "the job's owner can't be reached"
             answer = forwarding.pending(key, reason, name)
             return answers.deliver((waiter,), answer)
-        return self.forwarding.pass_on(
-            name, waiter, action, key, team, specs
-        )
+        return self.forwarding.pass_on(name, waiter, action, key, team, specs)
 
     def _on_forward(
         self, peer: types.PeerName, message: messages.Forward, now: float
--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -1,8 +1,10 @@
 """Connections to peers: Cap'n Proto messages, framed, over TCP.
 
 A frame is a big-endian 32-bit length and one encoded message.  Both sides
-first send a :class:`~agatepick.messages.Hello`.  One connection serves both
-ways; when a peer connects again, the newer connection takes over.
+first send a :class:`~agatepick.messages.Hello`, the accepting side before
+the dialling one: so a dialler that finds it already has a connection to that
+peer goes away unnoticed.  One connection serves both ways; when a peer dials
+again, it has lost the older connection, and the newer takes over.
 """
 
 import asyncio
@@ -24,6 +26,7 @@
 
 LOG = logging.getLogger(__name__)
 
+ENTRY = 'entry'
 HEADER = struct.Struct('>I')
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 """The largest frame taken: a job of 130 tasks with 100 kB bodies fits."""
@@ -36,6 +39,9 @@
 shorter than what a caller waits."""
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
+YIELD_SECONDS = 0.25
+"""Two entries dial each other.  The one with the greater name waits so long
+first; else both would connect at once and each end the other's connection."""
 
 
 class Delay(typing.Protocol):
@@ -142,6 +148,7 @@
         self._peers: dict[types.PeerName, Connection] = {}
         self._open: set[Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
+        self._waiting: dict[types.PeerName, asyncio.Event] = {}
         self._client = tcpclient.TCPClient()
         self._heartbeat: asyncio.Task[None] | None = None
 
@@ -203,6 +210,7 @@
     ) -> None:
         """Serve one accepted connection to its end."""
         conn = self._connection(stream)
+        conn.send(self._hello())
         if await self._greet(conn, str(address)):
             await self._serve(conn)
 
@@ -216,7 +224,6 @@
         return conn
 
     async def _greet(self, conn: Connection, address: str) -> bool:
-        conn.send(self._hello())
         try:
             hello = await asyncio.wait_for(conn.receive(), HELLO_SECONDS)
         except (
@@ -254,17 +261,20 @@
         old = self._peers.get(hello.name)
         self._peers[hello.name] = conn
         if old is not None and old.hello is not None:
+            # Messages on the older connection may be lost with it.
             old.stream.close()
-            if old.hello.incarnation != hello.incarnation:
-                self._feed(
-                    core.PeerDown(hello.name, old.hello.incarnation, True)
-                )
+            before = old.hello.incarnation
+            dead = before != hello.incarnation
+            self._feed(core.PeerDown(hello.name, before, dead))
         self._feed(core.PeerUp(hello))
         conn.send(messages.Ping(self._clock.now()))
 
     def _lost(self, conn: Connection, hello: messages.Hello) -> None:
         if self._peers.get(hello.name) is conn:
             del self._peers[hello.name]
+            lost = self._waiting.pop(hello.name, None)
+            if lost is not None:
+                lost.set()
             self._feed(core.PeerDown(hello.name, hello.incarnation))
 
     def _received(
@@ -278,17 +288,39 @@
             self._feed(core.Received(peer, message))
 
     async def _keep(self, peer: types.PeerName, address: str) -> None:
-        host, _, port = address.rpartition(':')
         pause = REDIAL_FIRST_SECONDS
         while True:
-            conn = await self._connect(peer, host, int(port))
-            if conn is not None and await self._greet(conn, address):
+            await self._until_lost(peer)
+            if await self._dial_once(peer, address):
                 pause = REDIAL_FIRST_SECONDS
-                self._check_name(conn, peer, address)
-                await self._serve(conn)
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
             pause = min(pause * 2, REDIAL_MAX_SECONDS)
 
+    async def _dial_once(self, peer: types.PeerName, address: str) -> bool:
+        """Connect and serve; ``False`` if no connection came about."""
+        mine = self._hello()
+        if mine.role == ENTRY and mine.name > peer:
+            await asyncio.sleep(YIELD_SECONDS)
+        if peer in self._peers:
+            return True
+        host, _, port = address.rpartition(':')
+        conn = await self._connect(peer, host, int(port))
+        if conn is None or not await self._greet(conn, address):
+            return False
+        self._check_name(conn, peer, address)
+        name = conn.hello.name if conn.hello else ''
+        if name in self._peers:
+            conn.stream.close()
+            await self._until_lost(name)
+            return True
+        conn.send(self._hello())
+        await self._serve(conn)
+        return True
+
+    async def _until_lost(self, peer: types.PeerName) -> None:
+        if peer in self._peers:
+            await self._waiting.setdefault(peer, asyncio.Event()).wait()
+
     def _check_name(self, conn: Connection, peer: str, address: str) -> None:
         # Another process has the address: the one that had it is gone.
         found = conn.hello.name if conn.hello else ''
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -384,9 +384,7 @@
             effects.append(core.Send(agent, messages.Ask(want)))
         return effects
 
-    def _starts(
-        self, placement: dispatch.Placement, now: float
-    ) -> core.Send:
+    def _starts(self, placement: dispatch.Placement, now: float) -> core.Send:
         zone = self.agents[placement.agent].zone
         tasks = [self._start(placement, one) for one in placement.tasks]
         starts = messages.Starts(
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -107,9 +107,7 @@
         """Stop gracefully; what isn't done in time is cut off."""
         self.shell.feed(core.StopRequested())
         try:
-            await asyncio.wait_for(
-                self.shell.done.wait(), self._stop_seconds
-            )
+            await asyncio.wait_for(self.shell.done.wait(), self._stop_seconds)
         except TimeoutError:
             LOG.warning('event=stop_cut_off process=%s', self.name)
         self.shell.done.set()
