--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -43,7 +43,7 @@
     me: messages.Member
     configuration: configuration.ConfigurationSettings
     dispatch: dispatch.DispatchSettings
-    owner: owner.OwnerConfig = owner.OwnerConfig()
+    limits: owner.OwnerConfig = owner.OwnerConfig()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +67,7 @@
 
     def __init__(self, cfg: EntryConfig, rng: random.Random):
         self._me = cfg.me
-        self._skew = cfg.owner.key_skew_seconds
+        self._skew = cfg.limits.key_skew_seconds
         self.configuration = configuration.Configuration.from_config(
             cfg.configuration, cfg.me, rng
         )
@@ -75,7 +75,7 @@
         self.owner = owner.Owner(
             cfg.me.name,
             cfg.me.incarnation,
-            cfg.owner,
+            cfg.limits,
             self.configuration,
             self.dispatch,
         )
--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -52,6 +52,18 @@
         ...
 
 
+class Stamps(typing.Protocol):
+    """Stamps on messages that tell causes from effects; see the time line."""
+
+    def stamp(self) -> int:
+        """The stamp of a message out."""
+        ...
+
+    def merge(self, stamp: int) -> None:
+        """Take note of the stamp of a message that came in."""
+        ...
+
+
 @dataclasses.dataclass
 class Traffic:
     """Counters of what one process sent and took over its links."""
@@ -78,17 +90,24 @@
 class Connection:
     """One framed stream to one peer."""
 
-    def __init__(self, stream: iostream.IOStream, traffic: Traffic):
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        traffic: Traffic,
+        stamps: Stamps | None = None,
+    ):
         self.stream = stream
         self.hello: messages.Hello | None = None
         self.heard_at = 0.0
         self._traffic = traffic
+        self._stamps = stamps
 
     def send(self, message: messages.Message) -> None:
         """Queue a message; a closed stream drops it."""
         if self.stream.closed():
             return
-        data = messages.encode(message)
+        stamp = 0 if self._stamps is None else self._stamps.stamp()
+        data = messages.encode(message, stamp)
         self._traffic.sent(message, len(data) + HEADER.size)
         try:
             fut = self.stream.write(HEADER.pack(len(data)) + data)
@@ -115,7 +134,10 @@
             )
         data = await self.stream.read_bytes(size)
         self._traffic.took(size + HEADER.size)
-        return messages.decode(data)
+        stamped = messages.decode_stamped(data)
+        if self._stamps is not None:
+            self._stamps.merge(stamped.stamp)
+        return stamped.message
 
 
 class Links(tcpserver.TCPServer):
@@ -134,6 +156,7 @@
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
         delay: Delay | None = None,
+        stamps: Stamps | None = None,
     ):
         super().__init__(
             ssl_options=server_tls, max_buffer_size=MAX_FRAME_BYTES * 2
@@ -145,6 +168,7 @@
         self._rng = rng
         self._client_tls = client_tls
         self._delay = delay
+        self._stamps = stamps
         self._peers: dict[types.PeerName, Connection] = {}
         self._open: set[Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
@@ -217,7 +241,7 @@
     def _connection(self, stream: iostream.IOStream) -> Connection:
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_UNSENT_BYTES
-        conn = Connection(stream, self.traffic)
+        conn = Connection(stream, self.traffic, self._stamps)
         conn.heard_at = self._clock.now()
         self._open.add(conn)
         stream.set_close_callback(lambda: self._open.discard(conn))
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -377,13 +377,18 @@
         if self._config.lease_until(now) <= now:
             return []
         placed = self._dispatch.place(
-            lambda zone: self._config.zone_share(zone, now), now
+            lambda zone: self._zone_share(zone, now), now
         )
         effects: list[object] = [self._starts(one, now) for one in placed]
         for agent, want in self._dispatch.asks(now):
             effects.append(core.Send(agent, messages.Ask(want)))
         return effects
 
+    def _zone_share(self, zone: str, now: float) -> float:
+        if self._config.start_before(zone, now) <= now:
+            return 0.0
+        return 1.0
+
     def _starts(self, placement: dispatch.Placement, now: float) -> core.Send:
         zone = self.agents[placement.agent].zone
         tasks = [self._start(placement, one) for one in placement.tasks]
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -9,7 +9,6 @@
 import logging
 import random
 import secrets
-import ssl
 import typing
 
 from tornado import httpserver
@@ -24,15 +23,19 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
+from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
 from agatepick import operators
 from agatepick import owner
+from agatepick import placement
+from agatepick import readlease
 from agatepick import settings
 from agatepick import shell
 from agatepick import store
 from agatepick import tablestore
 from agatepick import timeline
+from agatepick import tls
 from agatepick import types
 from agatepick import upstream
 from agatepick import web
@@ -42,34 +45,30 @@
 _INCARNATION_BITS = 63
 
 
+Feed = typing.Callable[[object], None]
+
+
 @dataclasses.dataclass(frozen=True)
 class Outside:
     """What a process reaches beyond its own sockets.
 
     :param table: client of the table service; by URL if ``None``.
-    :param upstream: what runs an agent's tasks; by HTTP if ``None``.
+    :param upstream: makes what runs an agent's tasks from the agent's feed;
+        by HTTP if ``None``.
     :param delay: latency added to messages between processes.
     """
 
     clock: types.Clock
     rng: random.Random
     table: store.Store | None = None
-    upstream: upstream.Upstream | None = None
+    upstream: typing.Callable[[Feed], upstream.Upstream] | None = None
     delay: links.Delay | None = None
 
     @classmethod
     def real(cls) -> 'Outside':
         """The machine's clock and randomness; the rest by settings."""
-        return cls(clocks.ProcessClock(), random.Random(secrets.randbits(64)))
-
-
-@dataclasses.dataclass(frozen=True)
-class Contexts:
-    """TLS contexts; all ``None`` when TLS is off."""
-
-    http: ssl.SSLContext | None = None
-    peer_server: ssl.SSLContext | None = None
-    peer_client: ssl.SSLContext | None = None
+        rng = random.Random(secrets.randbits(_INCARNATION_BITS))
+        return cls(clocks.ProcessClock.start(), rng)
 
 
 def new_incarnation() -> int:
@@ -123,7 +122,7 @@
         if self._http is not None:
             self._http.stop()
 
-    def _begin(self, contexts: Contexts, reducer: core.Reducer) -> None:
+    def _begin(self, contexts: tls.Contexts, reducer: core.Reducer) -> None:
         outside = self.outside
         self.shell = shell.Shell(reducer, outside.clock)
         self.links = links.Links(
@@ -148,7 +147,12 @@
 class EntryProcess(Process):
     """One entry."""
 
-    def __init__(self, cfg: settings.EntrySettings, outside: Outside):
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        outside: Outside,
+        policy: str = placement.DEFAULT_POLICY,
+    ):
         super().__init__(
             cfg.process,
             cfg.timing.stop_seconds,
@@ -156,6 +160,8 @@
             outside,
         )
         self.cfg = cfg
+        self._policy = policy
+        self._calls_out: set[asyncio.Task[None]] = set()
         self.member: messages.Member
         self.entry: entry.Entry
         self.calls: calls.Calls
@@ -163,12 +169,19 @@
 
     @classmethod
     def from_settings(
-        cls, cfg: settings.EntrySettings, outside: Outside | None = None
+        cls,
+        cfg: settings.EntrySettings,
+        outside: Outside | None = None,
+        policy: str = placement.DEFAULT_POLICY,
     ) -> 'EntryProcess':
-        """An entry that listens nowhere yet."""
-        return cls(cfg, outside or Outside.real())
+        """An entry that listens nowhere yet.
+
+        :param policy: placement policy; others than the default are the
+            baselines of the bench.
+        """
+        return cls(cfg, outside or Outside.real(), policy)
 
-    async def start(self, contexts: Contexts = Contexts()) -> None:
+    async def start(self, contexts: tls.Contexts | None = None) -> None:
         """Listen, and begin to follow the configuration."""
         peers = self.cfg.peers
         sockets = _bind(peers.listen)
@@ -183,37 +196,37 @@
         self.entry = entry.Entry.from_config(
             self._entry_config(), self.outside.rng
         )
-        self._begin(contexts, self.entry)
+        self._begin(contexts or _PLAIN, self.entry)
         self.calls = calls.Calls(self.shell.feed, self.cfg.http.max_open)
         self.shell.handle(calls.Reply, self.calls.reply)
         self._use_table()
         self.links.add_sockets(sockets)
         self.links.begin()
-        self._listen_http(contexts)
+        self._listen_http(contexts or _PLAIN)
         self.shell.begin()
 
     def _use_table(self) -> None:
         table = self.outside.table
         if table is None:
             table = tablestore.TableStore.from_config(
-                tablestore.TableStoreSettings(
-                    self.cfg.store.url, self.cfg.store.timeout_seconds
-                ),
-                self.outside.clock,
+                tablestore.TableSettings(_host(self.cfg.store.url)),
                 self.outside.rng,
             )
         client = table
         loop = asyncio.get_running_loop()
 
         async def carry(effect: store.CallStore) -> None:
-            answer = await client.call(effect.request)
-            self.shell.feed(store.StoreAnswered(effect.call_id, answer))
+            self.shell.feed(await client.call(effect))
 
-        self.shell.handle(
-            store.CallStore, lambda effect: loop.create_task(carry(effect))
-        )
+        def call(effect: store.CallStore) -> None:
+            # The loop itself keeps only weak references to its tasks.
+            task = loop.create_task(carry(effect))
+            self._calls_out.add(task)
+            task.add_done_callback(self._calls_out.discard)
 
-    def _listen_http(self, contexts: Contexts) -> None:
+        self.shell.handle(store.CallStore, call)
+
+    def _listen_http(self, contexts: tls.Contexts) -> None:
         front = web.Front(
             self.name,
             self.calls,
@@ -234,11 +247,11 @@
         return entry.EntryConfig(
             me=self.member,
             configuration=configuration.ConfigurationSettings(
-                fence_seconds=timing.fence_seconds,
-                margin_seconds=timing.margin_seconds,
+                readlease.Rules(timing.fence_seconds, timing.margin_seconds),
+                store_timeout=self.cfg.store.timeout_seconds,
             ),
-            dispatch=dispatch.DispatchSettings(),
-            owner=owner.OwnerConfig(
+            dispatch=dispatch.DispatchSettings(self.name, policy=self._policy),
+            limits=owner.OwnerConfig(
                 retention_seconds=timing.retention_seconds,
                 key_skew_seconds=timing.skew_seconds,
             ),
@@ -277,31 +290,23 @@
         """An agent that dials nobody yet."""
         return cls(cfg, outside or Outside.real())
 
-    async def start(self, contexts: Contexts = Contexts()) -> None:
+    async def start(self, contexts: tls.Contexts | None = None) -> None:
         """Take announcements and dial the entries."""
-        process, timing = self.cfg.process, self.cfg.timing
         self.agent = agent.Agent.from_config(
-            agent.AgentConfig(
-                name=process.name,
-                zone=process.zone,
-                rack=process.rack,
-                seeds=self.cfg.entries.seeds,
-                retention_seconds=timing.retention_seconds,
-                clock_margin=timing.margin_seconds,
-            ),
+            agent.AgentConfig.from_settings(self.cfg),
             self.incarnation,
         )
-        self._begin(contexts, self.agent)
+        self._begin(contexts or _PLAIN, self.agent)
         self._use_upstream()
         self.links.begin()
         self._listen_announcements()
         self.shell.begin()
 
     def _use_upstream(self) -> None:
-        runner = self.outside.upstream
-        if runner is None:
-            runner = upstream.HttpUpstream(self.shell.feed)
-        runner.attach(self.shell)
+        make = self.outside.upstream or httpupstream.HttpUpstream
+        runner = make(self.shell.feed)
+        self.shell.handle(upstream.RunTask, runner.run)
+        self.shell.handle(upstream.StopTask, runner.stop)
 
     def _listen_announcements(self) -> None:
         sockets = _bind(self.cfg.upstream.listen)
@@ -322,6 +327,13 @@
         )
 
 
+_PLAIN = tls.Contexts(settings.Tls(enabled=False))
+
+
+def _host(url: str) -> str:
+    return url.partition('://')[2]
+
+
 def _bind(address: str) -> list[typing.Any]:
     host, _, port = address.rpartition(':')
     return netutil.bind_sockets(int(port), host.strip('[]'))
