--- /dev/null
+++ b/src/agatepick/clockwatch.py
@@ -0,0 +1,44 @@
+"""Which peers' clocks agree with ours, and whether ours can be trusted."""
+
+from agatepick import clocks
+from agatepick import messages
+
+
+class ClockWatch:
+    """Offsets of all connected peers, from their answers to our pings."""
+
+    def __init__(self, margin: float):
+        self._margin = margin
+        self._peers: dict[str, clocks.OffsetEstimate] = {}
+
+    def add(self, peer: str, pong: messages.Pong, now: float) -> None:
+        """Take one sample; ``now`` is when the answer arrived."""
+        sample = clocks.offset(pong.sent, pong.received, pong.replied, now)
+        estimate = self._peers.setdefault(peer, clocks.OffsetEstimate())
+        estimate.add(sample)
+
+    def forget(self, peer: str) -> None:
+        """A peer disconnected; the next process of its name is measured."""
+        self._peers.pop(peer, None)
+
+    def agrees(self, peer: str) -> bool:
+        """Whether a peer's offset is known and within the margin."""
+        estimate = self._peers.get(peer)
+        return estimate is not None and estimate.best.within(self._margin)
+
+    @property
+    def trusted(self) -> bool:
+        """Whether our clock is right as far as its peers can tell.
+
+        A clock that is ahead would stamp the head ahead, and every change
+        after it would be in force late by as much: a zone taken out would
+        get tasks for an hour.  Half of the peers or more that surely differ
+        by more than the margin say that it's ours that is wrong.  Between
+        two processes alone nobody can tell, and neither is trusted.
+        """
+        off = sum(self._surely_off(one) for one in self._peers.values())
+        return off == 0 or 2 * off < len(self._peers)
+
+    def _surely_off(self, estimate: clocks.OffsetEstimate) -> bool:
+        best = estimate.best
+        return abs(best.seconds) - best.error > self._margin
--- /dev/null
+++ b/src/agatepick/configuration.py
@@ -0,0 +1,608 @@
+"""The entry's part that keeps the one cluster configuration in force.
+
+It reads the head, renews its stamp, gives and takes lease grants, writes
+proposed changes and hands changes on to peers.  It is a reducer's component:
+methods take ``now`` and return effects.
+"""
+
+import dataclasses
+import math
+import random
+
+from agatepick import clockwatch
+from agatepick import cluster
+from agatepick import core
+from agatepick import exceptions
+from agatepick import headreader
+from agatepick import headrows
+from agatepick import history
+from agatepick import membership
+from agatepick import messages
+from agatepick import proposals
+from agatepick import readlease
+from agatepick import store
+
+FETCH_ROWS = 256
+"""Rows handed on to a peer in one message."""
+JITTER = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """Durations in seconds.
+
+    :param rules: what all processes of the cluster share.
+    :param poll: between two reads of the head.
+    :param renew: age of a stamp at which whoever sees it renews it.
+    :param grant: between two lease grants to a peer.  Three must fit into
+        a lease, so that the loss of one or two doesn't end it.
+    :param store_timeout: after which a call of the store has failed.
+    :param listing: between two tries to be listed, or to remove an entry.
+    :param leave: after which a stopping entry goes though still listed.
+    """
+
+    rules: readlease.Rules = readlease.Rules()
+    poll: float = 0.5
+    renew: float = 0.7
+    grant: float = 0.7
+    store_timeout: float = 2.0
+    listing: float = 1.0
+    leave: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationStatus:
+    """What an operator is shown.
+
+    :param version: the last version known; ``version_in_force`` is in
+        force.
+    :param lease_source: ``store``, ``peers`` or ``none``.
+    :param lease_seconds: seconds that the read lease has left.
+    :param uncertain: changes whose fate isn't settled.
+    :param lost: listed entries whose processes are gone or silent.
+    """
+
+    version: int
+    version_in_force: int
+    in_force_at: float
+    preset: str
+    lease_source: str
+    lease_seconds: float
+    serving: bool
+    settled: bool
+    zones: tuple[cluster.Zone, ...]
+    quotas: tuple[cluster.Quota, ...]
+    leaving: tuple[str, ...]
+    entries: tuple[messages.Member, ...]
+    uncertain: tuple[cluster.ChangeRow, ...]
+    lost: tuple[str, ...]
+
+
+class Configuration:
+    """The cluster configuration as one entry knows it."""
+
+    def __init__(
+        self,
+        cfg: ConfigurationSettings,
+        me: messages.Member,
+        rng: random.Random,
+    ):
+        self._cfg = cfg
+        self._me = me
+        self._rng = rng
+        self._known = history.History()
+        self._reader = headreader.HeadReader(self._known)
+        self._writer = proposals.Writer(me, self._known, cfg.rules)
+        self._members = membership.Membership(me, cfg.rules)
+        self._clocks = clockwatch.ClockWatch(cfg.rules.margin)
+        self._calls: dict[int, str] = {}
+        self._last_call = 0
+        self._renewing: cluster.Head | None = None
+        self._store_lease = 0.0
+        self._lease = 0.0
+        self._has_read = False
+        self._granted: dict[str, float] = {}
+        self._due: dict[str, float] = {}
+        self._dialed: dict[str, str] = {}
+        self._dialed_version = 0
+        self._leave_by = math.inf
+        self._left = False
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: ConfigurationSettings,
+        me: messages.Member,
+        rng: random.Random,
+    ) -> 'Configuration':
+        """The component of entry ``me``; it knows nothing yet."""
+        return cls(cfg, me, rng)
+
+    # -- questions ---------------------------------------------------------
+
+    @property
+    def version(self) -> int:
+        """The last version known, in force or not."""
+        return self._known.version
+
+    @property
+    def latest(self) -> cluster.ClusterConfig:
+        """The last document known, in force or not."""
+        return self._known.latest
+
+    @property
+    def left(self) -> bool:
+        """Whether a graceful stop may go on: this entry is delisted."""
+        return self._left
+
+    def in_force(self, now: float) -> cluster.ClusterConfig:
+        """The document in force at ``now``."""
+        return self._known.in_force(now)
+
+    def lease_until(self, now: float) -> float:
+        """End of the read lease; starts only strictly before it.
+
+        0 if there is none.
+        """
+        end = min(self._lease, self._known.removal(self._me, now))
+        holds = now < end and self.serving(now) and self._clocks.trusted
+        return end if holds else 0.0
+
+    def serving(self, now: float) -> bool:
+        """Whether the head was read and this entry is listed in force."""
+        return (
+            self._has_read
+            and self._known.knows(now)
+            and self._known.in_force(now).lists(self._me)
+        )
+
+    def zone_open(self, zone: str, now: float) -> bool:
+        """Whether tasks may start in ``zone`` at ``now``."""
+        if self._known.in_force(now).zone_out(zone):
+            return False
+        return now < readlease.zone_bound(zone, self._uncertain())
+
+    def start_before(self, zone: str, now: float) -> float:
+        """Instant before which a task sent now to ``zone`` must start.
+
+        A permit that reached past a pending departure would let a task wait
+        in a socket's buffer and start in a zone that is out.  0 if no task
+        may start.
+        """
+        if not self.zone_open(zone, now):
+            return 0.0
+        return min(
+            self.lease_until(now),
+            self._known.departure(zone, now),
+            readlease.zone_bound(zone, self._uncertain()),
+        )
+
+    def settled(self, now: float) -> bool:
+        """Whether nothing is pending, uncertain or being written."""
+        return (
+            self._writer.idle
+            and not self._known.pending(now)
+            and not self._uncertain()
+        )
+
+    def status(self, now: float) -> ConfigurationStatus:
+        """What an operator is shown."""
+        doc = self._known.in_force(now)
+        return ConfigurationStatus(
+            version=self.version,
+            version_in_force=doc.version,
+            in_force_at=doc.in_force_at,
+            preset=doc.preset,
+            lease_source=self._lease_source(now),
+            lease_seconds=max(0.0, self.lease_until(now) - now),
+            serving=self.serving(now),
+            settled=self.settled(now),
+            zones=doc.zones,
+            quotas=doc.quotas,
+            leaving=doc.leaving,
+            entries=doc.entries,
+            uncertain=tuple(one.row for one in self._uncertain()),
+            lost=tuple(one.name for one in self._members.lost(now)),
+        )
+
+    # -- events ------------------------------------------------------------
+
+    def on_store(self, event: store.StoreAnswered, now: float) -> list[object]:
+        """The store answered a call; answers to others' calls are left."""
+        purpose = self._calls.pop(event.id, '')
+        match purpose:
+            case 'read':
+                return self._on_read(event.answer, now)
+            case 'renew':
+                return self._on_renewed(event.answer, now)
+            case 'write':
+                return self._on_written(event.answer, now)
+        return []
+
+    def on_message(
+        self, peer: str, message: messages.Message, now: float
+    ) -> list[object]:
+        """A message came from a peer, :class:`messages.Pong` among them."""
+        self._members.heard(peer, now)
+        try:
+            return self._on_message(peer, message, now)
+        except exceptions.AgatepickError as exc:
+            exc.peer = peer
+            shown = exc.show().replace(' ', '_')
+            return [core.note('bad_peer_message', peer=peer, reason=shown)]
+
+    def _on_message(
+        self, peer: str, message: messages.Message, now: float
+    ) -> list[object]:
+        match message:
+            case messages.Pong():
+                self._clocks.add(peer, message, now)
+            case messages.Grant():
+                return self._on_grant(peer, message, now)
+            case messages.Intent():
+                return self._on_intent(peer, message, now)
+            case messages.IntentAck():
+                self._writer.acked(peer, message)
+                return self._advance(now)
+            case messages.Changes():
+                return self._on_changes(message, now)
+            case messages.ChangesWanted():
+                return self._on_wanted(peer, message)
+            case messages.Goodbye():
+                self._members.left(peer, now)
+                return self._after_evidence(now)
+        return []
+
+    def on_peer_up(self, hello: messages.Hello, now: float) -> list[object]:
+        """An entry connected."""
+        if hello.role != 'entry' or hello.name == self._me.name:
+            return []
+        self._members.up(hello, now)
+        effects = self._after_evidence(now)
+        if hello.version > self.version:
+            effects.append(_wanted(hello.name, self.version))
+        return effects
+
+    def on_peer_down(self, event: core.PeerDown, now: float) -> list[object]:
+        """The connection to a peer ended, or a dial to it failed."""
+        self._members.down(event.peer, event.incarnation, event.dead, now)
+        if event.peer not in self._members.connected:
+            self._clocks.forget(event.peer)
+        return self._hang_up(event.peer) + self._after_evidence(now)
+
+    def on_tick(self, now: float) -> list[object]:
+        """Do whatever is due."""
+        effects = self._writer.expire(now)
+        self._extend(now)
+        if self._is_due('poll', self._cfg.poll, now):
+            effects += self._read()
+        if self._is_due('grant', self._cfg.grant, now):
+            effects += self._grant(now)
+        if self._is_due('listing', self._cfg.listing, now):
+            effects += self._keep_listed(now)
+            effects += self._remove_lost(now)
+            if self._leave_by < math.inf and not self._left:
+                effects += self._delist(now)
+        effects += self._advance(now)
+        self._check_left(now)
+        return [*effects, core.WakeAt(min(self._due.values()))]
+
+    def propose(
+        self,
+        request_id: int,
+        change: cluster.Change,
+        based_on: int | None,
+        now: float,
+    ) -> list[object]:
+        """Write a change; ends in a :class:`cluster.Proposed` effect.
+
+        :param request_id: above 0.
+        """
+        self._writer.submit(request_id, change, based_on)
+        return self._advance(now)
+
+    def leave(self, now: float) -> list[object]:
+        """Delist this entry, for a graceful stop; see :attr:`left`."""
+        self._leave_by = min(self._leave_by, now + self._cfg.leave)
+        self._check_left(now)
+        return [] if self._left else self._delist(now)
+
+    # -- the store ---------------------------------------------------------
+
+    def _call(self, purpose: str, request: store.Request) -> list[object]:
+        self._last_call += 1
+        self._calls[self._last_call] = purpose
+        timeout = self._cfg.store_timeout
+        return [store.CallStore(self._last_call, request, timeout)]
+
+    def _read(self) -> list[object]:
+        if self._reader.busy:
+            return []
+        return self._call('read', self._reader.start())
+
+    def _on_read(self, answer: store.Answer, now: float) -> list[object]:
+        outcome = self._reader.answered(answer, now)
+        effects = self._versions_moved(now)
+        if isinstance(outcome, headreader.HeadSeen):
+            self._has_read = True
+            return effects + self._on_head(outcome.head, now)
+        if isinstance(outcome, headreader.ReadFailed):
+            effects += self._writer.read_failed(outcome.reason)
+            return effects + self._advance(now)
+        return effects + self._call('read', outcome)
+
+    def _on_head(self, head: cluster.Head, now: float) -> list[object]:
+        if head != headrows.NO_HEAD:
+            end = readlease.from_stamp(head.stamp, self._cfg.rules)
+            self._store_lease = max(self._store_lease, end)
+            self._lease = max(self._lease, end)
+        effects = self._writer.settle()
+        effects += self._writer.head_seen(self._peers(now), now)
+        effects += self._advance(now)
+        return effects + self._renew(now)
+
+    def _renew(self, now: float) -> list[object]:
+        head = self._known.head
+        doubt = self._writer.uncertain()
+        # A renewal while our own transaction is on its way would fail it.
+        if self._renewing is not None or self._writer.quiet:
+            return []
+        listed = self.latest.lists(self._me) and self._clocks.trusted
+        old = listed and now - head.stamp >= self._cfg.renew
+        if not old and (doubt is None or not self._clocks.trusted):
+            return []
+        stamp = max(now, math.nextafter(head.stamp, math.inf))
+        self._renewing = cluster.Head(head.version, stamp)
+        return self._call('renew', headrows.renew(head, stamp))
+
+    def _on_renewed(self, answer: store.Answer, now: float) -> list[object]:
+        head, self._renewing = self._renewing, None
+        if not isinstance(answer, store.Committed) or head is None:
+            return []
+        self._known.see(head)
+        return self._on_head(head, now)
+
+    def _on_written(self, answer: store.Answer, now: float) -> list[object]:
+        effects = self._writer.written(answer, now)
+        effects += self._versions_moved(now)
+        if self._writer.stage is proposals.Stage.IDLE:
+            effects += self._grant(now)
+        return effects + self._read() + self._advance(now)
+
+    # -- peers -------------------------------------------------------------
+
+    def _on_grant(
+        self, peer: str, message: messages.Grant, now: float
+    ) -> list[object]:
+        doubt = _doubt(message.uncertain)
+        if not self._clocks.agrees(peer):
+            # Its "sent" can't be compared with our clock.
+            return []
+        grant = readlease.PeerGrant(message.version, message.sent, doubt)
+        self._members.granted(peer, grant, now)
+        self._extend(now)
+        if message.version > self.version:
+            return [_wanted(peer, self.version)]
+        return []
+
+    def _on_intent(
+        self, peer: str, message: messages.Intent, now: float
+    ) -> list[object]:
+        intent = _doubt(message.change)
+        if intent is None:
+            return []
+        if self._members.intends(peer, intent):
+            ack = messages.IntentAck(message.version, intent.row.attempt)
+            return [core.Send(peer, ack)]
+        return self._list_for(peer, intent.row.change, now)
+
+    def _on_changes(
+        self, message: messages.Changes, now: float
+    ) -> list[object]:
+        for data in message.rows:
+            self._known.take(cluster.decode(data, cluster.ChangeRow), now)
+        effects = self._versions_moved(now)
+        effects += self._writer.settle()
+        self._extend(now)
+        return effects
+
+    def _on_wanted(
+        self, peer: str, message: messages.ChangesWanted
+    ) -> list[object]:
+        rows = self._known.since(message.since)[:FETCH_ROWS]
+        if not rows:
+            return []
+        data = tuple(cluster.encode(row) for row in rows)
+        return [core.Send(peer, messages.Changes(message.since, data))]
+
+    def _after_evidence(self, now: float) -> list[object]:
+        self._extend(now)
+        return self._advance(now)
+
+    def _extend(self, now: float) -> None:
+        """Count the peers' grants; only a listed entry is told of writes."""
+        if not self.latest.lists(self._me):
+            return
+        self._lease = readlease.extend(
+            self._lease,
+            now,
+            self.version,
+            self._members.grants(),
+            self._uncertain(),
+            self._cfg.rules,
+        )
+
+    def _uncertain(self) -> tuple[cluster.Uncertain, ...]:
+        doubts = self._members.unsettled()
+        own = self._writer.uncertain()
+        if own is not None:
+            doubts.append(own)
+        return readlease.live(doubts, self._known.head)
+
+    def _grant(self, now: float) -> list[object]:
+        if self._writer.quiet or not self.latest.lists(self._me):
+            return []
+        own = self._writer.uncertain()
+        data = b'' if own is None else cluster.encode(own)
+        grant = messages.Grant(self.version, now, data)
+        effects: list[object] = []
+        for one in self._members.others:
+            self._granted[one.name] = now
+            effects.append(core.Send(one.name, grant))
+        return effects
+
+    def _versions_moved(self, now: float) -> list[object]:
+        """Follow the listed entries after new versions came to be known."""
+        if self._dialed_version == self.version:
+            return []
+        self._dialed_version = self.version
+        self._members.list_anew(self.latest, now)
+        wanted = {
+            one.name: one.address
+            for one in self._members.others
+            if one.name != self._me.name
+        }
+        effects: list[object] = [
+            core.note('version_known', version=self.version)
+        ]
+        for name, address in wanted.items():
+            effects += self._dial(name, address)
+        for name in self._dialed.keys() - wanted.keys():
+            effects += self._hang_up(name)
+        return effects
+
+    def _dial(self, name: str, address: str) -> list[object]:
+        old = self._dialed.get(name)
+        if old == address:
+            return []
+        self._dialed[name] = address
+        dial = core.Dial(name, address)
+        return [dial] if old is None else [core.Hangup(name), dial]
+
+    def _hang_up(self, name: str) -> list[object]:
+        """Dial a removed entry no more, once it has disconnected itself.
+
+        A stopping entry is removed first and then finishes its jobs, whose
+        answers still come over the connection.
+        """
+        listed = {one.name for one in self._members.others}
+        keep = name in listed or name in self._members.connected
+        if keep or name not in self._dialed:
+            return []
+        del self._dialed[name]
+        return [core.Hangup(name)]
+
+    # -- changes -----------------------------------------------------------
+
+    def _advance(self, now: float) -> list[object]:
+        if self._writer.start(now):
+            return self._read()
+        stage = self._writer.stage
+        request = self._writer.advance(self._peers(now), now)
+        if request is not None:
+            return self._call('write', request)
+        return self._read() if self._writer.stage is not stage else []
+
+    def _peers(self, now: float) -> proposals.Peers:
+        return proposals.Peers(
+            self._members.alive(), self._granted, self._may_not_write(now)
+        )
+
+    def _may_not_write(self, now: float) -> str:
+        """Why this entry may not write a change; empty if it may."""
+        if not self._clocks.trusted:
+            return "this entry's clock differs from its peers'"
+        alive = self._members.alive()
+        member = self.latest.member(self._me.name)
+        if member is None or member.incarnation != self._me.incarnation:
+            return 'this entry is not listed' if alive else ''
+        if alive and now < member.listed_at + self._cfg.rules.margin:
+            return 'this entry is not listed in force yet'
+        return ''
+
+    def _keep_listed(self, now: float) -> list[object]:
+        if self._leave_by < math.inf or not self._has_read:
+            return []
+        if self.latest.lists(self._me):
+            return []
+        change = cluster.EntryListed(
+            self._me.name,
+            self._me.incarnation,
+            self._me.address,
+            self._me.zone,
+        )
+        alive = sorted(self._members.alive() & self._members.connected.keys())
+        if self._members.alive():
+            return self._ask_listing(change, alive)
+        self._writer.submit(proposals.INTERNAL, change, None)
+        return self._advance(now)
+
+    def _ask_listing(
+        self, change: cluster.EntryListed, alive: list[str]
+    ) -> list[object]:
+        if not alive:
+            return []
+        row = cluster.ChangeRow(
+            self.version + 1,
+            0.0,
+            change,
+            self._me.name,
+            self._me.incarnation,
+            0,
+        )
+        data = cluster.encode(cluster.Uncertain(row, 0.0))
+        intent = messages.Intent(self.version, data)
+        return [core.Send(self._rng.choice(alive), intent)]
+
+    def _list_for(
+        self, peer: str, change: cluster.Change, now: float
+    ) -> list[object]:
+        """Write the listing that an unlisted entry asks for."""
+        if not isinstance(change, cluster.EntryListed) or change.name != peer:
+            return []
+        if not self.serving(now):
+            return []
+        self._writer.submit(proposals.INTERNAL, change, None)
+        return self._advance(now)
+
+    def _remove_lost(self, now: float) -> list[object]:
+        if not self.serving(now) or now >= self._store_lease:
+            return []
+        for one in self._members.lost(now):
+            change = cluster.EntryRemoved(one.name, one.incarnation)
+            self._writer.submit(proposals.INTERNAL, change, None)
+        return self._advance(now)
+
+    def _delist(self, now: float) -> list[object]:
+        if not self.latest.lists(self._me):
+            return []
+        change = cluster.EntryRemoved(self._me.name, self._me.incarnation)
+        self._writer.submit(proposals.INTERNAL, change, None)
+        return self._advance(now)
+
+    def _check_left(self, now: float) -> None:
+        if self._leave_by == math.inf or self._left:
+            return
+        listed = self.latest.lists(self._me) or self.serving(now)
+        self._left = not listed or now >= self._leave_by
+
+    def _is_due(self, name: str, seconds: float, now: float) -> bool:
+        if now < self._due.get(name, 0.0):
+            return False
+        spread = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+        self._due[name] = now + seconds * spread
+        return True
+
+    def _lease_source(self, now: float) -> str:
+        if not self.lease_until(now):
+            return 'none'
+        return 'store' if now < self._store_lease else 'peers'
+
+
+def _doubt(data: bytes) -> cluster.Uncertain | None:
+    """The change in a grant or intent."""
+    return cluster.decode(data, cluster.Uncertain) if data else None
+
+
+def _wanted(peer: str, version: int) -> core.Send:
+    return core.Send(peer, messages.ChangesWanted(version))
--- a/src/agatepick/daemons.py
+++ b/src/agatepick/daemons.py
@@ -69,12 +69,7 @@
     contexts = tls.Contexts.from_config(cfg.tls)
     process = processes.AgentProcess.from_settings(cfg)
     await process.start(contexts)
-    logs.event(
-        LOG,
-        logging.INFO,
-        'agent_listening',
-        upstream=process.upstream_address,
-    )
+    logs.event(LOG, logging.INFO, 'agent_listening')
     await _until_stopped(process, contexts)
 
 
--- /dev/null
+++ b/src/agatepick/headreader.py
@@ -0,0 +1,90 @@
+"""Reads the head of the cluster configuration, and the rows it lacks.
+
+One read is under way at a time: the head, then the change rows that are not
+known yet, and the snapshot if rows that old are gone.
+"""
+
+import dataclasses
+import typing
+
+from agatepick import cluster
+from agatepick import exceptions
+from agatepick import headrows
+from agatepick import history
+from agatepick import store
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadSeen:
+    """The head was read, and every version up to it is known."""
+
+    head: cluster.Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The store couldn't be read."""
+
+    reason: str
+
+
+Outcome = HeadSeen | ReadFailed | store.Request
+"""How a step ended; a request is what has to be read next."""
+
+
+class HeadReader:
+    """State of the read that is under way."""
+
+    def __init__(self, known: history.History):
+        self._known = known
+        self._head: cluster.Head | None = None
+        self._asked: store.Request | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a read is under way."""
+        return self._asked is not None
+
+    def start(self) -> store.Request:
+        """Begin with the head."""
+        self._head = None
+        return self._ask(headrows.read_head)
+
+    def answered(self, answer: store.Answer, now: float) -> Outcome:
+        """Take the store's answer to the last request."""
+        asked, self._asked = self._asked, None
+        if not isinstance(answer, store.Rows):
+            return ReadFailed(str(answer))
+        try:
+            return self._step(asked, answer, now)
+        except exceptions.AgatepickError as exc:
+            return ReadFailed(exc.show())
+
+    def _ask(self, request: store.Request) -> store.Request:
+        self._asked = request
+        return request
+
+    def _step(
+        self, asked: store.Request | None, rows: store.Rows, now: float
+    ) -> Outcome:
+        if asked == headrows.read_head:
+            self._head = headrows.head_of(rows)
+        elif asked == headrows.read_snapshot:
+            if not self._known.adopt(headrows.snapshot_of(rows), now):
+                raise exceptions.BadMessage(
+                    'snapshot is older than what is known', step='read'
+                )
+        else:
+            before = self._known.version
+            for row in headrows.changes_of(rows):
+                self._known.take(row, now)
+            if self._known.version == before:
+                return self._ask(headrows.read_snapshot)
+        return self._next()
+
+    def _next(self) -> Outcome:
+        head = typing.cast(cluster.Head, self._head)
+        if head.version > self._known.version:
+            return self._ask(headrows.read_changes(self._known.version))
+        self._known.see(head)
+        return HeadSeen(head)
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -15,7 +15,6 @@
 from tornado import netutil
 
 from agatepick import agent
-from agatepick import announce
 from agatepick import callers
 from agatepick import calls
 from agatepick import clocks
@@ -23,7 +22,6 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
-from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
 from agatepick import operators
@@ -43,6 +41,10 @@
 LOG = logging.getLogger(__name__)
 
 _INCARNATION_BITS = 63
+_POLL_SHARE = 1 / 6
+_RENEW_SHARE = 0.23
+"""Parts of the fence between reads of the head, and between renewals and
+grants: two of either may fail before a read lease runs out."""
 
 
 Feed = typing.Callable[[object], None]
@@ -53,7 +55,7 @@
     """What a process reaches beyond its own sockets.
 
     :param table: client of the table service; by URL if ``None``.
-    :param upstream: makes what runs an agent's tasks from the agent's feed;
+    :param runner: makes what runs an agent's tasks from the agent's feed;
         by HTTP if ``None``.
     :param delay: latency added to messages between processes.
     """
@@ -61,7 +63,7 @@
     clock: types.Clock
     rng: random.Random
     table: store.Store | None = None
-    upstream: typing.Callable[[Feed], upstream.Upstream] | None = None
+    runner: typing.Callable[[Feed], upstream.Upstream] | None = None
     delay: links.Delay | None = None
 
     @classmethod
@@ -248,6 +250,9 @@
             me=self.member,
             configuration=configuration.ConfigurationSettings(
                 readlease.Rules(timing.fence_seconds, timing.margin_seconds),
+                poll=timing.fence_seconds * _POLL_SHARE,
+                renew=timing.fence_seconds * _RENEW_SHARE,
+                grant=timing.fence_seconds * _RENEW_SHARE,
                 store_timeout=self.cfg.store.timeout_seconds,
             ),
             dispatch=dispatch.DispatchSettings(self.name, policy=self._policy),
@@ -281,7 +286,6 @@
         )
         self.cfg = cfg
         self.agent: agent.Agent
-        self.upstream_address = ''
 
     @classmethod
     def from_settings(
@@ -299,21 +303,14 @@
         self._begin(contexts or _PLAIN, self.agent)
         self._use_upstream()
         self.links.begin()
-        self._listen_announcements()
         self.shell.begin()
 
     def _use_upstream(self) -> None:
-        make = self.outside.upstream or httpupstream.HttpUpstream
-        runner = make(self.shell.feed)
+        assert self.outside.runner is not None
+        runner = self.outside.runner(self.shell.feed)
         self.shell.handle(upstream.RunTask, runner.run)
         self.shell.handle(upstream.StopTask, runner.stop)
 
-    def _listen_announcements(self) -> None:
-        sockets = _bind(self.cfg.upstream.listen)
-        self.upstream_address = _address(sockets)
-        self._http = announce.server(self.shell.feed, self.cfg.upstream)
-        self._http.add_sockets(sockets)
-
     def _hello(self) -> messages.Hello:
         process = self.cfg.process
         return messages.Hello(
--- /dev/null
+++ b/src/agatepick/proposals.py
@@ -0,0 +1,317 @@
+"""Writes changes to the store, one at a time, by the rules of the lease.
+
+Stages of an attempt: read the head; stop granting leases and tell the other
+entries of the intent; wait until each acknowledged it or can't rely on us
+any more; send the transaction.  :mod:`agatepick.readlease` has the proof.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+
+from agatepick import cluster
+from agatepick import core
+from agatepick import exceptions
+from agatepick import headrows
+from agatepick import history
+from agatepick import messages
+from agatepick import readlease
+from agatepick import store
+
+ATTEMPTS = 8
+"""Attempts at one change.  Another entry moves the stamp about once a
+second and an attempt takes milliseconds, so the second rarely fails too."""
+GIVE_UP_SECONDS = 8.0
+"""How long an operator waits for a verdict; over two fences, since a silent
+peer alone takes one."""
+STALE_SECONDS = 0.5
+"""After a longer wait for silent peers the head is read anew, since its
+stamp has been moved meanwhile and the transaction would only fail."""
+INTERNAL = 0
+"""Request id of changes that no operator asked for."""
+
+
+class Stage(enum.Enum):
+    """What the current attempt waits for."""
+
+    IDLE = 'idle'
+    READ = 'read'
+    INTENT = 'intent'
+    WRITE = 'write'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A change that somebody wants.
+
+    :param based_on: version that the operator saw; ``None`` for any.
+    :param seen: last version known here when it was proposed.
+    """
+
+    request_id: int
+    change: cluster.Change
+    based_on: int | None
+    seen: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """The other listed entries, as the writer must know them.
+
+    :param alive: names of those not provably dead.
+    :param granted: when we last gave each a lease grant.
+    :param may_write: empty, or why this entry may not write a change.
+    """
+
+    alive: frozenset[str]
+    granted: collections.abc.Mapping[str, float]
+    may_write: str = ''
+
+
+class Writer:
+    """The proposals of one entry and the attempt under way."""
+
+    def __init__(
+        self,
+        me: messages.Member,
+        known: history.History,
+        rules: readlease.Rules,
+    ):
+        self.stage = Stage.IDLE
+        self._me = me
+        self._known = known
+        self._rules = rules
+        self._queue: collections.deque[Proposal] = collections.deque()
+        self._give_up_at = 0.0
+        self._intended_at = 0.0
+        self._attempt = 0
+        self._tries = 0
+        self._row: cluster.ChangeRow | None = None
+        self._base = headrows.NO_HEAD
+        self._acked: set[str] = set()
+        self._unsettled: cluster.Uncertain | None = None
+
+    @property
+    def quiet(self) -> bool:
+        """Whether lease grants must not be given now."""
+        return self.stage in (Stage.INTENT, Stage.WRITE)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no proposal waits."""
+        return not self._queue
+
+    def uncertain(self) -> cluster.Uncertain | None:
+        """Our own change that may have been, or may yet be, written."""
+        if self._unsettled is not None:
+            return self._unsettled
+        if self.stage is Stage.WRITE and self._row is not None:
+            return cluster.Uncertain(self._row, self._base.stamp)
+        return None
+
+    def submit(
+        self, request_id: int, change: cluster.Change, based_on: int | None
+    ) -> None:
+        """Queue a change."""
+        if request_id == INTERNAL and self.wants(change):
+            return
+        self._queue.append(
+            Proposal(request_id, change, based_on, self._known.version)
+        )
+
+    def wants(self, change: cluster.Change) -> bool:
+        """Whether that change is queued already."""
+        return any(one.change == change for one in self._queue)
+
+    def start(self, now: float) -> bool:
+        """Begin the next proposal; whether a read of the head is needed."""
+        if self.stage is not Stage.IDLE or not self._queue:
+            return False
+        self.stage = Stage.READ
+        self._tries = 0
+        self._give_up_at = now + GIVE_UP_SECONDS
+        return True
+
+    def expire(self, now: float) -> list[object]:
+        """Give up a proposal that has waited too long for a read."""
+        if self.stage is not Stage.READ or now < self._give_up_at:
+            return []
+        return self._end('unavailable', reason='the store is too slow')
+
+    def settle(self) -> list[object]:
+        """Decide an uncertain change by what is known now, if it can be."""
+        one = self._unsettled
+        if one is None or readlease.live([one], self._known.head):
+            return []
+        self._unsettled = None
+        row = self._known.row(one.row.version)
+        behind = self._known.version >= one.row.version and row is None
+        written = 'untold' if behind else str(row == one.row)
+        note = core.note(
+            'change_settled', version=one.row.version, written=written
+        )
+        return [note, *(self._announce(one.row) if row == one.row else [])]
+
+    def read_failed(self, reason: str) -> list[object]:
+        """The head couldn't be read: nothing was or will be written."""
+        if self.stage is not Stage.READ:
+            return []
+        return self._end('unavailable', reason=reason)
+
+    def head_seen(self, peers: Peers, now: float) -> list[object]:
+        """The head was just read; declare the intent, or end."""
+        if self.stage is not Stage.READ or self._unsettled is not None:
+            return []
+        proposal = self._queue[0]
+        self._tries += 1
+        if self._tries > ATTEMPTS:
+            return self._end('unavailable', reason='the head keeps moving')
+        if peers.may_write:
+            return self._end('unavailable', reason=peers.may_write)
+        rival = self._rival(proposal)
+        if rival:
+            return self._end('conflict', reason=rival)
+        row = self._next_row(proposal, now)
+        try:
+            if not cluster.alters(self._known.latest, proposal.change):
+                return self._end('accepted', self._known.latest.in_force_at)
+        except exceptions.BadChange as exc:
+            return self._end('invalid', reason=exc.message)
+        self._intended_at = now
+        return self._intend(row, peers)
+
+    def acked(self, peer: str, ack: messages.IntentAck) -> None:
+        """A peer holds the intent of an attempt."""
+        if self.stage is Stage.INTENT and ack.attempt == self._attempt:
+            self._acked.add(peer)
+
+    def advance(self, peers: Peers, now: float) -> store.Transact | None:
+        """The transaction, once no peer relies on an old grant any more.
+
+        After too long a wait the stage is ``READ`` again instead.
+        """
+        row = self._row
+        if self.stage is not Stage.INTENT or row is None:
+            return None
+        if any(self._relies(one, peers, now) for one in peers.alive):
+            return None
+        stale = now > self._intended_at + STALE_SECONDS
+        if stale or self._known.version != row.version - 1:
+            self.stage = Stage.READ
+            return None
+        self.stage = Stage.WRITE
+        after = cluster.apply(self._known.latest, row)
+        stamp = max(now, self._base.stamp)
+        return headrows.change(self._base, row, stamp, after)
+
+    def written(self, answer: store.Answer, now: float) -> list[object]:
+        """Take the store's answer to the transaction.
+
+        After a conflict the stage is ``READ`` again.
+        """
+        row = self._row
+        if self.stage is not Stage.WRITE or row is None:
+            return []
+        if isinstance(answer, store.Committed):
+            self._known.take(row, now)
+            effects = self._end('accepted', row.in_force_at, row.version)
+            return effects + self._announce(row)
+        if isinstance(answer, exceptions.StoreConflict):
+            self.stage = Stage.READ
+            return []
+        if isinstance(answer, exceptions.StoreUnavailable):
+            return self._end('unavailable', reason=answer.show())
+        # Repeating it could not tell "already written" from "lost a race".
+        self._unsettled = cluster.Uncertain(row, self._base.stamp)
+        return self._end(
+            'unknown',
+            row.in_force_at,
+            row.version,
+            f"the store's answer was lost: {answer}",
+        )
+
+    def _rival(self, proposal: Proposal) -> str:
+        latest = self._known.version
+        if proposal.based_on is not None:
+            if proposal.based_on == latest:
+                return ''
+            return f'based on version {proposal.based_on}, now {latest}'
+        about = cluster.subject(proposal.change)
+        for version in range(proposal.seen + 1, latest + 1):
+            row = self._known.row(version)
+            if row is None or cluster.subject(row.change) == about:
+                return f'version {version} changed {about} first'
+        return ''
+
+    def _next_row(self, proposal: Proposal, now: float) -> cluster.ChangeRow:
+        self._attempt += 1
+        self._base = self._known.head
+        return cluster.ChangeRow(
+            version=self._known.version + 1,
+            in_force_at=self._in_force_at(now),
+            change=proposal.change,
+            writer=self._me.name,
+            incarnation=self._me.incarnation,
+            attempt=self._attempt,
+        )
+
+    def _in_force_at(self, now: float) -> float:
+        if self._base == headrows.NO_HEAD:
+            # Nobody holds a lease for a head that was never written.
+            return now
+        at = max(now, self._base.stamp) + self._rules.fence
+        return max(at, self._known.latest.in_force_at)
+
+    def _intend(self, row: cluster.ChangeRow, peers: Peers) -> list[object]:
+        self.stage = Stage.INTENT
+        self._row = row
+        self._acked = set()
+        data = cluster.encode(cluster.Uncertain(row, self._base.stamp))
+        intent = messages.Intent(row.version - 1, data)
+        return [core.Send(peer, intent) for peer in sorted(peers.alive)]
+
+    def _relies(self, peer: str, peers: Peers, now: float) -> bool:
+        if peer in self._acked:
+            return False
+        granted = peers.granted.get(peer)
+        return granted is not None and now < granted + self._rules.fence
+
+    def _announce(self, row: cluster.ChangeRow) -> list[object]:
+        changes = messages.Changes(row.version - 1, (cluster.encode(row),))
+        others = self._known.latest.listed()
+        return [
+            core.Send(one.name, changes)
+            for one in others
+            if one.name != self._me.name
+        ]
+
+    def _end(
+        self,
+        verdict: str,
+        in_force_at: float = 0.0,
+        version: int = 0,
+        reason: str = '',
+    ) -> list[object]:
+        proposal = self._queue.popleft()
+        self.stage = Stage.IDLE
+        self._row = None
+        version = version or self._known.version
+        about = cluster.subject(proposal.change)
+        effects: list[object] = [
+            core.note(
+                'change_' + verdict,
+                version=version,
+                kind=type(proposal.change).__name__,
+                about=about.replace(' ', ':'),
+                in_force_at=f'{in_force_at:.3f}',
+                reason=reason.replace(' ', '_'),
+            )
+        ]
+        if proposal.request_id != INTERNAL:
+            effects.append(
+                cluster.Proposed(
+                    proposal.request_id, verdict, version, in_force_at, reason
+                )
+            )
+        return effects
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,108 @@
+import asyncio
+
+import uuid_utils
+
+from tests import whole
+
+
+def new_key():
+    return str(uuid_utils.uuid7())
+
+
+def test_a_job_goes_from_its_caller_to_upstreams_and_back():
+    async def main():
+        async with whole.cluster() as cluster:
+            for entry in cluster.entries:
+                body = whole.job(10)
+                code, answer = await cluster.call(
+                    entry, 'POST', '/v1/jobs', body
+                )
+                assert code == 200
+                outcomes = {
+                    one['id']: one['outcome'] for one in answer['tasks']
+                }
+                assert outcomes == {f't{i}': 'finished' for i in range(10)}
+            assert cluster.starts() == 20
+
+    asyncio.run(main())
+
+
+def test_a_resubmission_at_another_entry_joins_the_running_job():
+    """A caller lost its connection and asks another entry again.
+
+    It must get the answer of the job that already runs; a second run would
+    file every quote twice.
+    """
+
+    async def main():
+        async with whole.cluster() as cluster:
+            key = {'Idempotency-Key': new_key()}
+            body = whole.job(3, 0.2)
+            answers = await asyncio.gather(
+                *[
+                    cluster.call(entry, 'POST', '/v1/jobs', body, **key)
+                    for entry in cluster.entries
+                ]
+            )
+            assert [code for code, _ in answers] == [200, 200]
+            assert answers[0][1] == answers[1][1]
+            assert cluster.starts() == 3
+
+    asyncio.run(main())
+
+
+def test_an_agent_that_dies_leaves_its_tasks_unknown_and_never_rerun():
+    """A worker's machine loses power in the middle of its tasks.
+
+    Nobody can say whether they took effect.  The caller must be told so;
+    a second start elsewhere could double a booking.
+    """
+
+    async def main():
+        async with whole.cluster(entries=1, agents=1) as cluster:
+            entry = cluster.entries[0]
+            sent = asyncio.create_task(
+                cluster.call(entry, 'POST', '/v1/jobs', whole.job(2, 30.0))
+            )
+            while cluster.starts() < 2:
+                await asyncio.sleep(0.01)
+            cluster.agents[0].kill()
+            cluster.workers[0].die()
+            code, answer = await sent
+            assert code == 502
+            assert answer['run'] == 'failed'
+            assert [one['outcome'] for one in answer['tasks']] == [
+                'unknown',
+                'unknown',
+            ]
+            assert cluster.starts() == 2
+
+    asyncio.run(main())
+
+
+def test_an_entry_that_stops_cuts_no_request():
+    """An operator replaces an entry while callers wait at it.
+
+    What it owns is finished and answered before it goes, and what comes
+    meanwhile is handed to another entry.
+    """
+
+    async def main():
+        async with whole.cluster() as cluster:
+            first, second = cluster.entries
+            sent = [
+                asyncio.create_task(
+                    cluster.call(entry, 'POST', '/v1/jobs', whole.job(2, 0.3))
+                )
+                for entry in (first, second) * 4
+            ]
+            await asyncio.sleep(0.05)
+            stopping = asyncio.create_task(first.stop())
+            await asyncio.sleep(0.05)
+            late = await cluster.call(second, 'POST', '/v1/jobs', whole.job(2))
+            codes = [code for code, _ in await asyncio.gather(*sent)]
+            assert codes == [200] * 8, [t.result() for t in sent]
+            assert late[0] == 200
+            await stopping
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/virtual_cluster.py
@@ -0,0 +1,423 @@
+"""Several Configuration components over a network and a store in virtual time.
+
+A fake at the interfaces only: messages, connections, store calls and clocks.
+``Cluster.watch`` checks the promises after every step.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+from agatepick import cluster
+from agatepick import configuration
+from agatepick import core
+from agatepick import exceptions
+from agatepick import messages
+from agatepick import readlease
+from agatepick import standin_table
+from agatepick import store
+
+START = 1_000.0
+RULES = readlease.Rules()
+CFG = configuration.ConfigurationSettings(RULES)
+ZONES = ('a', 'b')
+STEP = 0.1
+SILENCE = 5.0
+
+
+class Node:
+    """One entry's process: crashes, pauses, and keeps its own clock."""
+
+    def __init__(self, name, zone, offset):
+        self.name = name
+        self.zone = zone
+        self.offset = offset
+        self.incarnation = 0
+        self.alive = False
+        self.paused = False
+        self.buffer = []
+        self.dials = {}
+        self.conf = None
+        self.version = 0
+
+
+@dataclasses.dataclass
+class StoreMode:
+    """How the store treats requests: ok, refuse, hold or lose (answers)."""
+
+    reads: str = 'ok'
+    writes: str = 'ok'
+
+
+class Cluster:
+    """The virtual world."""
+
+    def __init__(self, names='xyz', seed=0, offsets=()):
+        self.now = START
+        self.rng = random.Random(seed)
+        self.table = standin_table.MemoryTable()
+        self.mode = StoreMode()
+        self.cut_from_store = set()
+        self.partitions = {}
+        self.up = {}
+        self.backlog = {}
+        self.held = []
+        self.proposed = {}
+        self.notes = []
+        self.permits = []
+        self.wire_bytes = 0
+        self._heap = []
+        self._order = itertools.count()
+        self._request = itertools.count(1)
+        self._fifo = {}
+        offsets = itertools.chain(offsets, itertools.repeat(0.0))
+        self.nodes = {
+            name: Node(name, ZONES[place % 2], offset)
+            for place, (name, offset) in enumerate(zip(names, offsets))
+        }
+        for name in self.nodes:
+            self.start(name)
+        self.at(0.0, self._beat)
+
+    # what a scenario does
+
+    def run(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, step = heapq.heappop(self._heap)
+            step()
+        self.now = until
+
+    def propose(self, name, change, based_on=None):
+        """Ask a node for a change; gives the number of the request."""
+        number = next(self._request)
+        self.feed(
+            name,
+            lambda conf, now: conf.propose(number, change, based_on, now),
+        )
+        return number
+
+    def verdict(self, number):
+        """How a request ended, or ``None``."""
+        found = self.proposed.get(number)
+        return found.verdict if found else None
+
+    def start(self, name):
+        """Start a node's process, as a new incarnation."""
+        node = self.nodes[name]
+        node.incarnation += 1
+        node.alive = True
+        node.paused = False
+        node.dials = {}
+        node.buffer = []
+        node.version = 0
+        me = messages.Member(
+            name, node.incarnation, f'{name}:1', node.zone, 0.0
+        )
+        seed = self.rng.getrandbits(32)
+        node.conf = configuration.Configuration.from_config(
+            CFG, me, random.Random(seed)
+        )
+        self._tick(name, node.incarnation)
+
+    def kill(self, name):
+        """End a node's process at once."""
+        node = self.nodes[name]
+        node.alive = False
+        for pair in [one for one in self.up if name in one]:
+            self._break(pair)
+
+    def pause(self, name):
+        """Stop a process, as SIGSTOP does."""
+        self.nodes[name].paused = True
+
+    def resume(self, name):
+        """Let a stopped process go on with what has gathered."""
+        node = self.nodes[name]
+        node.paused = False
+        buffer, node.buffer = node.buffer, []
+        for step in buffer:
+            self.feed(name, step)
+
+    def cut(self, one, other):
+        """Lose all packets between two nodes."""
+        pair = frozenset((one, other))
+        if pair in self.partitions:
+            return
+        self.partitions[pair] = since = self.now
+
+        def silent():
+            if self.partitions.get(pair) == since:
+                self._break(pair)
+
+        self.at(SILENCE, silent)
+
+    def heal(self):
+        """End all faults of network and store; held requests arrive."""
+        for pair in list(self.partitions):
+            del self.partitions[pair]
+            for deliver in self.backlog.pop(pair, []):
+                self.at(0.001, deliver)
+        self.cut_from_store.clear()
+        self.set_store('ok', 'ok')
+
+    def set_store(self, reads, writes):
+        """Set how the store treats reads and writes."""
+        self.mode = StoreMode(reads, writes)
+        held, self.held = self.held, []
+        for kind, step in held:
+            if getattr(self.mode, kind) == 'hold':
+                self.held.append((kind, step))
+            else:
+                self.at(self.rng.uniform(0.0, 0.01), step)
+
+    # what a test asks
+
+    def clock(self, name):
+        """A node's own clock."""
+        return self.now + self.nodes[name].offset
+
+    def rows(self):
+        """The committed change rows."""
+        found = self.table.execute(store.ReadAfter('change', '', 10**6))
+        return [
+            cluster.decode(one.value, cluster.ChangeRow) for one in found.rows
+        ]
+
+    def leases(self):
+        """Names of the nodes that hold a read lease."""
+        return [
+            node.name
+            for node in self.nodes.values()
+            if node.alive
+            and not node.paused
+            and node.conf.lease_until(self.clock(node.name))
+        ]
+
+    def watch(self):
+        """Check the promises for this instant."""
+        rows = self.rows()
+        for node in self.nodes.values():
+            if not node.alive:
+                continue
+            assert node.conf.version >= node.version, 'version went back'
+            node.version = node.conf.version
+            assert node.version <= len(rows), 'uncommitted version known'
+        for name in self.leases():
+            self._watch_holder(self.nodes[name], rows)
+
+    def _watch_holder(self, node, rows):
+        now = self.clock(node.name)
+        doc = node.conf.in_force(now)
+        assert doc.in_force_at <= now
+        for row in rows[doc.version :]:
+            if row.in_force_at + RULES.margin >= now:
+                continue
+            zone = readlease.zone_of(row.change)
+            covered = zone and not node.conf.zone_open(zone, now)
+            assert covered, f'{node.name} holds {doc.version}, not {row}'
+        for zone in ZONES:
+            until = node.conf.start_before(zone, now)
+            if until > now:
+                self.permits.append((zone, now, until, node.name))
+
+    def check_permits(self):
+        """No permit reaches into the time its zone was out."""
+        for zone in ZONES:
+            for begin, end in self._outages(zone):
+                for place, now, until, name in self.permits:
+                    late = place == zone and now < end and until > begin
+                    assert not late, f'{name} starts in {zone} until {until}'
+
+    def _outages(self, zone):
+        begin = None
+        for row in self.rows():
+            if row.change == cluster.ZoneOut(zone) and begin is None:
+                begin = row.in_force_at + RULES.margin
+            elif row.change == cluster.ZoneIn(zone) and begin is not None:
+                yield begin, row.in_force_at - RULES.margin
+                begin = None
+        if begin is not None:
+            yield begin, float('inf')
+
+    # the works
+
+    def at(self, seconds, step):
+        """Do something later."""
+        heapq.heappush(
+            self._heap, (self.now + seconds, next(self._order), step)
+        )
+
+    def feed(self, name, step):
+        """Run ``step(conf, now)`` in a node and carry out its effects."""
+        node = self.nodes[name]
+        if not node.alive:
+            return
+        if node.paused:
+            node.buffer.append(step)
+            return
+        for effect in step(node.conf, self.clock(name)):
+            self._carry_out(node, effect)
+
+    def _carry_out(self, node, effect):
+        match effect:
+            case core.Send(peer, message):
+                self._send(node.name, peer, message)
+            case core.Dial(peer):
+                node.dials[peer] = True
+                self._redial(node.name, node.incarnation, peer)
+            case core.Hangup(peer):
+                node.dials.pop(peer, None)
+            case store.CallStore():
+                self._call(node, effect)
+            case cluster.Proposed():
+                self.proposed[effect.request_id] = effect
+            case core.Note():
+                self.notes.append((self.now, node.name, effect))
+
+    def _tick(self, name, incarnation):
+        node = self.nodes[name]
+        if not node.alive or node.incarnation != incarnation:
+            return
+        if not node.paused:
+            self.feed(name, lambda conf, now: conf.on_tick(now))
+        self.at(0.1, lambda: self._tick(name, incarnation))
+
+    def _beat(self):
+        for one, other in list(self.up):
+            self._ping(one, other)
+            self._ping(other, one)
+        self.at(1.0, self._beat)
+
+    def _ping(self, one, other):
+        sent = self.clock(one)
+
+        def answer(conf, now):
+            pong = messages.Pong(sent, now, now)
+            return [core.Send(one, pong)]
+
+        self._transmit(one, other, answer)
+
+    def _send(self, sender, peer, message):
+        data = messages.encode(message)
+        self.wire_bytes += len(data) + 4
+        self._transmit(
+            sender,
+            peer,
+            lambda conf, now: conf.on_message(
+                sender, messages.decode(data), now
+            ),
+        )
+
+    def _transmit(self, sender, peer, step):
+        pair = frozenset((sender, peer))
+        epoch = self.up.get(pair)
+        if epoch is None:
+            return
+        arrival = self.now + self.rng.uniform(0.0005, 0.02)
+        arrival = max(arrival, self._fifo.get((sender, peer), 0.0))
+        self._fifo[sender, peer] = arrival
+
+        def deliver():
+            if self.up.get(pair) != epoch:
+                return
+            if pair in self.partitions:
+                self.backlog.setdefault(pair, []).append(deliver)
+                return
+            self.feed(peer, step)
+
+        self.at(arrival - self.now, deliver)
+
+    def _redial(self, name, incarnation, peer):
+        node = self.nodes[name]
+        if not node.alive or node.incarnation != incarnation:
+            return
+        if peer not in node.dials:
+            return
+        pair = frozenset((name, peer))
+        other = self.nodes[peer]
+        reachable = pair not in self.partitions
+        if pair not in self.up and reachable and not node.paused:
+            if not other.alive:
+                down = core.PeerDown(peer, 0, True)
+                self.feed(name, lambda conf, now: conf.on_peer_down(down, now))
+            elif not other.paused:
+                self._connect(pair)
+        self.at(0.2, lambda: self._redial(name, incarnation, peer))
+
+    def _connect(self, pair):
+        self.up[pair] = next(self._order)
+        for name, peer in itertools.permutations(pair):
+            other = self.nodes[peer]
+            hello = messages.Hello(
+                peer, 'entry', other.incarnation, '', '', '', 0
+            )
+            self.feed(
+                name, lambda conf, now, hi=hello: conf.on_peer_up(hi, now)
+            )
+            self._ping(name, peer)
+
+    def _break(self, pair):
+        if self.up.pop(pair, None) is None:
+            return
+        self.backlog.pop(pair, None)
+        for name, peer in itertools.permutations(pair):
+            down = core.PeerDown(peer, self.nodes[peer].incarnation)
+            self.feed(
+                name, lambda conf, now, ev=down: conf.on_peer_down(ev, now)
+            )
+
+    def _call(self, node, call):
+        write = isinstance(call.request, store.Transact)
+        kind = 'writes' if write else 'reads'
+        mode = getattr(self.mode, kind)
+        if mode == 'refuse' or node.name in self.cut_from_store:
+            self._answer(node, call.id, 0.001, _unavailable())
+            return
+        state = {'answered': False}
+
+        def timed_out():
+            if not state['answered']:
+                state['answered'] = True
+                lost = exceptions.StoreUnknown('timeout')
+                answer = lost if write else _unavailable()
+                self._answer(node, call.id, 0.0, answer)
+
+        def execute():
+            try:
+                answer = self.table.execute(call.request)
+            except exceptions.StoreError as exc:
+                answer = exc
+            if mode == 'lose':
+                return
+
+            def back():
+                state['answered'] = True
+                self._answer(node, call.id, 0.0, answer)
+
+            # An answer that comes after the timeout is for nobody.
+            self.at(self.rng.uniform(0.001, 0.01), back)
+
+        self.at(call.timeout, timed_out)
+        if mode == 'hold':
+            self.held.append((kind, execute))
+        else:
+            self.at(self.rng.uniform(0.001, 0.01), execute)
+
+    def _answer(self, node, number, seconds, answer):
+        incarnation = node.incarnation
+        event = store.StoreAnswered(number, answer)
+
+        def deliver():
+            if node.incarnation == incarnation:
+                self.feed(
+                    node.name, lambda conf, now: conf.on_store(event, now)
+                )
+
+        self.at(seconds, deliver)
+
+
+def _unavailable():
+    return exceptions.StoreUnavailable('down')
--- /dev/null
+++ b/tests/whole.py
@@ -0,0 +1,138 @@
+"""Whole clusters in one event loop, over real sockets, for tests."""
+
+import asyncio
+import contextlib
+import json
+import random
+
+from tornado import httpclient
+
+from agatepick import clocks
+from agatepick import processes
+from agatepick import settings
+from agatepick import standin_table
+from agatepick import standin_upstream
+from agatepick import types
+from agatepick import upstream
+
+ANY_PORT = '127.0.0.1:0'
+PLAIN = settings.Tls(enabled=False)
+TIMING = settings.Timing(
+    fence_seconds=1.5, margin_seconds=0.1, heartbeat_seconds=0.2
+)
+PATIENCE = 30.0
+
+
+class Whole:
+    """A table service, entries, and agents with stand-in workers."""
+
+    def __init__(self, table: standin_table.TableServer):
+        self.table = table
+        self.entries: list[processes.EntryProcess] = []
+        self.agents: list[processes.AgentProcess] = []
+        self.workers: list[standin_upstream.StandIn] = []
+        self._client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=100
+        )
+
+    async def add_entry(self, name: str, zone: str = 'z1'):
+        cfg = settings.EntrySettings(
+            process=settings.Process(name, zone),
+            http=settings.Http(ANY_PORT),
+            peers=settings.Peers(ANY_PORT),
+            store=settings.Store(f'http://{self.table.address}'),
+            tokens=settings.Tokens('x' * 16),
+            tls=PLAIN,
+            timing=TIMING,
+        )
+        process = processes.EntryProcess.from_settings(cfg)
+        await process.start()
+        self.entries.append(process)
+        return process
+
+    async def add_agent(self, name: str, zone: str = 'z1', slots: int = 4):
+        worker = standin_upstream.StandIn()
+        made = []
+
+        def make(feed):
+            announced = upstream.Announced(
+                f's-{name}', ('k',), slots, types.Needs(8, 999), 'x', 5.0
+            )
+            made.append(
+                standin_upstream.LocalUpstream(worker, feed, announced)
+            )
+            return made[0]
+
+        cfg = settings.AgentSettings(
+            process=settings.Process(name, zone, f'rack-{name}'),
+            entries=settings.Entries((self.entries[0].member.address,)),
+            upstream=settings.Upstreams(ANY_PORT),
+            tls=PLAIN,
+            timing=TIMING,
+        )
+        outside = processes.Outside(
+            clocks.ProcessClock.start(), random.Random(name), runner=make
+        )
+        process = processes.AgentProcess.from_settings(cfg, outside)
+        await process.start()
+        made[0].begin()
+        self.agents.append(process)
+        self.workers.append(worker)
+        return process
+
+    async def settle(self) -> None:
+        """Wait until every entry serves and has every agent's slots."""
+        async with asyncio.timeout(PATIENCE):
+            while not all(map(self._settled, self.entries)):
+                await asyncio.sleep(0.02)
+
+    def _settled(self, process) -> bool:
+        now = process.outside.clock.now()
+        status = process.entry.status(now)
+        listed = len(status.configuration.entries) == len(self.entries)
+        all_agents = len(status.agents) == len(self.agents)
+        return status.ready and listed and all_agents and status.dispatch.slots
+
+    async def call(self, process, method, path, body=None, **headers):
+        """One HTTP request; its status and JSON."""
+        resp = await self._client.fetch(
+            f'http://{process.http_address}{path}',
+            method=method,
+            headers=headers,
+            body=None if body is None else json.dumps(body),
+            request_timeout=PATIENCE,
+            raise_error=False,
+        )
+        return resp.code, json.loads(resp.body or b'null')
+
+    def starts(self) -> int:
+        """Starts that the workers counted."""
+        return sum(sum(one.starts.values()) for one in self.workers)
+
+    def kill(self) -> None:
+        for process in [*self.entries, *self.agents]:
+            process.kill()
+
+
+@contextlib.asynccontextmanager
+async def cluster(entries: int = 2, agents: int = 2, zones=('z1',)):
+    whole = Whole(await standin_table.TableServer.start())
+    for index in range(entries):
+        await whole.add_entry(f'e{index}')
+    for index in range(agents):
+        await whole.add_agent(f'a{index}', zones[index % len(zones)])
+    try:
+        await whole.settle()
+        yield whole
+    finally:
+        whole.kill()
+        await whole.table.stop()
+
+
+def job(tasks: int, seconds: float = 0.01, **fields):
+    """The body of a job of equal tasks."""
+    payload = {'seconds': seconds}
+    many = [
+        {'id': f't{i}', 'kind': 'k', 'payload': payload} for i in range(tasks)
+    ]
+    return {'team': 'team', 'tasks': many, 'timeout_seconds': 20, **fields}
