Take an upstream's announcements and run its tasks over HTTP

Cause: an upstream announces itself and is reached by HTTP; nothing did that yet. Change: the agent's HTTP side with each fault naming its field, the adapter that posts tasks and treats a missing answer as an unknown fate, and the stand-in worker as an HTTP server. An upstream that refuses connections is taken out at once. Conclusion: an agent can run beside a real worker.

--- a/src/agatepick/agent.py
+++ b/src/agatepick/agent.py
@@ -138,7 +138,13 @@
             case upstream.Announced():
                 return self._announced(event, now)
             case upstream.UpstreamLeft():
-                return self._upstream_left(event)
+                return self._upstream_changed(
+                    self._running.leave(event.session)
+                )
+            case upstream.UpstreamGone():
+                return self._upstream_changed(
+                    self._running.vanish(event.session)
+                )
             case core.StopRequested():
                 return self._stop(now)
         return [core.note('unexpected_event', kind=type(event).__name__)]
@@ -341,15 +347,11 @@
         for task in gone:
             self._slots.release(task.entry)
         self._reporting.lost(gone, REASON_RESTARTED, now)
-        if before == (event, self._draining):
-            return []
-        self._resize()
-        return []
+        return self._upstream_changed(before != (event, self._draining))
 
-    def _upstream_left(self, event: upstream.UpstreamLeft) -> list[object]:
-        if not self._running.leave(event.session):
-            return []
-        self._resize()
+    def _upstream_changed(self, changed: bool) -> list[object]:
+        if changed:
+            self._resize()
         return []
 
     def _resize(self) -> None:
--- /dev/null
+++ b/src/agatepick/announce.py
@@ -0,0 +1,227 @@
+"""HTTP side of an agent, where its upstream announces itself.
+
+``PUT /v1/upstream`` announces or renews, ``DELETE /v1/upstream`` says that
+the upstream leaves.  Each fault in an announcement names its field.
+"""
+
+import ipaddress
+import typing
+import urllib.parse
+
+import msgspec
+import tornado.httpserver
+import tornado.web
+
+from agatepick import settings
+from agatepick import types
+from agatepick import upstream
+from agatepick import web
+
+MAX_BODY_BYTES = 64 * 1024
+RENEWALS_A_TERM = 3
+"""Two renewals in a row may be lost before an announcement lapses."""
+
+Feed = typing.Callable[[object], None]
+
+_Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
+]
+_Session = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Resources of the worker, shared by all that it runs."""
+
+    cpu: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)] = 0
+    accelerators: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an upstream says of itself.
+
+    :param session: differs for each life of the upstream's process.
+    :param url: where tasks are sent; loopback unless the settings allow
+        more.
+    :param term_seconds: how long the announcement holds without renewal.
+    """
+
+    session: _Session
+    kinds: typing.Annotated[
+        tuple[_Name, ...], msgspec.Meta(min_length=1, max_length=1000)
+    ]
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    url: typing.Annotated[str, msgspec.Meta(max_length=1024)]
+    term_seconds: typing.Annotated[float, msgspec.Meta(gt=0, le=3600)] = 5.0
+    capacity: Capacity = Capacity()
+
+
+class Departure(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An upstream takes no new task and ends what it runs."""
+
+    session: _Session
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """Answer to an announcement.
+
+    :param term_seconds: how long it holds, at most what was asked.
+    :param renew_seconds: how often to announce again.
+    """
+
+    term_seconds: float
+    renew_seconds: float
+
+
+def server(
+    feed: Feed, cfg: settings.Upstreams
+) -> tornado.httpserver.HTTPServer:
+    """An HTTP server that feeds announcements to an agent."""
+    handler_args = {'feed': feed, 'cfg': cfg}
+    app = tornado.web.Application(
+        [('/v1/upstream', _UpstreamHandler, handler_args)],
+        default_handler_class=_NotFound,
+        default_handler_args=handler_args,
+        log_function=_no_log,
+    )
+    return tornado.httpserver.HTTPServer(
+        app,
+        max_body_size=MAX_BODY_BYTES,
+        max_header_size=MAX_BODY_BYTES,
+        idle_connection_timeout=60.0,
+        body_timeout=10.0,
+    )
+
+
+class _Faulty(Exception):
+    """A request that can't be taken.
+
+    :param field: the field at fault; empty for the body as a whole.
+    """
+
+    def __init__(self, status: int, detail: str, field: str = ''):
+        super().__init__(detail)
+        self.status = status
+        self.field = field
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, feed: Feed, cfg: settings.Upstreams) -> None:
+        self.feed = feed
+        self.cfg = cfg
+
+    def set_default_headers(self) -> None:
+        self.set_header('Server', 'agatepick')
+
+    def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
+        exc = kwargs.get('exc_info', (None, None, None))[1]
+        detail, field = web.title_of(status_code), ''
+        if isinstance(exc, _Faulty):
+            status_code, detail, field = exc.status, str(exc), exc.field
+        problem = web.Problem(
+            title=web.title_of(status_code),
+            status=status_code,
+            detail=detail,
+            code='bad_request' if status_code < 500 else 'error',
+            field=field,
+            step='announce',
+        )
+        self.set_status(status_code)
+        self.set_header('Content-Type', web.PROBLEM)
+        self.finish(msgspec.json.encode(problem))
+
+    def log_exception(
+        self, typ: typing.Any, value: typing.Any, tb: typing.Any
+    ) -> None:
+        if not isinstance(value, _Faulty):
+            super().log_exception(typ, value, tb)
+
+
+class _UpstreamHandler(_Handler):
+    def put(self) -> None:
+        asked = _checked(self.request.body, Announcement)
+        _check_url(asked.url, self.cfg.plain_beyond_loopback)
+        term = min(asked.term_seconds, self.cfg.lease_seconds)
+        self.feed(
+            upstream.Announced(
+                asked.session,
+                asked.kinds,
+                asked.slots,
+                types.Needs(
+                    asked.capacity.cpu,
+                    asked.capacity.memory_mb,
+                    asked.capacity.accelerators,
+                ),
+                asked.url.rstrip('/'),
+                term,
+            )
+        )
+        answer = Accepted(term, term / RENEWALS_A_TERM)
+        self.set_header('Content-Type', web.JSON)
+        self.finish(msgspec.json.encode(answer))
+
+    def delete(self) -> None:
+        asked = _checked(self.request.body, Departure)
+        self.feed(upstream.UpstreamLeft(asked.session))
+        self.set_status(204)
+        self.finish()
+
+
+class _NotFound(_Handler):
+    def prepare(self) -> None:
+        raise _Faulty(404, f'no {self.request.path}')
+
+
+_T = typing.TypeVar('_T', bound=msgspec.Struct)
+
+
+def _checked(body: bytes, kind: type[_T]) -> _T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.ValidationError as exc:
+        raise _Faulty(400, str(exc), _field(str(exc))) from exc
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _Faulty(400, f'the body is not JSON: {exc}') from exc
+
+
+def _field(fault: str) -> str:
+    """The field that a fault of msgspec names, as `slots` or `kinds[0]`."""
+    _, found, path = fault.rpartition('`$')
+    if found:
+        return path.rstrip('`').lstrip('.')
+    # A missing or unknown key of the whole is named in the text.
+    parts = fault.split('`')
+    return parts[1] if len(parts) > 2 else ''
+
+
+def _check_url(url: str, beyond_loopback: bool) -> None:
+    """Tasks go to an upstream on the same machine, unless settings allow.
+
+    Whoever reaches this port could else make the agent send tasks, which are
+    its callers' data, to any address.
+    """
+    try:
+        parts = urllib.parse.urlsplit(url)
+        address = ipaddress.ip_address(parts.hostname or '')
+        plain = parts.scheme == 'http' and bool(parts.port)
+    except ValueError as exc:
+        raise _Faulty(400, _URL_ALLOWED, 'url') from exc
+    if not plain or parts.query or parts.fragment or parts.username:
+        raise _Faulty(400, _URL_ALLOWED, 'url')
+    if not address.is_loopback and not beyond_loopback:
+        raise _Faulty(
+            400,
+            f'{address} is not a loopback address; allowed: one, or '
+            f'upstream.plain_beyond_loopback = true in the settings',
+            'url',
+        )
+
+
+_URL_ALLOWED = (
+    'allowed: http with an IP number and a port, such as '
+    '"http://127.0.0.1:9090"'
+)
+
+
+def _no_log(handler: tornado.web.RequestHandler) -> None:
+    """Renewals come every second or two; their access log tells nothing."""
--- /dev/null
+++ b/src/agatepick/httpupstream.py
@@ -0,0 +1,195 @@
+"""Runs an agent's tasks at its upstream over HTTP.
+
+``POST /tasks`` runs one task and answers when it has ended; a status of 200
+to 299 means that it finished, with a body of JSON or none; any other that it
+failed.  No answer means that its fate is unknown: it is never sent again.
+"""
+
+import asyncio
+import logging
+import typing
+
+import msgspec
+from tornado import httpclient
+from tornado import httputil
+
+from agatepick import logs
+from agatepick import types
+from agatepick import upstream
+
+LOG = logging.getLogger(__name__)
+
+CONNECT_SECONDS = 2.0
+ACTION_SECONDS = 5.0
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_CLIENTS = 100_000
+"""Far more than slots: a task that has been started must not wait in the
+client's queue, past the instant before which it may start."""
+
+NO_ANSWER = 599
+"""Status by which the client says that there was no whole answer."""
+
+REASON_NO_ANSWER = 'no_answer'
+REASON_NOT_JSON = 'answer_not_json'
+
+JOB_HEADER = 'Agatepick-Job'
+INDEX_HEADER = 'Agatepick-Index'
+KIND_HEADER = 'Agatepick-Kind'
+DEADLINE_HEADER = 'Agatepick-Deadline'
+
+
+class Failure(msgspec.Struct):
+    """Body of a failed task's answer, as far as it is understood."""
+
+    reason: str = ''
+
+
+class HttpUpstream:
+    """An :class:`~agatepick.upstream.Upstream` that is reached over HTTP.
+
+    :param feed: takes the agent's events.
+    """
+
+    def __init__(self, feed: typing.Callable[[object], None]):
+        self._feed = feed
+        self._client = httpclient.AsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_ANSWER_BYTES,
+        )
+        # The loop itself keeps only weak references to its tasks.
+        self._requests: set[asyncio.Task[None]] = set()
+
+    def run(self, effect: upstream.RunTask) -> None:
+        """Start a task; its end is fed as ``TaskEnded``."""
+        self._spawn(self._run(effect))
+
+    def stop(self, effect: upstream.StopTask) -> None:
+        """Pass an action on; an upstream that doesn't answer is left be."""
+        self._spawn(self._act(effect))
+
+    def close(self) -> None:
+        """Give up all requests, as the end of the process does."""
+        for task in self._requests:
+            task.cancel()
+        self._client.close()
+
+    def _spawn(self, coro: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
+
+    async def _run(self, effect: upstream.RunTask) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        state, body, reason = await self._outcome(effect)
+        self._feed(
+            upstream.TaskEnded(
+                effect.job,
+                effect.index,
+                effect.attempt,
+                state,
+                body,
+                reason,
+                loop.time() - began,
+            )
+        )
+
+    async def _outcome(
+        self, effect: upstream.RunTask
+    ) -> tuple[types.TaskState, bytes, str]:
+        try:
+            response = await self._client.fetch(
+                f'{effect.url}/tasks',
+                method='POST',
+                body=effect.payload,
+                headers=_headers(effect),
+                connect_timeout=CONNECT_SECONDS,
+                # The announcement's lease bounds the wait, not a timeout.
+                request_timeout=0,
+                follow_redirects=False,
+                decompress_response=False,
+                raise_error=False,
+            )
+        except (OSError, httpclient.HTTPError) as exc:
+            return self._unanswered(effect, exc)
+        if response.code == NO_ANSWER:
+            return self._unanswered(effect, response.error)
+        return _answered(response)
+
+    def _unanswered(
+        self, effect: upstream.RunTask, exc: BaseException | None
+    ) -> tuple[types.TaskState, bytes, str]:
+        logs.event(
+            LOG,
+            logging.WARNING,
+            'upstream_no_answer',
+            job=effect.job,
+            index=effect.index,
+            error=repr(exc),
+        )
+        if isinstance(exc, ConnectionRefusedError):
+            # Nothing listens there.  Until the announcement lapsed, every
+            # further task given to it would be lost as well.
+            self._feed(upstream.UpstreamGone(effect.session))
+        return types.TaskState.LOST, b'', REASON_NO_ANSWER
+
+    async def _act(self, effect: upstream.StopTask) -> None:
+        path = f'{effect.job}/{effect.index}/{effect.action.value}'
+        try:
+            await self._client.fetch(
+                f'{effect.url}/tasks/{path}',
+                method='POST',
+                body=b'',
+                connect_timeout=CONNECT_SECONDS,
+                request_timeout=ACTION_SECONDS,
+                follow_redirects=False,
+            )
+        except (OSError, httpclient.HTTPError) as exc:
+            logs.event(
+                LOG,
+                logging.WARNING,
+                'upstream_action_failed',
+                job=effect.job,
+                action=effect.action,
+                error=repr(exc),
+            )
+
+
+def _headers(effect: upstream.RunTask) -> httputil.HTTPHeaders:
+    return httputil.HTTPHeaders(
+        {
+            'Content-Type': 'application/json',
+            JOB_HEADER: effect.job,
+            INDEX_HEADER: str(effect.index),
+            KIND_HEADER: effect.kind,
+            DEADLINE_HEADER: f'{effect.deadline:.3f}',
+        }
+    )
+
+
+def _answered(
+    response: httpclient.HTTPResponse,
+) -> tuple[types.TaskState, bytes, str]:
+    body = response.body or b''
+    if not 200 <= response.code < 300:
+        return types.TaskState.FAILED, b'', _reason(response.code, body)
+    if body and not _is_json(body):
+        return types.TaskState.FAILED, b'', REASON_NOT_JSON
+    return types.TaskState.FINISHED, body, ''
+
+
+def _reason(status: int, body: bytes) -> str:
+    try:
+        found = msgspec.json.decode(body, type=Failure).reason
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        found = ''
+    return found[:200] or f'status_{status}'
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
--- a/src/agatepick/running.py
+++ b/src/agatepick/running.py
@@ -80,6 +80,17 @@
         self._left_session = session
         return True
 
+    def vanish(self, session: str) -> bool:
+        """Nothing answers at a session's address; whether it was in force.
+
+        What runs is not given up: each task's own connection tells.
+        """
+        found = self._announced
+        if found is None or found.session != session:
+            return False
+        self._announced = None
+        return True
+
     def lapse(self, now: float) -> list[RunningTask] | None:
         """Give up an upstream that stopped renewing; what is lost by it.
 
--- a/src/agatepick/standin_upstream.py
+++ b/src/agatepick/standin_upstream.py
@@ -11,7 +11,13 @@
 import typing
 
 import msgspec
+import tornado.httpclient
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
 
+from agatepick import announce
+from agatepick import httpupstream
 from agatepick import types
 from agatepick import upstream
 
@@ -19,6 +25,8 @@
 REASON_STOPPED = 'stopped'
 REASON_DIED = 'upstream_died'
 THROTTLE_FACTOR = 2.0
+ANNOUNCE_SECONDS = 2.0
+RETRY_SECONDS = 0.2
 
 
 class Payload(msgspec.Struct):
@@ -190,3 +198,136 @@
     def stop(self, effect: upstream.StopTask) -> None:
         """Pass an action on to the worker."""
         self._worker.act((effect.job, effect.index), effect.action)
+
+
+class HttpWorker:
+    """The stand-in as a process of its own sees it: HTTP in and out.
+
+    :param agent: URL where the agent takes announcements.
+    :param announced: what is announced; its ``url`` is filled in.
+    """
+
+    def __init__(
+        self,
+        worker: StandIn,
+        agent: str,
+        announced: upstream.Announced,
+        listen: str = '127.0.0.1:0',
+    ):
+        self.worker = worker
+        self.announced = announced
+        self._agent = agent
+        self._listen = listen
+        self._client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        self._server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(
+                [
+                    ('/tasks', _TaskHandler, {'worker': worker}),
+                    (
+                        '/tasks/([^/]+)/([0-9]+)/([a-z]+)',
+                        _ActionHandler,
+                        {'worker': worker},
+                    ),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+        self._renewing: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and announce until :meth:`leave` or :meth:`stop`."""
+        host, _, port = self._listen.rpartition(':')
+        sockets = tornado.netutil.bind_sockets(int(port), host)
+        self._server.add_sockets(sockets)
+        bound = sockets[0].getsockname()
+        self.announced = dataclasses.replace(
+            self.announced, url=f'http://{bound[0]}:{bound[1]}'
+        )
+        loop = asyncio.get_running_loop()
+        self._renewing = loop.create_task(self._renew())
+
+    async def leave(self) -> None:
+        """Say that it leaves; what runs runs on."""
+        self._end_renewing()
+        body = msgspec.json.encode(announce.Departure(self.announced.session))
+        await self._call('DELETE', body)
+
+    async def stop(self) -> None:
+        """Close everything, as a process that ends does."""
+        self._end_renewing()
+        self.worker.die()
+        self._server.stop()
+        await self._server.close_all_connections()
+        self._client.close()
+
+    def _end_renewing(self) -> None:
+        if self._renewing is not None:
+            self._renewing.cancel()
+            self._renewing = None
+
+    async def _renew(self) -> None:
+        body = msgspec.json.encode(_announcement(self.announced))
+        while not self.worker.faults.dead:
+            try:
+                answer = await self._call('PUT', body)
+                pause = msgspec.json.decode(
+                    answer, type=announce.Accepted
+                ).renew_seconds
+            except (OSError, tornado.httpclient.HTTPError):
+                pause = RETRY_SECONDS
+            await asyncio.sleep(pause)
+
+    async def _call(self, method: str, body: bytes) -> bytes:
+        response = await self._client.fetch(
+            f'{self._agent}/v1/upstream',
+            method=method,
+            body=body,
+            allow_nonstandard_methods=True,
+            request_timeout=ANNOUNCE_SECONDS,
+        )
+        return response.body
+
+
+def _announcement(said: upstream.Announced) -> announce.Announcement:
+    needs = said.capacity
+    return announce.Announcement(
+        said.session,
+        said.kinds,
+        said.slots,
+        said.url,
+        said.term,
+        announce.Capacity(needs.cpu, needs.memory_mb, needs.accelerators),
+    )
+
+
+class _TaskHandler(tornado.web.RequestHandler):
+    def initialize(self, worker: StandIn) -> None:
+        self.worker = worker
+
+    async def post(self) -> None:
+        headers = self.request.headers
+        task = (
+            headers[httpupstream.JOB_HEADER],
+            int(headers[httpupstream.INDEX_HEADER]),
+        )
+        fut: asyncio.Future[tuple[types.TaskState, bytes, str]]
+        fut = asyncio.get_running_loop().create_future()
+
+        def done(state: types.TaskState, body: bytes, reason: str) -> None:
+            fut.set_result((state, body, reason))
+
+        self.worker.start(task, self.request.body, done)
+        state, body, reason = await fut
+        if state is types.TaskState.FAILED:
+            self.set_status(500)
+            body = msgspec.json.encode(httpupstream.Failure(reason))
+        self.finish(body)
+
+
+class _ActionHandler(tornado.web.RequestHandler):
+    def initialize(self, worker: StandIn) -> None:
+        self.worker = worker
+
+    def post(self, job: str, index: str, action: str) -> None:
+        self.worker.act((job, int(index)), upstream.Action(action))
+        self.set_status(204)
--- a/src/agatepick/upstream.py
+++ b/src/agatepick/upstream.py
@@ -44,6 +44,13 @@
     session: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamGone:
+    """Event: nothing answers any more at the upstream's address."""
+
+    session: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnded:
     """Event: a task ended, or its fate can no longer be learned.
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -294,3 +294,20 @@
     effects = rig.receive('a', messages.Members(2, members))
     assert core.Hangup('b') in effects
     assert rig.receive('a', messages.Members(1, members)) == []
+
+
+def test_an_upstream_that_nobody_answers_for_gets_no_further_task():
+    """A worker's process is gone, and its announcement hasn't lapsed yet.
+
+    Each task given to it until then would be lost, and it would look idle.
+    """
+    rig = agents.ready()
+    one = agents.task(KEY)
+    rig.start('e', one)
+    rig.feed(upstream.UpstreamGone('s'))
+    effects = rig.end(one, types.TaskState.LOST)
+    assert agents.reports(effects)[0][0] == 'lost'
+    effects = rig.start('e', agents.task(KEY, 1))
+    assert agents.reports(effects) == {1: ('refused', 'no_upstream')}
+    effects = rig.feed(agents.announced('other'))
+    assert agents.sent(effects, messages.Offer)[0].credits == 8
--- /dev/null
+++ b/tests/test_httpupstream.py
@@ -0,0 +1,141 @@
+import asyncio
+
+import tornado.httpserver
+import tornado.netutil
+
+from agatepick import announce
+from agatepick import httpupstream
+from agatepick import settings
+from agatepick import standin_upstream
+from agatepick import types
+from agatepick import upstream
+from tests import agents
+from tests import test_standin_upstream
+
+
+class Pair:
+    """An agent's HTTP side and a stand-in worker that announces to it."""
+
+    def __init__(self):
+        self.events = test_standin_upstream.Events()
+        self.upstream = httpupstream.HttpUpstream(self.events.feed)
+        self.agent = announce.server(
+            self.events.feed, settings.Upstreams('127.0.0.1:0')
+        )
+        socks = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        self.agent.add_sockets(socks)
+        self.worker = standin_upstream.HttpWorker(
+            standin_upstream.StandIn(),
+            f'http://127.0.0.1:{socks[0].getsockname()[1]}',
+            agents.announced(),
+        )
+
+    def task(self, index=0, payload=b'{"seconds": 0.001}'):
+        url = self.worker.announced.url
+        return upstream.RunTask(
+            'j', index, 1, 'k', payload, types.Needs(), 0.0, url, 's'
+        )
+
+    async def ended(self, count=1):
+        """State, body and reason of the tasks that have ended."""
+        kind = upstream.TaskEnded
+        async with asyncio.timeout(10):
+            while True:
+                found = [one for one in self.events if isinstance(one, kind)]
+                if len(found) >= count:
+                    return [(one.state.value, one.reason) for one in found]
+                await self.events.until(len(self.events) + 1)
+
+
+def play(scenario):
+    async def main():
+        pair = Pair()
+        await pair.worker.start()
+        await pair.events.until(1)
+        try:
+            await scenario(pair)
+        finally:
+            pair.upstream.close()
+            await pair.worker.stop()
+            pair.agent.stop()
+            await pair.agent.close_all_connections()
+
+    asyncio.run(main())
+
+
+def test_it_announces_runs_and_leaves_over_http():
+    async def scenario(pair):
+        assert pair.events[0].url == pair.worker.announced.url
+        pair.upstream.run(pair.task())
+        assert await pair.ended() == [('finished', '')]
+        assert pair.events[-1].body == b'{"job":"j","index":0}'
+        assert pair.worker.worker.starts == {('j', 0): 1}
+        pair.upstream.run(pair.task(1, b'{"fail": true}'))
+        assert (await pair.ended(2))[1] == ('failed', 'standin_fault')
+        await pair.worker.leave()
+        assert pair.events[-1] == upstream.UpstreamLeft('s')
+
+    play(scenario)
+
+
+def test_a_task_is_stopped_over_http():
+    async def scenario(pair):
+        pair.upstream.run(pair.task(0, b'{"seconds": 600}'))
+        async with asyncio.timeout(10):
+            while not pair.worker.worker.running:
+                await asyncio.sleep(0.001)
+        stop = upstream.Action.STOP
+        url = pair.worker.announced.url
+        pair.upstream.stop(upstream.StopTask('j', 0, stop, url))
+        assert await pair.ended() == [('failed', 'stopped')]
+
+    play(scenario)
+
+
+def test_a_worker_that_dies_in_the_middle_leaves_its_tasks_unknown():
+    """A worker's process is killed while it runs a task.
+
+    The task may have taken effect.  Called failed or sent again, the caller
+    would repeat it and file a quote twice.
+    """
+
+    async def scenario(pair):
+        pair.upstream.run(pair.task(0, b'{"seconds": 600}'))
+        async with asyncio.timeout(10):
+            while not pair.worker.worker.running:
+                await asyncio.sleep(0.001)
+        await pair.worker.stop()
+        assert await pair.ended() == [('lost', 'no_answer')]
+        pair.upstream.run(pair.task(1))
+        assert (await pair.ended(2))[1] == ('lost', 'no_answer')
+        assert upstream.UpstreamGone('s') in pair.events
+
+    play(scenario)
+
+
+def test_an_answer_that_is_no_json_is_a_failure():
+    """An upstream answers with an HTML page from something in between.
+
+    Put into a job's answer as it is, it would break the whole answer.
+    """
+
+    async def scenario(pair):
+        handlers = [('/tasks', _Page)]
+        app = tornado.web.Application(handlers, log_function=lambda _: None)
+        server = tornado.httpserver.HTTPServer(app)
+        socks = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        server.add_sockets(socks)
+        url = f'http://127.0.0.1:{socks[0].getsockname()[1]}'
+        pair.worker.announced = upstream.Announced(
+            's', ('k',), 1, types.Needs(), url, 5.0
+        )
+        pair.upstream.run(pair.task())
+        assert await pair.ended() == [('failed', 'answer_not_json')]
+        server.stop()
+
+    play(scenario)
+
+
+class _Page(tornado.web.RequestHandler):
+    def post(self):
+        self.finish('<html>')
