Throw hostile bytes at the HTTP and the peers' port

What isn't a caller or a peer may reach the ports. Property tests vary the body of a job, raw bytes at the HTTP port and frames at the peers' port, and see no job started, no event of what is no message, and the next one served.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,7 +49,7 @@
     def __init__(self, front, routes):
         self.front = front
         self._server = web.server(front, routes)
-        socks = tornado.netutil.bind_sockets(0, '127.0.0.1')
+        socks = bound()
         self.port = socks[0].getsockname()[1]
         self._server.add_sockets(socks)
         self._client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
@@ -80,6 +80,35 @@
         await self._server.close_all_connections()
 
 
+def bound():
+    """Sockets bound to a free port of the loopback."""
+    return tornado.netutil.bind_sockets(0, '127.0.0.1')
+
+
+def never(event):
+    """A reducer that must not be reached."""
+    pytest.fail(f'reached by {event}')
+
+
+def front_of(feed, clock, teams=None, **limits):
+    """What handlers work with, over a function as the reducer."""
+    http = settings.Http(listen='127.0.0.1:0')
+    return web.Front(
+        name='entry-1',
+        calls=calls.Calls(feed),
+        clock=clock,
+        limits=dataclasses.replace(http, **limits),
+        tokens=settings.Tokens(operator=OPERATOR, teams=teams or {}),
+        timeline=NoTimeline(),
+    )
+
+
+def site_of(feed):
+    """A served entry over a function as the reducer."""
+    built = front_of(feed, FixedClock())
+    return Site(built, callers.routes(built))
+
+
 @pytest.fixture
 def clock():
     return FixedClock()
@@ -90,15 +119,7 @@
     """Builds what handlers work with, over a function as the reducer."""
 
     def build(feed, teams=None, **limits):
-        http = settings.Http(listen='127.0.0.1:0')
-        return web.Front(
-            name='entry-1',
-            calls=calls.Calls(feed),
-            clock=clock,
-            limits=dataclasses.replace(http, **limits),
-            tokens=settings.Tokens(operator=OPERATOR, teams=teams or {}),
-            timeline=NoTimeline(),
-        )
+        return front_of(feed, clock, teams, **limits)
 
     return build
 
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,180 @@
+"""Hostile bytes at the ports: no crash, no event, and the next one served."""
+
+import asyncio
+import json
+import random
+import struct
+
+import hypothesis
+from hypothesis import strategies
+
+from agatepick import core
+from agatepick import exceptions
+from agatepick import job_bodies
+from agatepick import links
+from agatepick import messages
+from agatepick import types
+from agatepick import web
+from tests import conftest
+
+TASK = {'id': 'a', 'kind': 'slot'}
+KEY = '0190a5e4-7b00-7000-8000-000000000001'
+LEAVES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=20)
+)
+VALUES = strategies.recursive(
+    LEAVES,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=8,
+)
+MEMBERS = strategies.sampled_from(
+    ['team', 'tasks', 'deadline', 'timeout_seconds', 'urgent', 'zones', 'x']
+)
+TASK_MEMBERS = strategies.sampled_from(
+    ['id', 'kind', 'payload', 'needs', 'expected_seconds', 'x']
+)
+FEW = hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
+MANY = hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+
+
+@MANY
+@hypothesis.given(
+    strategies.dictionaries(MEMBERS, VALUES, max_size=2),
+    strategies.dictionaries(TASK_MEMBERS, VALUES, max_size=2),
+)
+def test_a_body_is_either_a_whole_job_or_refused(members, task):
+    body = {'team': 't', 'tasks': [{**TASK, **task}], **members}
+    data = json.dumps(body).encode()
+    try:
+        job = job_bodies.job_spec(data, KEY, None, conftest.NOW, 10)
+    except web.Refused as exc:
+        assert exc.problem.run == 'not_run'
+        assert 400 <= exc.problem.status < 500
+        return
+    assert job.team and job.tasks
+    assert conftest.NOW < job.deadline <= conftest.NOW + 300.0
+    for one in job.tasks:
+        json.loads(one.payload)
+    start = messages.Forward(1, 'submit', KEY, job.team, (job,))
+    assert messages.decode(messages.encode(start)) == start
+
+
+@FEW
+@hypothesis.given(
+    strategies.binary(max_size=300)
+    | strategies.binary(max_size=200).map(
+        lambda data: b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n' + data
+    )
+    | strategies.binary(max_size=200).map(
+        lambda data: (
+            (
+                b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+                % len(data)
+            )
+            + data
+        )
+    )
+)
+def test_bytes_at_the_http_port_start_no_job(data):
+    """Something that isn't a caller talks to the port.
+
+    No job is started and the next caller is served.
+    """
+    asyncio.run(_http_scenario(data))
+
+
+async def _http_scenario(data):
+    site = conftest.site_of(conftest.never)
+    try:
+        _, writer = await asyncio.open_connection('127.0.0.1', site.port)
+        writer.write(data)
+        await writer.drain()
+        writer.close()
+        response = await site.fetch('GET', '/v1/nothing')
+        assert response.code == 404
+    finally:
+        await site.close()
+
+
+FRAMES = strategies.binary(max_size=64) | strategies.binary(max_size=64).map(
+    lambda data: struct.pack('>I', len(data)) + data
+)
+
+
+@FEW
+@hypothesis.given(FRAMES, strategies.booleans())
+def test_bytes_at_the_peers_port_are_no_messages(data, greets):
+    """Something that is no agatepick process connects to the peers' port.
+
+    The reducer sees nothing of it but a peer that came and went, and a true
+    peer is served.
+    """
+    asyncio.run(_peers_scenario(data, greets))
+
+
+async def _peers_scenario(data, greets):
+    events = []
+    hello = messages.Hello('entry-1', 'entry', 1, 'z', 'r', '', 0)
+    served = links.Links(
+        lambda: hello, events.append, conftest.FixedClock(), random.Random(1)
+    )
+    sockets = conftest.bound()
+    served.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    try:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        if greets:
+            writer.write(
+                _frame(messages.Hello('x', 'agent', 1, '', '', '', 0))
+            )
+        writer.write(data)
+        writer.write_eof()
+        await reader.read()
+        writer.close()
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(_frame(messages.Hello('good', 'agent', 2, '', '', '', 0)))
+        writer.write(_frame(messages.Ask(3)))
+        wanted = core.Received('good', messages.Ask(3))
+        while wanted not in events:
+            await asyncio.sleep(0.001)
+        writer.close()
+    finally:
+        served.end()
+    from_x = [
+        event
+        for event in events
+        if isinstance(event, core.Received) and event.peer == 'x'
+    ]
+    if not _is_message(data):
+        assert from_x == []
+
+
+def _frame(message):
+    data = messages.encode(message)
+    return struct.pack('>I', len(data)) + data
+
+
+def _is_message(data):
+    try:
+        messages.decode(data[4:])
+    except exceptions.BadMessage:
+        return False
+    return True
+
+
+def test_the_body_that_is_varied_is_a_whole_job():
+    job = job_bodies.job_spec(
+        json.dumps({'team': 't', 'tasks': [TASK]}).encode(),
+        KEY,
+        None,
+        conftest.NOW,
+        10,
+    )
+    assert job.tasks == (types.TaskSpec('a', 'slot', b'null'),)
