Show operators both documents: in force and accepted

The operators' handlers answer with what is in force apart from what was accepted, and the status carried only fields of the former. It now carries both documents whole.

--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -60,6 +60,8 @@
     :param lease_seconds: seconds that the read lease has left.
     :param uncertain: changes whose fate isn't settled.
     :param lost: listed entries whose processes are gone or silent.
+    :param in_force: the whole document in force.
+    :param accepted: the last one known, which may be in force later.
     """
 
     version: int
@@ -76,6 +78,8 @@
     entries: tuple[messages.Member, ...]
     uncertain: tuple[cluster.ChangeRow, ...]
     lost: tuple[str, ...]
+    in_force: cluster.ClusterConfig
+    accepted: cluster.ClusterConfig
 
 
 class Configuration:
@@ -203,6 +207,8 @@
             entries=doc.entries,
             uncertain=tuple(one.row for one in self._uncertain()),
             lost=tuple(one.name for one in self._members.lost(now)),
+            in_force=doc,
+            accepted=self._known.latest,
         )
 
     # -- events ------------------------------------------------------------
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -40,6 +40,9 @@
 TASK_MEMBERS = strategies.sampled_from(
     ['id', 'kind', 'payload', 'needs', 'expected_seconds', 'x']
 )
+HEADERS = (
+    b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: ' + b'%d\r\n\r\n'
+)
 FEW = hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
 MANY = hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
 
@@ -73,13 +76,7 @@
         lambda data: b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n' + data
     )
     | strategies.binary(max_size=200).map(
-        lambda data: (
-            (
-                b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
-                % len(data)
-            )
-            + data
-        )
+        lambda data: HEADERS % len(data) + data
     )
 )
 def test_bytes_at_the_http_port_start_no_job(data):
