Wire agents to their upstreams over HTTP

Cause: processes ran only upstreams of their own loop. Change: an agent's process listens for announcements and runs tasks over HTTP unless it is given a runner. Conclusion: entry, agent and upstream can be separate processes.

--- a/src/agatepick/daemons.py
+++ b/src/agatepick/daemons.py
@@ -69,7 +69,12 @@
     contexts = tls.Contexts.from_config(cfg.tls)
     process = processes.AgentProcess.from_settings(cfg)
     await process.start(contexts)
-    logs.event(LOG, logging.INFO, 'agent_listening')
+    logs.event(
+        LOG,
+        logging.INFO,
+        'agent_listening',
+        upstream=process.upstream_address,
+    )
     await _until_stopped(process, contexts)
 
 
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -15,6 +15,7 @@
 from tornado import netutil
 
 from agatepick import agent
+from agatepick import announce
 from agatepick import callers
 from agatepick import calls
 from agatepick import clocks
@@ -22,6 +23,7 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
+from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
 from agatepick import operators
@@ -286,6 +288,7 @@
         )
         self.cfg = cfg
         self.agent: agent.Agent
+        self.upstream_address = ''
 
     @classmethod
     def from_settings(
@@ -302,15 +305,22 @@
         )
         self._begin(contexts or _PLAIN, self.agent)
         self._use_upstream()
+        self._listen_announcements()
         self.links.begin()
         self.shell.begin()
 
     def _use_upstream(self) -> None:
-        assert self.outside.runner is not None
-        runner = self.outside.runner(self.shell.feed)
+        make = self.outside.runner or httpupstream.HttpUpstream
+        runner = make(self.shell.feed)
         self.shell.handle(upstream.RunTask, runner.run)
         self.shell.handle(upstream.StopTask, runner.stop)
 
+    def _listen_announcements(self) -> None:
+        sockets = _bind(self.cfg.upstream.listen)
+        self.upstream_address = _address(sockets)
+        self._http = announce.server(self.shell.feed, self.cfg.upstream)
+        self._http.add_sockets(sockets)
+
     def _hello(self) -> messages.Hello:
         process = self.cfg.process
         return messages.Hello(
