Test at most once over agents, workers and an adverse network

Cause: single failures were tested, their mixtures were not. Change: a property test plays an owner, two agents and their workers with messages lost, copied, late and out of order, and with restarts, lapses and pauses.

--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,308 @@
+"""An owner, two agents and their workers under an adverse network."""
+
+import collections
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from agatepick import agent
+from agatepick import core
+from agatepick import ledger
+from agatepick import messages
+from agatepick import types
+from agatepick import upstream
+from tests import agents
+
+OWNER = 'owner'
+TASKS = 3
+FLYING = 10
+JOB = agents.key()
+ENDED = ('finished', 'failed', 'lost')
+
+
+@dataclasses.dataclass
+class Sent:
+    """Where the owner's last start of a task went."""
+
+    name: str
+    incarnation: int
+    attempt: int
+
+
+class Worker:
+    """A worker with its agent, which may be restarted on its own."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.incarnation = 0
+        self.session = 0
+        self.running = {}
+        self.restart_agent()
+
+    def restart_agent(self):
+        self.incarnation += 1
+        cfg = agent.AgentConfig(self.name)
+        self.agent = agent.Agent.from_config(cfg, self.incarnation)
+        self.announce()
+        self.connect()
+
+    def restart(self):
+        self.session += 1
+        self.running.clear()
+        self.announce()
+
+    def announce(self):
+        session = f'{self.name}{self.session}'
+        self.feed(agents.announced(session, slots=2))
+
+    def connect(self):
+        now = self.world.now
+        hello = messages.Hello(OWNER, 'entry', 1, 'z', '', '', 0)
+        self.feed(core.PeerUp(hello))
+        pong = messages.Pong(now, now, now)
+        self.feed(core.Received(OWNER, pong))
+
+    def disconnect(self):
+        self.feed(core.PeerDown(OWNER, 1))
+
+    def end(self, number):
+        if not self.running:
+            return
+        keys = sorted(self.running)
+        key = keys[number % len(keys)]
+        effect = self.running.pop(key)
+        self.world.finished.add(key)
+        state = types.TaskState.FINISHED
+        self.feed(upstream.TaskEnded(*key, effect.attempt, state))
+
+    def feed(self, event):
+        for effect in self.agent.reduce(event, self.world.now):
+            if isinstance(effect, upstream.RunTask):
+                self.run(effect)
+            elif isinstance(effect, core.Send):
+                self.world.post(OWNER, self, effect.message)
+
+    def run(self, effect):
+        key = (effect.job, effect.index)
+        self.world.starts[key] += 1
+        self.world.started.add((effect.index, effect.attempt))
+        self.running[key] = effect
+
+
+class World:
+    """Owner, agents and whatever is on its way between them."""
+
+    def __init__(self):
+        self.now = agents.NOW
+        self.flying = []
+        self.starts = collections.Counter()
+        self.started = set()
+        self.refused = set()
+        self.finished = set()
+        self.sent = dict.fromkeys(range(TASKS))
+        self.attempts = collections.Counter()
+        self.answers = {}
+        self.workers = [Worker(self, 'x'), Worker(self, 'y')]
+
+    def post(self, target, worker, message):
+        self.flying.append((target, worker, message))
+        del self.flying[:-FLYING]
+
+    def deliver(self, number, keep):
+        if not self.flying:
+            return
+        at = number % len(self.flying)
+        target, worker, message = self.flying[at]
+        if not keep:
+            del self.flying[at]
+        if target != OWNER:
+            worker.feed(core.Received(OWNER, message))
+        elif isinstance(message, messages.Results):
+            for report in message.reports:
+                self.take(worker, message.agent_incarnation, report)
+        elif isinstance(message, messages.Offer):
+            self.meet(worker, message.agent_incarnation)
+
+    def meet(self, worker, incarnation):
+        """The owner sees another life of the agent: the former is gone."""
+        for index, sent in self.sent.items():
+            if sent is None or sent.name != worker.name:
+                continue
+            if sent.incarnation < incarnation:
+                self.answers.setdefault(index, 'lost')
+
+    def take(self, worker, incarnation, report):
+        found = Sent(worker.name, incarnation, report.attempt)
+        if report.state == 'refused':
+            self.refused.add((report.index, report.attempt))
+        if self.sent[report.index] != found or report.index in self.answers:
+            return
+        if report.state == 'refused':
+            self.sent[report.index] = None
+        elif report.state in ENDED:
+            self.answers[report.index] = report.state
+
+    def start(self, worker, index):
+        if self.sent[index] is not None or index in self.answers:
+            return
+        self.attempts[index] += 1
+        sent = Sent(worker.name, worker.incarnation, self.attempts[index])
+        self.sent[index] = sent
+        starts = messages.Starts(
+            OWNER,
+            1,
+            sent.incarnation,
+            1,
+            self.now + 3,
+            0,
+            (agents.task(JOB, index, sent.attempt),),
+        )
+        self.post('agent', worker, starts)
+
+    def settle(self, worker):
+        refs = tuple(
+            messages.TaskRef(JOB, index, sent.attempt)
+            for index, sent in self.sent.items()
+            if sent is not None
+            and (sent.name, sent.incarnation)
+            == (worker.name, worker.incarnation)
+            and index not in self.answers
+        )
+        settle = messages.Settle(worker.incarnation, refs)
+        self.post('agent', worker, settle)
+
+    def act(self, move, which, number):
+        worker = self.workers[which]
+        if move == 'start':
+            self.start(worker, number % TASKS)
+        elif move in ('deliver', 'copy'):
+            self.deliver(number, keep=move == 'copy')
+        elif move == 'lose' and self.flying:
+            del self.flying[number % len(self.flying)]
+        elif move == 'settle':
+            self.settle(worker)
+        elif move == 'end':
+            worker.end(number)
+        elif move == 'pause':
+            self.now += number / 20
+            worker.feed(core.Tick())
+        elif move == 'long_pause':
+            self.now += number * 20
+            worker.feed(core.Tick())
+        elif move != 'lose':
+            getattr(worker, move)()
+
+    def check(self):
+        assert all(count == 1 for count in self.starts.values())
+        assert not self.refused & self.started
+        for index, state in self.answers.items():
+            if state == 'finished':
+                assert (JOB, index) in self.finished
+
+
+COMMON = ['start', 'deliver', 'copy', 'settle', 'end', 'pause']
+RARE = [
+    'lose',
+    'connect',
+    'disconnect',
+    'announce',
+    'restart',
+    'restart_agent',
+    'long_pause',
+]
+MOVES = 200
+
+
+def history(seed):
+    """Moves drawn one by one; a list drawn whole is short and tame."""
+    rng = random.Random(seed)
+    kinds = [*COMMON * 4, *RARE]
+    return [
+        (rng.choice(kinds), rng.randrange(2), rng.randrange(41))
+        for _ in range(MOVES)
+    ]
+
+
+histories = st.integers(0, 2**32 - 1).map(history)
+
+
+def play(drawn):
+    world = World()
+    for move, which, number in drawn:
+        world.act(move, which, number)
+        world.check()
+    return world
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(histories)
+def test_no_task_starts_twice_and_no_refusal_is_false(drawn):
+    """Messages are lost, copied, late and out of order while parts fail.
+
+    Agents and workers restart and pause at any point.  A caller must never
+    find a quote filed twice, nor be told "not run" of one that was filed.
+    """
+    play(drawn)
+
+
+def forget_refusals(monkeypatch):
+    def refuse(self, ref, owner, reason, now):
+        state = types.TaskState.REFUSED.value
+        return messages.TaskReport(ref.job, ref.index, ref.attempt, state)
+
+    monkeypatch.setattr(ledger.Ledger, 'refuse', refuse)
+
+
+def start_copies(monkeypatch):
+    monkeypatch.setattr(ledger.Ledger, 'known', lambda *args: None)
+
+
+def serve_other_lives(monkeypatch):
+    def answer(self, incarnation, ref, now):
+        return self._ledger.known(ref, now)
+
+    monkeypatch.setattr(agent.Agent, '_answer', answer)
+
+
+def refuse_for_other_lives(monkeypatch):
+    answer = agent.Agent._answer
+
+    def refuse(self, incarnation, ref, now):
+        report = answer(self, incarnation, ref, now)
+        if report is not None and report.reason == agent.REASON_INCARNATION:
+            return dataclasses.replace(report, state='refused')
+        return report
+
+    monkeypatch.setattr(agent.Agent, '_answer', refuse)
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [forget_refusals, start_copies, serve_other_lives, refuse_for_other_lives],
+)
+def test_the_property_notices_each_broken_rule(broken, monkeypatch):
+    """A check that can't fail would prove nothing.
+
+    With any one rule of the agent taken away, a history must be found that
+    starts a task twice or makes a refusal false.
+    """
+    broken(monkeypatch)
+
+    def fails(drawn):
+        try:
+            play(drawn)
+        except AssertionError:
+            return True
+        return False
+
+    cfg = hypothesis.settings(
+        max_examples=300,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+    )
+    hypothesis.find(histories, fails, settings=cfg, random=random.Random(1))
