Run the stand-ins as programs, at the addresses of their settings

Cause: the stand-in table took a host only and the stand-in upstream had no program. Change: both listen where their settings say; a task without a run time takes the worker's usual one; a setting that nothing read is gone.

--- a/src/agatepick/daemons.py
+++ b/src/agatepick/daemons.py
@@ -9,16 +9,23 @@
 import signal
 import typing
 
+import uuid_utils
+
 from agatepick import commands
 from agatepick import exceptions
 from agatepick import logs
 from agatepick import processes
 from agatepick import settings
 from agatepick import standin_table
+from agatepick import standin_upstream
 from agatepick import tls
+from agatepick import types
+from agatepick import upstream
 
 LOG = logging.getLogger(__name__)
 
+ANNOUNCED_SECONDS = 5.0
+
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -51,6 +58,13 @@
     return commands.Output('')
 
 
+def run_upstream(cfg: settings.UpstreamSettings) -> commands.Output:
+    """Run a stand-in worker's upstream until it is stopped."""
+    logs.setup(cfg.log.level, cfg.worker.name)
+    asyncio.run(_run_upstream(cfg))
+    return commands.Output('')
+
+
 async def _run_entry(cfg: settings.EntrySettings) -> None:
     contexts = tls.Contexts.from_config(cfg.tls)
     process = processes.EntryProcess.from_settings(cfg)
@@ -79,11 +93,39 @@
 
 
 async def _run_table(cfg: settings.TableSettings) -> None:
-    server = await standin_table.TableServer.start(address=cfg.table.listen)
+    table = cfg.table
+    server = await standin_table.TableServer.start(
+        listen=table.listen,
+        rates=standin_table.Rates(
+            table.reads_per_second, table.writes_per_second
+        ),
+    )
+    server.faults.delay = table.write_seconds
     logs.event(LOG, logging.INFO, 'table_listening', http=server.address)
     await _until_stopped(server, None)
 
 
+async def _run_upstream(cfg: settings.UpstreamSettings) -> None:
+    said = cfg.worker
+    announced = upstream.Announced(
+        session=str(uuid_utils.uuid7()),
+        kinds=said.kinds,
+        slots=said.slots,
+        capacity=types.Needs(said.cpu, said.memory_mb, said.accelerators),
+        url='',
+        term=ANNOUNCED_SECONDS,
+    )
+    worker = standin_upstream.HttpWorker(
+        standin_upstream.StandIn(default_seconds=said.task_seconds),
+        said.agent,
+        announced,
+        said.listen,
+    )
+    await worker.start()
+    logs.event(LOG, logging.INFO, 'upstream_listening', http=said.listen)
+    await _until_stopped(worker, None)
+
+
 async def _until_stopped(
     program: Program, contexts: tls.Contexts | None
 ) -> None:
--- a/src/agatepick/settings.py
+++ b/src/agatepick/settings.py
@@ -66,9 +66,6 @@
     typing.Literal['debug', 'info', 'warning', 'error'],
     msgspec.Meta(description='"debug", "info", "warning" or "error"'),
 ]
-Fraction = typing.Annotated[
-    float, msgspec.Meta(ge=0, le=1, description='a number from 0 to 1')
-]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,7 +256,7 @@
     """A stand-in worker with its upstream.
 
     :param agent: where the upstream announces itself.
-    :param fail_share: share of tasks that fail.
+    :param task_seconds: run time of a task whose payload names none.
     """
 
     name: Name
@@ -271,7 +268,6 @@
     memory_mb: int = 16384
     accelerators: int = 0
     task_seconds: Seconds = 0.1
-    fail_share: Fraction = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/standin_table.py
+++ b/src/agatepick/standin_table.py
@@ -111,6 +111,14 @@
         return True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """Requests a second that the service lets in."""
+
+    reads: float = READS_PER_SECOND
+    writes: float = WRITES_PER_SECOND
+
+
 @dataclasses.dataclass
 class Counts:
     """Requests that reached the service."""
@@ -123,28 +131,28 @@
 class TableServer:
     """The table service on an HTTP port."""
 
-    def __init__(self, table: store.Table, address: str):
+    def __init__(self, table: store.Table, listen: str, rates: Rates):
         self.table = table
         self.faults = Faults()
         self.counts = Counts()
         now = asyncio.get_running_loop().time()
-        self._reads = ratelimit.TokenBucket(
-            READS_PER_SECOND, READS_PER_SECOND, now
-        )
-        self._writes = ratelimit.TokenBucket(
-            WRITES_PER_SECOND, WRITES_PER_SECOND, now
-        )
+        self._reads = ratelimit.TokenBucket(rates.reads, rates.reads, now)
+        self._writes = ratelimit.TokenBucket(rates.writes, rates.writes, now)
         self._http = tornado.httpserver.HTTPServer(_application(self))
-        sockets = tornado.netutil.bind_sockets(0, address, socket.AF_INET)
+        host, _, port = listen.rpartition(':')
+        sockets = tornado.netutil.bind_sockets(int(port), host, socket.AF_INET)
         self._http.add_sockets(sockets)
-        self.address = f'{address}:{sockets[0].getsockname()[1]}'
+        self.address = f'{host}:{sockets[0].getsockname()[1]}'
 
     @classmethod
     async def start(
-        cls, table: store.Table | None = None, address: str = '127.0.0.1'
+        cls,
+        table: store.Table | None = None,
+        listen: str = '127.0.0.1:0',
+        rates: Rates = Rates(),
     ) -> 'TableServer':
-        """A server on a free port; a new empty table if none is given."""
-        return cls(MemoryTable() if table is None else table, address)
+        """A server at ``ip:port``; a new empty table if none is given."""
+        return cls(MemoryTable() if table is None else table, listen, rates)
 
     async def stop(self) -> None:
         """Close the port and every connection."""
--- a/src/agatepick/standin_upstream.py
+++ b/src/agatepick/standin_upstream.py
@@ -32,11 +32,12 @@
 class Payload(msgspec.Struct):
     """What a task asks of the stand-in.
 
-    :param seconds: how long it takes.
+    :param seconds: how long it takes; ``None``: as long as the worker's
+        tasks usually take.
     :param fail: whether it fails at its end.
     """
 
-    seconds: float = 0.0
+    seconds: float | None = None
     fail: bool = False
 
 
@@ -70,8 +71,11 @@
 class StandIn:
     """The worker itself: runs tasks on the event loop, counts starts."""
 
-    def __init__(self, faults: Faults | None = None):
+    def __init__(
+        self, faults: Faults | None = None, default_seconds: float = 0.0
+    ):
         self.faults = faults or Faults()
+        self._default_seconds = default_seconds
         self.starts: collections.Counter[TaskKey] = collections.Counter()
         """How often each task of each job was started."""
         self.most_running = 0
@@ -89,7 +93,10 @@
             return
         self.starts[task] += 1
         asked = msgspec.json.decode(payload or b'{}', type=Payload)
-        seconds = asked.seconds * self.faults.slow_factor
+        seconds = asked.seconds
+        if seconds is None:
+            seconds = self._default_seconds
+        seconds *= self.faults.slow_factor
         if self.faults.fail_all:
             seconds = 0.0
         number = self._next
