Believe declared run times where they vary less than the kind

A kind whose tasks run from 50 ms to 5 s has a 0.9 quantile that says nothing about one task, so jobs with a long task were let in with deadlines they couldn't meet. Each kind now also keeps run time over declared time, and predicts by whichever varies less.

--- a/src/agatepick/estimates.py
+++ b/src/agatepick/estimates.py
@@ -4,8 +4,11 @@
 this, admission promises deadlines that can't be met or refuses work that
 would have been in time, and a long job is taken for a short one.
 
-Each kind keeps a histogram with buckets a quarter of an octave wide, so a
-quantile is within 19% of the truth, which is finer than run times repeat.
+Each kind keeps two histograms: of run times, and of run times over declared
+ones.  The one whose logarithm varies less predicts the next task: callers
+that declare well are believed, even if all are off by the same factor, and
+what others declare is ignored.  Buckets are a quarter of an octave wide, so
+a quantile is within 19% of the truth, which is finer than run times repeat.
 Counts are halved at :data:`WINDOW` observations: a changed upstream
 outweighs its past within about as many tasks.  A declared time counts like
 :data:`PRIOR_WEIGHT` observations, so eight tasks outvote it two to one.
@@ -20,57 +23,81 @@
 PRIOR_WEIGHT = 4.0
 DEFAULT_SECONDS = 0.3
 """Assumed run time of a kind that is neither seen nor declared."""
-MIN_SECONDS = 0.001
-MAX_SECONDS = 3600.0
+LEAST = 0.001
+MOST = 3600.0
+"""Bounds of what is told apart, in seconds or as a ratio."""
 BUCKETS_PER_OCTAVE = 4
 MAX_KINDS = 512
 """Kinds remembered: callers choose the names, so memory needs a bound."""
 REFRESH = 16
-"""Observations after which a kind's cached quantiles are worked out anew."""
+"""Observations after which cached quantiles are worked out anew."""
+SPREAD_WEIGHT = 0.05
+"""Weight of one observation in the moving centre and spread."""
 
-_BUCKETS = 1 + int(
-    BUCKETS_PER_OCTAVE * math.log2(MAX_SECONDS / MIN_SECONDS) + 1
-)
+_BUCKETS = int(BUCKETS_PER_OCTAVE * math.log2(MOST / LEAST)) + 1
 
 
-class _Kind:
-    """Histogram of one kind of task."""
+class _Histogram:
+    """Counts by size, and how far the logarithms lie from their centre."""
 
-    __slots__ = ('counts', 'number', 'total', 'stale', 'cache')
+    __slots__ = (
+        'counts',
+        'number',
+        'total',
+        'centre',
+        'spread',
+        '_stale',
+        '_cache',
+    )
 
     def __init__(self) -> None:
         self.counts = [0.0] * _BUCKETS
         self.number = 0.0
         self.total = 0.0
-        self.stale = 0
-        self.cache: dict[float, float] = {}
-
-    def add(self, seconds: float) -> None:
-        seconds = min(max(seconds, MIN_SECONDS), MAX_SECONDS)
-        octaves = math.log2(seconds / MIN_SECONDS)
+        self.centre = math.nan
+        self.spread = 1.0
+        self._stale = 0
+        self._cache: dict[float, float] = {}
+
+    def add(self, value: float) -> None:
+        value = min(max(value, LEAST), MOST)
+        octaves = math.log2(value / LEAST)
         self.counts[int(octaves * BUCKETS_PER_OCTAVE)] += 1.0
         self.number += 1.0
-        self.total += seconds
-        self.stale += 1
+        self.total += value
+        self._follow(octaves)
+        self._stale += 1
         if self.number >= WINDOW:
             self._halve()
-        if self.stale >= REFRESH or self.number < REFRESH:
-            self.cache.clear()
-            self.stale = 0
+        if self._stale >= REFRESH or self.number < REFRESH:
+            self._cache.clear()
+            self._stale = 0
+
+    def mean(self, prior: float) -> float:
+        weight = PRIOR_WEIGHT + self.number
+        return (prior * PRIOR_WEIGHT + self.total) / weight
 
     def quantile(self, share: float) -> float:
-        known = self.cache.get(share)
+        known = self._cache.get(share)
         if known is None:
-            known = self.cache[share] = self._find(share)
+            known = self._cache[share] = self._find(share)
         return known
 
+    def _follow(self, octaves: float) -> None:
+        if math.isnan(self.centre):
+            self.centre = octaves
+            return
+        off = octaves - self.centre
+        self.centre += SPREAD_WEIGHT * off
+        self.spread += SPREAD_WEIGHT * (abs(off) - self.spread)
+
     def _find(self, share: float) -> float:
         left = share * self.number
         for bucket, count in enumerate(self.counts):
             left -= count
             if left <= 0.0 and count:
                 return _upper_edge(bucket)
-        return MIN_SECONDS
+        return LEAST
 
     def _halve(self) -> None:
         self.counts = [count / 2.0 for count in self.counts]
@@ -80,7 +107,22 @@
 
 def _upper_edge(bucket: int) -> float:
     octaves: float = (bucket + 1) / BUCKETS_PER_OCTAVE
-    return typing.cast(float, MIN_SECONDS * 2.0**octaves)
+    return typing.cast(float, LEAST * 2.0**octaves)
+
+
+class _Kind:
+    """What was seen of one kind of task."""
+
+    __slots__ = ('seconds', 'ratios')
+
+    def __init__(self) -> None:
+        self.seconds = _Histogram()
+        self.ratios = _Histogram()
+
+    def believes(self, declared: float) -> bool:
+        if not declared or self.ratios.number < PRIOR_WEIGHT:
+            return False
+        return self.ratios.spread < self.seconds.spread
 
 
 class RunTimes:
@@ -89,21 +131,24 @@
     def __init__(self) -> None:
         self._kinds: dict[str, _Kind] = {}
 
-    def observe(self, kind: str, seconds: float) -> None:
+    def observe(self, task: types.TaskSpec, seconds: float) -> None:
         """Take in the run time of one ended task."""
-        seen = self._kinds.get(kind)
+        seen = self._kinds.get(task.kind)
         if seen is None:
-            seen = self._remember(kind)
-        seen.add(seconds)
+            seen = self._remember(task.kind)
+        seen.seconds.add(seconds)
+        if task.expected_seconds > 0.0:
+            seen.ratios.add(seconds / task.expected_seconds)
 
     def mean(self, task: types.TaskSpec) -> float:
         """Expected run time of a task."""
-        prior = task.expected_seconds or DEFAULT_SECONDS
+        declared = task.expected_seconds
         seen = self._kinds.get(task.kind)
         if seen is None:
-            return prior
-        weight = PRIOR_WEIGHT + seen.number
-        return (prior * PRIOR_WEIGHT + seen.total) / weight
+            return declared or DEFAULT_SECONDS
+        if seen.believes(declared):
+            return declared * seen.ratios.mean(1.0)
+        return seen.seconds.mean(declared or DEFAULT_SECONDS)
 
     def quantile(self, task: types.TaskSpec, share: float) -> float:
         """Run time that ``share`` of such tasks stay within.
@@ -111,15 +156,18 @@
         Until :data:`PRIOR_WEIGHT` tasks were seen, it is what the caller
         declared.
         """
+        declared = task.expected_seconds
         seen = self._kinds.get(task.kind)
-        if seen is None or seen.number < PRIOR_WEIGHT:
-            return task.expected_seconds or DEFAULT_SECONDS
-        return seen.quantile(share)
+        if seen is None or seen.seconds.number < PRIOR_WEIGHT:
+            return declared or DEFAULT_SECONDS
+        if seen.believes(declared):
+            return declared * seen.ratios.quantile(share)
+        return seen.seconds.quantile(share)
 
     def medians(self) -> tuple[tuple[str, float], ...]:
         """Median run time of each kind seen, for the status page."""
         return tuple(
-            (kind, seen.quantile(0.5))
+            (kind, seen.seconds.quantile(0.5))
             for kind, seen in sorted(self._kinds.items())
         )
 
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -13,10 +13,11 @@
 
     Admission would refuse its jobs although slots are free.
     """
+    rng = random.Random(4)
     run_times = estimates.RunTimes()
     assert run_times.quantile(_task(declared=5.0), 0.9) == 5.0
     for _ in range(100):
-        run_times.observe('k', 0.5)
+        run_times.observe(_task(declared=rng.choice((0.05, 5.0))), 0.5)
     assert 0.5 <= run_times.quantile(_task(declared=5.0), 0.9) <= 0.6
     assert run_times.mean(_task(declared=5.0)) < 0.7
 
@@ -26,7 +27,7 @@
     run_times = estimates.RunTimes()
     seen = sorted(rng.lognormvariate(-1.2, 0.8) for _ in range(500))
     for seconds in rng.sample(seen, len(seen)):
-        run_times.observe('k', seconds)
+        run_times.observe(_task(), seconds)
     for share in (0.5, 0.9, 0.99):
         true = seen[int(share * len(seen)) - 1]
         assert true <= run_times.quantile(_task(), share) <= true * 1.2
@@ -40,14 +41,30 @@
     """
     run_times = estimates.RunTimes()
     for _ in range(5000):
-        run_times.observe('k', 0.1)
+        run_times.observe(_task(), 0.1)
     for _ in range(estimates.WINDOW):
-        run_times.observe('k', 1.0)
+        run_times.observe(_task(), 1.0)
     assert run_times.quantile(_task(), 0.5) >= 1.0
 
 
 def test_kinds_that_callers_invent_do_not_fill_memory():
     run_times = estimates.RunTimes()
     for i in range(2 * estimates.MAX_KINDS):
-        run_times.observe(f'kind{i}', 0.1)
+        run_times.observe(_task(f'kind{i}'), 0.1)
     assert len(run_times.medians()) == estimates.MAX_KINDS
+
+
+def test_callers_that_declare_well_are_believed():
+    """A kind's tasks differ widely, but their callers know by how much.
+
+    Taken by kind alone, a job's long task would count as a short one, and
+    the job would be let in with a deadline that it can't meet.
+    """
+    rng = random.Random(5)
+    run_times = estimates.RunTimes()
+    for _ in range(200):
+        declared = rng.choice((0.05, 0.3, 4.0))
+        seconds = 2.0 * declared * rng.uniform(0.9, 1.1)
+        run_times.observe(_task(declared=declared), seconds)
+    assert 7.2 <= run_times.quantile(_task(declared=4.0), 0.9) <= 10.5
+    assert 0.08 <= run_times.mean(_task(declared=0.05)) <= 0.12
