Ask only agents at which nothing of ours runs

Where a task of ours runs, its result brings the credits, and the next start tells our demand; asking there as well bought little. What remains are the agents' offers as leases move.

--- a/src/agatepick/workers.py
+++ b/src/agatepick/workers.py
@@ -346,6 +346,7 @@
 def _is_worth_asking(worker: placement.Worker, before: float) -> bool:
     return (
         _is_usable(worker)
+        and not worker.running
         and worker.credits < worker.slots
         and worker.heard_at <= before
         and worker.asked_at <= before
