--- a/src/agatepick/admission.py
+++ b/src/agatepick/admission.py
@@ -8,11 +8,12 @@
 The prediction counts the work that would start before the job, and the job's
 own, over the slots this entry can use; what free slots take at once doesn't
 wait.  To that it adds the run time of the job's longest task, at the
-preset's quantile.  A job that would end too late is refused at once, with
-the seconds after which the queue will be short enough; a job that couldn't
-end in time on idle workers either, or fits no worker, is refused for good.
-The preset keeps a twentieth to a seventh of the time to the deadline spare:
-jobs of lighter teams may still come in ahead.
+preset's quantile of the worst of its last tasks.  A job that would end too
+late is refused at once, with the seconds after which the queue will be short
+enough.  A job that fits no worker, or that more likely than not couldn't end
+in time on idle ones either, is refused for good.  The preset keeps a tenth
+to a fifth of the time to the deadline spare, as one task in a hundred takes
+longer than its kind's quantile says.
 """
 
 import dataclasses
@@ -58,11 +59,13 @@
     """What a job asks for, in expected seconds.
 
     :param work: of all its tasks.
+    :param typical: of its longest task, at the median.
     :param longest: of its longest task, at the preset's quantile.
     """
 
     tasks: int
     work: float
+    typical: float
     longest: float
 
 
@@ -86,10 +89,10 @@
     left = job.deadline - now
     if left <= 0.0:
         return Refusal('deadline_passed', 'the deadline has passed', 0.0)
-    if demand.longest > left:
+    if demand.typical > left:
         return Refusal(
             'deadline_too_short',
-            f'its longest task takes {demand.longest:.2f} s, the deadline'
+            f'its longest task takes {demand.typical:.2f} s, the deadline'
             f' is in {left:.2f} s',
             0.0,
         )
--- a/src/agatepick/dispatch.py
+++ b/src/agatepick/dispatch.py
@@ -36,6 +36,8 @@
 """Part of all slots that an idle entry counts on getting when it asks."""
 EXCLUDED_SECONDS = 0.1
 """A retry no other agent takes for so long goes back to any agent."""
+LATEST_SPARE = 1.2
+"""Longest run times before the deadline at which a job should have begun."""
 SPARE_DEADLINES = 4096
 
 Pending = queues.Pending
@@ -158,7 +160,9 @@
             for requirement, indices in sized.groups.items()
         }
         pool = self._workers.pool(sized.groups)
-        self._queue.add(queues.WaitingJob(job, cost, groups, pool))
+        latest = self._latest_start(sized)
+        waiting = queues.WaitingJob(job, cost, groups, pool, latest)
+        self._queue.add(waiting, now)
         self._sequence += 1
         entry = (job.deadline, self._sequence, job.key)
         heapq.heappush(self._deadlines, entry)
@@ -228,7 +232,7 @@
     ) -> None:
         """Take a task's outcome, which frees its slot."""
         if ok:
-            self._run_times.observe(job.tasks[index].kind, seconds)
+            self._run_times.observe(job.tasks[index], seconds)
         self._return_needs(agent, job, index)
         self.refused(agent, job.team, now)
         if self._outliers.record(agent, ok, now):
@@ -291,13 +295,18 @@
             )
         return self._sized
 
+    def _latest_start(self, sized: sizing.SizedJob) -> float:
+        demand = sized.demand
+        spread = demand.work / max(1, self._workers.limit)
+        return sized.job.deadline - LATEST_SPARE * demand.longest - spread
+
     def _load(self, sized: sizing.SizedJob, now: float) -> admission.Load:
         job, demand = sized.job, sized.demand
         pool = self._workers.pool(sized.groups)
         limit, free, slots = self._workers.capacity(pool)
         if not len(self._queue):
             limit = max(limit, int(slots * IDLE_SHARE))
-        before = self._queue.work_before(job, demand.work, pool)
+        before = self._queue.work_before(job, demand.work, pool, limit, now)
         if self.quotas.limited(job.team):
             allowed = max(1, self.quotas.allowed(job.team, now))
             if allowed < limit:
@@ -330,7 +339,7 @@
     ) -> None:
         held: set[str] = set()
         while True:
-            found = self._queue.next(self._blocked, held)
+            found = self._queue.next(self._blocked, held, now)
             if found is None:
                 return
             waiting, requirement = found
--- a/src/agatepick/presets.py
+++ b/src/agatepick/presets.py
@@ -9,6 +9,8 @@
 of the job behind it; it also retries less, because refused work comes back
 by itself.  ``maintenance`` expects workers and zones to come and go: it
 retries more, ejects more, and keeps more spare time before the deadline.
+A tenth is the least spare time with which accepted work stays in time at
+150% load when run times aren't declared.
 
 How fast the system shifts: the preset changes at one instant for decisions
 about new work.  Jobs that were let in stay in, and running tasks run on; the
@@ -44,7 +46,7 @@
 ORDINARY = Preset(
     name='ordinary',
     confidence=0.9,
-    spare_share=0.05,
+    spare_share=0.1,
     retry_share=0.1,
     retry_burst=200.0,
     max_ejected_share=0.3,
@@ -54,7 +56,7 @@
 PEAK = Preset(
     name='peak',
     confidence=0.95,
-    spare_share=0.1,
+    spare_share=0.15,
     retry_share=0.05,
     retry_burst=100.0,
     max_ejected_share=0.2,
@@ -64,7 +66,7 @@
 MAINTENANCE = Preset(
     name='maintenance',
     confidence=0.95,
-    spare_share=0.15,
+    spare_share=0.2,
     retry_share=0.3,
     retry_burst=400.0,
     max_ejected_share=0.5,
--- a/src/agatepick/queues.py
+++ b/src/agatepick/queues.py
@@ -17,6 +17,12 @@
 lets short jobs pass long ones, but only until the virtual time has grown by
 the long one's work.
 
+A job that was let in must not miss its deadline because later jobs of
+lighter teams were ranked before it.  Two things see to that.  What waits
+before a new job includes what other teams will bring ahead of it if they go
+on as in the last :data:`RATE_SECONDS`.  And a job whose latest start has
+come goes before the ranked ones, the earliest first.
+
 A job's tasks stay together, longest first, as the job is answered when its
 last task has ended.
 """
@@ -24,6 +30,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 import typing
 
 from agatepick import placement
@@ -33,6 +40,11 @@
 EXACT_JOBS = 512
 """Waiting jobs up to which a new job's place among them is worked out."""
 
+RATE_SECONDS = 5.0
+"""Time constant of a team's rate of work; a queue is rarely longer."""
+MAX_RATES = 1024
+"""Teams whose rates are kept; callers choose the names."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pending:
@@ -55,6 +67,7 @@
     :ivar racks: tasks placed so far, by rack.
     :ivar cost: expected seconds of one task, on average.
     :ivar pool: names of the agents that serve it.
+    :ivar latest: instant by which it should start to be in time.
     """
 
     __slots__ = (
@@ -63,6 +76,7 @@
         'start',
         'cost',
         'pool',
+        'latest',
         'groups',
         'racks',
         'count',
@@ -74,10 +88,12 @@
         cost: float,
         groups: dict[placement.Requirement, collections.deque[int]],
         pool: frozenset[str],
+        latest: float,
     ) -> None:
         self.job = job
         self.cost = cost
         self.pool = pool
+        self.latest = latest
         self.groups = groups
         self.racks: dict[str, int] = {}
         self.count = len(job.tasks)
@@ -85,6 +101,26 @@
         self.start = 0.0
 
 
+class _Rate:
+    """Work that a team brings a second, over the last seconds."""
+
+    __slots__ = ('work', 'at')
+
+    def __init__(self) -> None:
+        self.work = 0.0
+        self.at = 0.0
+
+    def add(self, work: float, now: float) -> None:
+        self.work = self.work * self._kept(now) + work
+        self.at = now
+
+    def a_second(self, now: float) -> float:
+        return self.work * self._kept(now) / RATE_SECONDS
+
+    def _kept(self, now: float) -> float:
+        return math.exp(-max(0.0, now - self.at) / RATE_SECONDS)
+
+
 _Ranked = tuple[float, int, int, WaitingJob]
 """Rank, order of arrival, order of the class within its job, the job."""
 
@@ -96,18 +132,47 @@
         self.heaps: dict[placement.Requirement, list[_Ranked]] = {}
         self.virtual = 0.0
         self.team_ends: dict[str, float] = {}
+        self.rates: dict[str, _Rate] = {}
+        self.latest: list[_Ranked] = []
         self.count = 0
 
     def rank_of(self, team: str, work: float) -> tuple[float, float]:
         start = max(self.virtual, self.team_ends.get(team, 0.0))
         return start, start + SIZE_WEIGHT * work
 
-    def rank(self, waiting: WaitingJob) -> None:
+    def rank(self, waiting: WaitingJob, now: float) -> None:
         work = waiting.cost * waiting.count
         team = waiting.job.team
+        if team not in self.rates:
+            self._forget_old_rates(now)
+            self.rates[team] = _Rate()
+        self.rates[team].add(work, now)
         waiting.start, waiting.rank = self.rank_of(team, work)
         self.team_ends[team] = waiting.start + work
 
+    def overtaking(
+        self, team: str, rank: float, seconds: float, now: float
+    ) -> float:
+        """Work that other teams will bring ahead of a rank meanwhile."""
+        if rank <= self.virtual:
+            return 0.0
+        return sum(
+            min(
+                rate.a_second(now) * min(seconds, RATE_SECONDS),
+                max(0.0, rank - self.team_ends.get(other, self.virtual)),
+            )
+            for other, rate in self.rates.items()
+            if other != team
+        )
+
+    def _forget_old_rates(self, now: float) -> None:
+        if len(self.rates) >= MAX_RATES:
+            self.rates = {
+                team: rate
+                for team, rate in self.rates.items()
+                if rate.at >= now - RATE_SECONDS
+            }
+
     def forget_idle_teams(self) -> None:
         """Nothing waits: no team is ahead of or behind another."""
         self.team_ends.clear()
@@ -131,10 +196,10 @@
         """Waiting tasks of one level."""
         return self._levels[0 if urgent else 1].count
 
-    def add(self, waiting: WaitingJob) -> None:
+    def add(self, waiting: WaitingJob, now: float) -> None:
         """Queue a job."""
         level = self._level(waiting)
-        level.rank(waiting)
+        level.rank(waiting, now)
         level.count += waiting.count
         self._jobs[waiting.job.key] = waiting
         self._sequence += 1
@@ -142,11 +207,14 @@
             heap = level.heaps.setdefault(requirement, [])
             entry = (waiting.rank, self._sequence, order, waiting)
             heapq.heappush(heap, entry)
+            late = (waiting.latest, self._sequence, order, waiting)
+            heapq.heappush(level.latest, late)
 
     def next(
         self,
         blocked: typing.Container[placement.Requirement],
         held_teams: typing.Container[str],
+        now: float,
     ) -> tuple[WaitingJob, placement.Requirement] | None:
         """The job, and its class of task, that starts next.
 
@@ -157,7 +225,9 @@
         if self._urgent_streak >= self.urgent_run and second.count:
             first, second = second, first
         for level in (first, second):
-            found = self._least(level, blocked, held_teams)
+            found = _due(level, blocked, held_teams, now)
+            if found is None:
+                found = self._least(level, blocked, held_teams)
             if found is not None:
                 return found
         return None
@@ -188,23 +258,34 @@
         return tuple(sorted(indices))
 
     def work_before(
-        self, job: types.JobSpec, work: float, pool: frozenset[str]
+        self,
+        job: types.JobSpec,
+        work: float,
+        pool: frozenset[str],
+        slots: float,
+        now: float,
     ) -> float:
         """Expected seconds of the tasks that a new job would wait for.
 
         Jobs for other workers don't count.  Past :data:`EXACT_JOBS` waiting
         jobs, those that would start later count as well.
+
+        :param slots: slots of those workers.
         """
         level = self._levels[0 if job.urgent else 1]
         rank = level.rank_of(job.team, work)[1]
         if len(self._jobs) > EXACT_JOBS:
             rank = float('inf')
-        return sum(
+        before = sum(
             waiting.cost * waiting.count
             for waiting in self._jobs.values()
             if _starts_before(waiting, job.urgent, rank)
             and not waiting.pool.isdisjoint(pool)
         )
+        if not before:
+            return 0.0
+        wait = (before + work) / max(slots, 1.0)
+        return before + level.overtaking(job.team, rank, wait, now)
 
     def team_work(self, team: str) -> float:
         """Expected seconds of a team's waiting tasks."""
@@ -244,6 +325,7 @@
             self._jobs.pop(waiting.job.key, None)
         if not level.count:
             level.heaps.clear()
+            level.latest.clear()
             level.forget_idle_teams()
 
     def _least(
@@ -272,6 +354,26 @@
     return waiting.rank <= rank
 
 
+def _due(
+    level: _Level,
+    blocked: typing.Container[placement.Requirement],
+    held_teams: typing.Container[str],
+    now: float,
+) -> tuple[WaitingJob, placement.Requirement] | None:
+    """The job with the earliest latest start, if that has come."""
+    latest = level.latest
+    while latest and latest[0][0] <= now:
+        _, _, order, waiting = latest[0]
+        requirement = list(waiting.groups)[order]
+        if not waiting.groups[requirement]:
+            heapq.heappop(latest)
+            continue
+        if requirement in blocked or waiting.job.team in held_teams:
+            return None
+        return waiting, requirement
+    return None
+
+
 def _head(
     heaps: dict[placement.Requirement, list[_Ranked]],
     requirement: placement.Requirement,
--- a/src/agatepick/sizing.py
+++ b/src/agatepick/sizing.py
@@ -12,6 +12,9 @@
     [types.JobSpec, types.TaskSpec], placement.Requirement
 ]
 
+LAST_TASKS = 8
+"""Tasks that may be the last to end: those before have time to spare."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SizedJob:
@@ -38,23 +41,27 @@
 ) -> SizedJob:
     """Sort a job's tasks into classes and add up their expected times.
 
-    :param confidence: quantile taken for the longest task.
+    :param confidence: probability that no task of the job takes longer than
+        its demand's longest.
     """
     groups, work = _grouped(job, classify, run_times)
     for group in groups.values():
         group.sort()
     order = sorted(groups, key=lambda one: groups[one][0])
-    longest = max(
-        (
-            run_times.quantile(job.tasks[group[0][1]], confidence)
-            for group in groups.values()
-        ),
-        default=0.0,
+    share = confidence ** (1.0 / min(len(job.tasks) or 1, LAST_TASKS))
+    firsts = [job.tasks[group[0][1]] for group in groups.values()]
+    typical = [run_times.quantile(task, 0.5) for task in firsts]
+    longest = [run_times.quantile(task, share) for task in firsts]
+    demand = admission.Demand(
+        len(job.tasks),
+        work,
+        max(typical, default=0.0),
+        max(longest, default=0.0),
     )
     return SizedJob(
         job,
         {one: [index for _, index in groups[one]] for one in order},
-        admission.Demand(len(job.tasks), work, longest),
+        demand,
     )
 
 
