--- /dev/null
+++ b/src/agatepick/processes.py
@@ -0,0 +1,351 @@
+"""Whole processes: a reducer with its shell, links, store and HTTP side.
+
+Every part that touches the outside can be replaced, so that demo, bench and
+tests run the very same processes inside one event loop.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import random
+import secrets
+import typing
+
+from tornado import httpserver
+from tornado import netutil
+
+from agatepick import agent
+from agatepick import announce
+from agatepick import callers
+from agatepick import calls
+from agatepick import clocks
+from agatepick import configuration
+from agatepick import core
+from agatepick import dispatch
+from agatepick import entry
+from agatepick import httpupstream
+from agatepick import links
+from agatepick import messages
+from agatepick import operators
+from agatepick import owner
+from agatepick import placement
+from agatepick import readlease
+from agatepick import settings
+from agatepick import shell
+from agatepick import store
+from agatepick import tablestore
+from agatepick import timeline
+from agatepick import tls
+from agatepick import types
+from agatepick import upstream
+from agatepick import web
+
+LOG = logging.getLogger(__name__)
+
+_INCARNATION_BITS = 63
+_POLL_SHARE = 1 / 6
+_RENEW_SHARE = 0.23
+"""Parts of the fence between reads of the head, and between renewals and
+grants: two of either may fail before a read lease runs out."""
+
+
+Feed = typing.Callable[[object], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Outside:
+    """What a process reaches beyond its own sockets.
+
+    :param table: client of the table service; by URL if ``None``.
+    :param runner: makes what runs an agent's tasks from the agent's feed;
+        by HTTP if ``None``.
+    :param delay: latency added to messages between processes.
+    """
+
+    clock: types.Clock
+    rng: random.Random
+    table: store.Store | None = None
+    runner: typing.Callable[[Feed], upstream.Upstream] | None = None
+    delay: links.Delay | None = None
+
+    @classmethod
+    def real(cls) -> 'Outside':
+        """The machine's clock and randomness; the rest by settings."""
+        rng = random.Random(secrets.randbits(_INCARNATION_BITS))
+        return cls(clocks.ProcessClock.start(), rng)
+
+
+def new_incarnation() -> int:
+    """A number that no earlier process of the same name had."""
+    return secrets.randbits(_INCARNATION_BITS)
+
+
+class Process:
+    """What entries and agents have in common."""
+
+    def __init__(
+        self,
+        cfg: settings.Process,
+        stop_seconds: float,
+        timeline_events: int,
+        outside: Outside,
+    ):
+        self.name = cfg.name
+        self.incarnation = new_incarnation()
+        self.outside = outside
+        self.timeline = timeline.Timeline(
+            cfg.name, timeline_events, outside.clock
+        )
+        self._stop_seconds = stop_seconds
+        self._http: httpserver.HTTPServer | None = None
+        self.shell: shell.Shell
+        self.links: links.Links
+
+    async def run(self) -> None:
+        """Serve until the graceful stop is done."""
+        await self.shell.done.wait()
+        self.kill()
+
+    async def stop(self) -> None:
+        """Stop gracefully; what isn't done in time is cut off."""
+        self.shell.feed(core.StopRequested())
+        try:
+            await asyncio.wait_for(self.shell.done.wait(), self._stop_seconds)
+        except TimeoutError:
+            LOG.warning('event=stop_cut_off process=%s', self.name)
+        self.shell.done.set()
+        # The last messages leave before their connections close.
+        await asyncio.sleep(0)
+        self.kill()
+
+    def kill(self) -> None:
+        """End at once, as a crash would."""
+        self.shell.done.set()
+        self.shell.end()
+        self.links.end()
+        if self._http is not None:
+            self._http.stop()
+
+    def _begin(self, contexts: tls.Contexts, reducer: core.Reducer) -> None:
+        outside = self.outside
+        self.shell = shell.Shell(reducer, outside.clock)
+        self.links = links.Links(
+            self._hello,
+            self.shell.feed,
+            outside.clock,
+            outside.rng,
+            contexts.peer_server,
+            contexts.peer_client,
+            outside.delay,
+        )
+        self.shell.use_links(self.links)
+        self.shell.handle(core.Note, self._note)
+
+    def _hello(self) -> messages.Hello:
+        raise NotImplementedError
+
+    def _note(self, effect: core.Note) -> None:
+        self.timeline.add(effect)
+
+
+class EntryProcess(Process):
+    """One entry."""
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        outside: Outside,
+        policy: str = placement.DEFAULT_POLICY,
+    ):
+        super().__init__(
+            cfg.process,
+            cfg.timing.stop_seconds,
+            cfg.log.timeline_events,
+            outside,
+        )
+        self.cfg = cfg
+        self._policy = policy
+        self._calls_out: set[asyncio.Task[None]] = set()
+        self.member: messages.Member
+        self.entry: entry.Entry
+        self.calls: calls.Calls
+        self.http_address = ''
+
+    @classmethod
+    def from_settings(
+        cls,
+        cfg: settings.EntrySettings,
+        outside: Outside | None = None,
+        policy: str = placement.DEFAULT_POLICY,
+    ) -> 'EntryProcess':
+        """An entry that listens nowhere yet.
+
+        :param policy: placement policy; others than the default are the
+            baselines of the bench.
+        """
+        return cls(cfg, outside or Outside.real(), policy)
+
+    async def start(self, contexts: tls.Contexts | None = None) -> None:
+        """Listen, and begin to follow the configuration."""
+        peers = self.cfg.peers
+        sockets = _bind(peers.listen)
+        address = peers.advertise or _address(sockets)
+        self.member = messages.Member(
+            self.name,
+            self.incarnation,
+            address,
+            self.cfg.process.zone,
+            0.0,
+        )
+        self.entry = entry.Entry.from_config(
+            self._entry_config(), self.outside.rng
+        )
+        self._begin(contexts or _PLAIN, self.entry)
+        self.calls = calls.Calls(self.shell.feed, self.cfg.http.max_open)
+        self.shell.handle(calls.Reply, self.calls.reply)
+        self._use_table()
+        self.links.add_sockets(sockets)
+        self.links.begin()
+        self._listen_http(contexts or _PLAIN)
+        self.shell.begin()
+
+    def _use_table(self) -> None:
+        table = self.outside.table
+        if table is None:
+            table = tablestore.TableStore.from_config(
+                tablestore.TableSettings(_host(self.cfg.store.url)),
+                self.outside.rng,
+            )
+        client = table
+        loop = asyncio.get_running_loop()
+
+        async def carry(effect: store.CallStore) -> None:
+            self.shell.feed(await client.call(effect))
+
+        def call(effect: store.CallStore) -> None:
+            # The loop itself keeps only weak references to its tasks.
+            task = loop.create_task(carry(effect))
+            self._calls_out.add(task)
+            task.add_done_callback(self._calls_out.discard)
+
+        self.shell.handle(store.CallStore, call)
+
+    def _listen_http(self, contexts: tls.Contexts) -> None:
+        front = web.Front(
+            self.name,
+            self.calls,
+            self.outside.clock,
+            self.cfg.http,
+            self.cfg.tokens,
+            self.timeline,
+            lambda: self.entry.ready(self.outside.clock.now()),
+        )
+        routes = [*callers.routes(front), *operators.routes(front)]
+        self._http = web.server(front, routes, contexts.http)
+        sockets = _bind(self.cfg.http.listen)
+        self.http_address = _address(sockets)
+        self._http.add_sockets(sockets)
+
+    def _entry_config(self) -> entry.EntryConfig:
+        timing = self.cfg.timing
+        return entry.EntryConfig(
+            me=self.member,
+            configuration=configuration.ConfigurationSettings(
+                readlease.Rules(timing.fence_seconds, timing.margin_seconds),
+                poll=timing.fence_seconds * _POLL_SHARE,
+                renew=timing.fence_seconds * _RENEW_SHARE,
+                grant=timing.fence_seconds * _RENEW_SHARE,
+                store_timeout=self.cfg.store.timeout_seconds,
+            ),
+            dispatch=dispatch.DispatchSettings(self.name, policy=self._policy),
+            limits=owner.OwnerConfig(
+                retention_seconds=timing.retention_seconds,
+                key_skew_seconds=timing.skew_seconds,
+            ),
+        )
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            self.name,
+            entry.ENTRY,
+            self.incarnation,
+            self.cfg.process.zone,
+            self.cfg.process.rack,
+            self.member.address,
+            self.entry.configuration.version,
+        )
+
+
+class AgentProcess(Process):
+    """One agent, beside its upstream."""
+
+    def __init__(self, cfg: settings.AgentSettings, outside: Outside):
+        super().__init__(
+            cfg.process,
+            cfg.timing.stop_seconds,
+            cfg.log.timeline_events,
+            outside,
+        )
+        self.cfg = cfg
+        self.agent: agent.Agent
+        self.upstream_address = ''
+
+    @classmethod
+    def from_settings(
+        cls, cfg: settings.AgentSettings, outside: Outside | None = None
+    ) -> 'AgentProcess':
+        """An agent that dials nobody yet."""
+        return cls(cfg, outside or Outside.real())
+
+    async def start(self, contexts: tls.Contexts | None = None) -> None:
+        """Take announcements and dial the entries."""
+        self.agent = agent.Agent.from_config(
+            agent.AgentConfig.from_settings(self.cfg),
+            self.incarnation,
+        )
+        self._begin(contexts or _PLAIN, self.agent)
+        self._use_upstream()
+        self._listen_announcements()
+        self.links.begin()
+        self.shell.begin()
+
+    def _use_upstream(self) -> None:
+        make = self.outside.runner or httpupstream.HttpUpstream
+        runner = make(self.shell.feed)
+        self.shell.handle(upstream.RunTask, runner.run)
+        self.shell.handle(upstream.StopTask, runner.stop)
+
+    def _listen_announcements(self) -> None:
+        sockets = _bind(self.cfg.upstream.listen)
+        self.upstream_address = _address(sockets)
+        self._http = announce.server(self.shell.feed, self.cfg.upstream)
+        self._http.add_sockets(sockets)
+
+    def _hello(self) -> messages.Hello:
+        process = self.cfg.process
+        return messages.Hello(
+            self.name,
+            entry.AGENT,
+            self.incarnation,
+            process.zone,
+            process.rack,
+            '',
+            0,
+        )
+
+
+_PLAIN = tls.Contexts(settings.Tls(enabled=False))
+
+
+def _host(url: str) -> str:
+    return url.partition('://')[2]
+
+
+def _bind(address: str) -> list[typing.Any]:
+    host, _, port = address.rpartition(':')
+    return netutil.bind_sockets(int(port), host.strip('[]'))
+
+
+def _address(sockets: list[typing.Any]) -> str:
+    host, port = sockets[0].getsockname()[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
