--- a/src/agatepick/clockwatch.py
+++ b/src/agatepick/clockwatch.py
@@ -10,16 +10,19 @@
     def __init__(self, margin: float):
         self._margin = margin
         self._peers: dict[str, clocks.OffsetEstimate] = {}
+        self._trusted = True
 
     def add(self, peer: str, pong: messages.Pong, now: float) -> None:
         """Take one sample; ``now`` is when the answer arrived."""
         sample = clocks.offset(pong.sent, pong.received, pong.replied, now)
         estimate = self._peers.setdefault(peer, clocks.OffsetEstimate())
         estimate.add(sample)
+        self._judge()
 
     def forget(self, peer: str) -> None:
         """A peer disconnected; the next process of its name is measured."""
         self._peers.pop(peer, None)
+        self._judge()
 
     def agrees(self, peer: str) -> bool:
         """Whether a peer's offset is known and within the margin."""
@@ -32,12 +35,15 @@
 
         A clock that is ahead would stamp the head ahead, and every change
         after it would be in force late by as much: a zone taken out would
-        get tasks for an hour.  Half of the peers or more that surely differ
-        by more than the margin say that it's ours that is wrong.  Between
-        two processes alone nobody can tell, and neither is trusted.
+        get tasks for an hour.  More than half of the peers surely off by
+        more than the margin say that it's ours that is wrong.  Between two
+        processes alone nobody can tell, and neither is trusted.
         """
+        return self._trusted
+
+    def _judge(self) -> None:
         off = sum(self._surely_off(one) for one in self._peers.values())
-        return off == 0 or 2 * off < len(self._peers)
+        self._trusted = 2 * off <= len(self._peers)
 
     def _surely_off(self, estimate: clocks.OffsetEstimate) -> bool:
         best = estimate.best
--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -97,6 +97,7 @@
         self._clocks = clockwatch.ClockWatch(cfg.rules.margin)
         self._calls: dict[int, str] = {}
         self._last_call = 0
+        self._last_write = 0
         self._renewing: cluster.Head | None = None
         self._store_lease = 0.0
         self._lease = 0.0
@@ -210,6 +211,8 @@
     def on_store(self, event: store.StoreAnswered, now: float) -> list[object]:
         """The store answered a call; answers to others' calls are left."""
         purpose = self._calls.pop(event.id, '')
+        if purpose == 'write' and event.id != self._last_write:
+            return []
         match purpose:
             case 'read':
                 return self._on_read(event.answer, now)
@@ -345,7 +348,7 @@
         head = self._known.head
         doubt = self._writer.uncertain()
         # A renewal while our own transaction is on its way would fail it.
-        if self._renewing is not None or self._writer.quiet:
+        if self._renewing is not None or self._writer.writing:
             return []
         listed = self.latest.lists(self._me) and self._clocks.trusted
         old = listed and now - head.stamp >= self._cfg.renew
@@ -440,13 +443,15 @@
         return readlease.live(doubts, self._known.head)
 
     def _grant(self, now: float) -> list[object]:
-        if self._writer.quiet or not self.latest.lists(self._me):
+        if not self.latest.lists(self._me):
             return []
         own = self._writer.uncertain()
         data = b'' if own is None else cluster.encode(own)
         grant = messages.Grant(self.version, now, data)
         effects: list[object] = []
         for one in self._members.others:
+            if not self._writer.may_grant(one.name):
+                continue
             self._granted[one.name] = now
             effects.append(core.Send(one.name, grant))
         return effects
@@ -500,7 +505,9 @@
         stage = self._writer.stage
         request = self._writer.advance(self._peers(now), now)
         if request is not None:
-            return self._call('write', request)
+            effects = self._call('write', request)
+            self._last_write = self._last_call
+            return effects
         return self._read() if self._writer.stage is not stage else []
 
     def _peers(self, now: float) -> proposals.Peers:
--- a/src/agatepick/headreader.py
+++ b/src/agatepick/headreader.py
@@ -75,16 +75,20 @@
                     'snapshot is older than what is known', step='read'
                 )
         else:
-            before = self._known.version
-            for row in headrows.changes_of(rows):
-                self._known.take(row, now)
-            if self._known.version == before:
+            taken = [
+                self._known.take(row, now) for row in headrows.changes_of(rows)
+            ]
+            if not any(taken) and self._behind():
                 return self._ask(headrows.read_snapshot)
         return self._next()
 
+    def _behind(self) -> bool:
+        head = typing.cast(cluster.Head, self._head)
+        return head.version > self._known.version
+
     def _next(self) -> Outcome:
         head = typing.cast(cluster.Head, self._head)
-        if head.version > self._known.version:
+        if self._behind():
             return self._ask(headrows.read_changes(self._known.version))
         self._known.see(head)
         return HeadSeen(head)
--- a/src/agatepick/membership.py
+++ b/src/agatepick/membership.py
@@ -155,6 +155,9 @@
         return [one for one in self._others if self._is_lost(one, now)]
 
     def _is_lost(self, member: messages.Member, now: float) -> bool:
+        if member.name == self._me.name:
+            # Our own listing removes our older incarnation.
+            return False
         peer = self._peers[_id(member)]
         alive = sorted({self._me.name, *self.alive()} - {member.name})
         patience = REMOVE_RANK_SECONDS * alive.index(self._me.name)
--- a/src/agatepick/proposals.py
+++ b/src/agatepick/proposals.py
@@ -93,10 +93,18 @@
         self._unsettled: cluster.Uncertain | None = None
 
     @property
-    def quiet(self) -> bool:
-        """Whether lease grants must not be given now."""
+    def writing(self) -> bool:
+        """Whether an attempt is past the read of the head."""
         return self.stage in (Stage.INTENT, Stage.WRITE)
 
+    def may_grant(self, peer: str) -> bool:
+        """Whether a peer may be given a lease grant now.
+
+        Grants name the change under way as uncertain.  A peer that holds no
+        intent of it yet gets none, so that the wait for it comes to an end.
+        """
+        return self.stage is not Stage.INTENT or peer in self._acked
+
     @property
     def idle(self) -> bool:
         """Whether no proposal waits."""
@@ -106,9 +114,7 @@
         """Our own change that may have been, or may yet be, written."""
         if self._unsettled is not None:
             return self._unsettled
-        if self.stage is Stage.WRITE and self._row is not None:
-            return cluster.Uncertain(self._row, self._base.stamp)
-        return None
+        return self._doubt() if self.writing else None
 
     def submit(
         self, request_id: int, change: cluster.Change, based_on: int | None
@@ -140,7 +146,12 @@
         return self._end('unavailable', reason='the store is too slow')
 
     def settle(self) -> list[object]:
-        """Decide an uncertain change by what is known now, if it can be."""
+        """Decide an uncertain change by what is known now, if it can be.
+
+        A transaction whose answer is awaited may show by its row, too.
+        """
+        if self.stage is Stage.WRITE:
+            return self._look_for_row()
         one = self._unsettled
         if one is None or readlease.live([one], self._known.head):
             return []
@@ -165,7 +176,7 @@
             return []
         proposal = self._queue[0]
         self._tries += 1
-        if self._tries > ATTEMPTS:
+        if self._tries > ATTEMPTS or now >= self._give_up_at:
             return self._end('unavailable', reason='the head keeps moving')
         if peers.may_write:
             return self._end('unavailable', reason=peers.may_write)
@@ -215,15 +226,14 @@
             return []
         if isinstance(answer, store.Committed):
             self._known.take(row, now)
-            effects = self._end('accepted', row.in_force_at, row.version)
-            return effects + self._announce(row)
+            return self._accept()
         if isinstance(answer, exceptions.StoreConflict):
             self.stage = Stage.READ
             return []
         if isinstance(answer, exceptions.StoreUnavailable):
             return self._end('unavailable', reason=answer.show())
         # Repeating it could not tell "already written" from "lost a race".
-        self._unsettled = cluster.Uncertain(row, self._base.stamp)
+        self._unsettled = self._doubt()
         return self._end(
             'unknown',
             row.in_force_at,
@@ -231,6 +241,27 @@
             f"the store's answer was lost: {answer}",
         )
 
+    def _doubt(self) -> cluster.Uncertain | None:
+        if self._row is None:
+            return None
+        return cluster.Uncertain(self._row, self._base.stamp)
+
+    def _look_for_row(self) -> list[object]:
+        """Find out by what was read how the transaction ended."""
+        doubt = self._doubt()
+        if doubt is None or readlease.live([doubt], self._known.head):
+            return []
+        if self._known.row(doubt.row.version) == doubt.row:
+            return self._accept()
+        self.stage = Stage.READ
+        return []
+
+    def _accept(self) -> list[object]:
+        row = self._row
+        assert row is not None
+        effects = self._end('accepted', row.in_force_at, row.version)
+        return effects + self._announce(row)
+
     def _rival(self, proposal: Proposal) -> str:
         latest = self._known.version
         if proposal.based_on is not None:
--- a/src/agatepick/readlease.py
+++ b/src/agatepick/readlease.py
@@ -28,12 +28,12 @@
 2. Leases from peers.  Only a listed entry writes.  The writer ``W`` is one
    of those whose grant the lease needs.  If ``W`` gave that grant before it
    began, then ``in_force_at >= sent + fence``.  If it gave it afterwards,
-   then that transaction was settled: it failed, and never takes effect; or
-   it took effect, and the grant names a version above ``v`` and doesn't
-   extend a lease for ``v``.  If it can't be settled, the grant carries the
-   change as uncertain, and :func:`extend` ends the lease before the
-   ``in_force_at`` of it (of a zone's departure or return, only starts in
-   that zone end: see :func:`zone_bound`).
+   then either that transaction was settled: it failed, and never takes
+   effect; or it took effect, and the grant names a version above ``v`` and
+   doesn't extend a lease for ``v``.  Or it is under way or its answer was
+   lost: then the grant carries the change as uncertain, and :func:`extend`
+   ends the lease before the ``in_force_at`` of it (of a zone's departure or
+   return, only starts in that zone end: see :func:`zone_bound`).
 3. Dead peers.  A process known dead counts as granting for ever if it was
    seen dead while its last grant was good.  ``W`` sends the transaction
    only after each other listed entry acknowledged its intent, or a whole
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -44,7 +44,11 @@
 
 @dataclasses.dataclass
 class StoreMode:
-    """How the store treats requests: ok, refuse, hold or lose (answers)."""
+    """How the store treats requests.
+
+    ``ok``, ``refuse``, ``hold`` (they arrive once the mode is another),
+    ``lose`` (the answer) or, for writes, ``hold_changes``: stamps pass.
+    """
 
     reads: str = 'ok'
     writes: str = 'ok'
@@ -67,6 +71,7 @@
         self.notes = []
         self.permits = []
         self.wire_bytes = 0
+        self._rows = None
         self._heap = []
         self._order = itertools.count()
         self._request = itertools.count(1)
@@ -168,7 +173,7 @@
         self.mode = StoreMode(reads, writes)
         held, self.held = self.held, []
         for kind, step in held:
-            if getattr(self.mode, kind) == 'hold':
+            if getattr(self.mode, kind).startswith('hold'):
                 self.held.append((kind, step))
             else:
                 self.at(self.rng.uniform(0.0, 0.01), step)
@@ -181,6 +186,11 @@
 
     def rows(self):
         """The committed change rows."""
+        if self._rows is None:
+            self._rows = self._read_rows()
+        return self._rows
+
+    def _read_rows(self):
         found = self.table.execute(store.ReadAfter('change', '', 10**6))
         return [
             cluster.decode(one.value, cluster.ChangeRow) for one in found.rows
@@ -283,7 +293,7 @@
             return
         if not node.paused:
             self.feed(name, lambda conf, now: conf.on_tick(now))
-        self.at(0.1, lambda: self._tick(name, incarnation))
+        self.at(0.25, lambda: self._tick(name, incarnation))
 
     def _beat(self):
         for one, other in list(self.up):
@@ -373,6 +383,8 @@
         write = isinstance(call.request, store.Transact)
         kind = 'writes' if write else 'reads'
         mode = getattr(self.mode, kind)
+        if mode == 'hold_changes':
+            mode = 'hold' if len(call.request.puts) > 1 else 'ok'
         if mode == 'refuse' or node.name in self.cut_from_store:
             self._answer(node, call.id, 0.001, _unavailable())
             return
@@ -386,6 +398,8 @@
                 self._answer(node, call.id, 0.0, answer)
 
         def execute():
+            if write:
+                self._rows = None
             try:
                 answer = self.table.execute(call.request)
             except exceptions.StoreError as exc:
@@ -400,6 +414,7 @@
             # An answer that comes after the timeout is for nobody.
             self.at(self.rng.uniform(0.001, 0.01), back)
 
+        execute.request = call.request
         self.at(call.timeout, timed_out)
         if mode == 'hold':
             self.held.append((kind, execute))
