Wire time line, metrics and the agents' operators side into processes

The merged time line must reach agents and tell causes from effects: links now stamp messages by each process's hybrid clock, and an agent may serve its time line to operators who have its token. Gauges go out every ten seconds, requests are counted and timed. The entry's status names the zones of its agents, which the list of zones needs.

--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -58,6 +58,7 @@
     jobs_remembered: int
     forwarded: int
     agents: tuple[str, ...]
+    zones: tuple[str, ...]
     configuration: configuration.ConfigurationStatus
     dispatch: dispatch.DispatchStatus
 
@@ -115,6 +116,9 @@
             jobs_remembered=len(self.owner.jobs),
             forwarded=len(self.forwarding),
             agents=tuple(sorted(self.owner.agents)),
+            zones=tuple(
+                sorted({one.zone for one in self.owner.agents.values()})
+            ),
             configuration=self.configuration.status(now),
             dispatch=self.dispatch.status(now),
         )
--- a/src/agatepick/operators.py
+++ b/src/agatepick/operators.py
@@ -127,9 +127,16 @@
             (r'/v1/zones', Zones),
             (rf'/v1/zones/{_NAME}', Zone),
             (r'/v1/status', Status),
-            (r'/v1/timeline', Timeline),
-            (r'/healthz', Healthz),
         )
+    ] + process_routes(front)
+
+
+def process_routes(front: web.Front) -> list[tornado.routing.URLSpec]:
+    """Routes that any process serves: its time line and its health."""
+    args = {'front': front}
+    return [
+        tornado.routing.URLSpec(r'/v1/timeline', Timeline, args),
+        tornado.routing.URLSpec(r'/healthz', Healthz, args),
     ]
 
 
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -26,6 +26,7 @@
 from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
+from agatepick import metrics
 from agatepick import operators
 from agatepick import owner
 from agatepick import placement
@@ -43,6 +44,7 @@
 LOG = logging.getLogger(__name__)
 
 _INCARNATION_BITS = 63
+GAUGE_SECONDS = 10.0
 _POLL_SHARE = 1 / 6
 _RENEW_SHARE = 0.23
 """Parts of the fence between reads of the head, and between renewals and
@@ -88,6 +90,7 @@
         cfg: settings.Process,
         stop_seconds: float,
         timeline_events: int,
+        statsd: settings.Metrics,
         outside: Outside,
     ):
         self.name = cfg.name
@@ -96,7 +99,9 @@
         self.timeline = timeline.Timeline(
             cfg.name, timeline_events, outside.clock
         )
+        self.metrics = metrics.Metrics.from_config(statsd)
         self._stop_seconds = stop_seconds
+        self._gauging: asyncio.TimerHandle | None = None
         self._http: httpserver.HTTPServer | None = None
         self.shell: shell.Shell
         self.links: links.Links
@@ -123,6 +128,8 @@
         self.shell.done.set()
         self.shell.end()
         self.links.end()
+        if self._gauging is not None:
+            self._gauging.cancel()
         if self._http is not None:
             self._http.stop()
 
@@ -137,15 +144,28 @@
             contexts.peer_server,
             contexts.peer_client,
             outside.delay,
+            self.timeline.hybrid,
         )
         self.shell.use_links(self.links)
         self.shell.handle(core.Note, self._note)
+        self._gauge()
 
     def _hello(self) -> messages.Hello:
         raise NotImplementedError
 
     def _note(self, effect: core.Note) -> None:
         self.timeline.add(effect)
+        self.metrics.noted(effect)
+
+    def _gauge(self) -> None:
+        """Send the gauges, again and again."""
+        traffic = self.links.traffic
+        self.metrics.gauge('links.messages_out', traffic.messages_out)
+        self.metrics.gauge('links.messages_in', traffic.messages_in)
+        self.metrics.gauge('links.bytes_out', traffic.bytes_out)
+        self.metrics.gauge('links.bytes_in', traffic.bytes_in)
+        loop = asyncio.get_running_loop()
+        self._gauging = loop.call_later(GAUGE_SECONDS, self._gauge)
 
 
 class EntryProcess(Process):
@@ -161,6 +181,7 @@
             cfg.process,
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
+            cfg.metrics,
             outside,
         )
         self.cfg = cfg
@@ -239,6 +260,7 @@
             self.cfg.tokens,
             self.timeline,
             lambda: self.entry.ready(self.outside.clock.now()),
+            self.metrics,
         )
         routes = [*callers.routes(front), *operators.routes(front)]
         self._http = web.server(front, routes, contexts.http)
@@ -284,11 +306,14 @@
             cfg.process,
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
+            cfg.metrics,
             outside,
         )
         self.cfg = cfg
         self.agent: agent.Agent
         self.upstream_address = ''
+        self.operators_address = ''
+        self._operators: httpserver.HTTPServer | None = None
 
     @classmethod
     def from_settings(
@@ -306,6 +331,8 @@
         self._begin(contexts or _PLAIN, self.agent)
         self._use_upstream()
         self._listen_announcements()
+        if self.cfg.operators.listen:
+            self._listen_operators(contexts or _PLAIN)
         self.links.begin()
         self.shell.begin()
 
@@ -321,6 +348,30 @@
         self._http = announce.server(self.shell.feed, self.cfg.upstream)
         self._http.add_sockets(sockets)
 
+    def _listen_operators(self, contexts: tls.Contexts) -> None:
+        """Serve the time line; everything else is asked of entries."""
+        cfg = self.cfg.operators
+        front = web.Front(
+            self.name,
+            calls.Calls(self.shell.feed),
+            self.outside.clock,
+            settings.Http(cfg.listen),
+            settings.Tokens(cfg.token),
+            self.timeline,
+            statsd=self.metrics,
+        )
+        routes = operators.process_routes(front)
+        self._operators = web.server(front, routes, contexts.http)
+        sockets = _bind(cfg.listen)
+        self.operators_address = _address(sockets)
+        self._operators.add_sockets(sockets)
+
+    def kill(self) -> None:
+        """End at once, as a crash would."""
+        super().kill()
+        if self._operators is not None:
+            self._operators.stop()
+
     def _hello(self) -> messages.Hello:
         process = self.cfg.process
         return messages.Hello(
--- a/src/agatepick/settings.py
+++ b/src/agatepick/settings.py
@@ -106,7 +106,7 @@
     """
 
     listen: Address
-    advertise: Address | typing.Literal[''] = ''
+    advertise: Address = ''
     plain_beyond_loopback: bool = False
 
     @property
@@ -180,7 +180,7 @@
 class Metrics:
     """Where statsd metrics go, over UDP; empty sends none."""
 
-    statsd: Address | typing.Literal[''] = ''
+    statsd: Address = ''
     prefix: str = 'agatepick'
 
 
@@ -223,6 +223,15 @@
     plain_beyond_loopback: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operators:
+    """HTTP side on which an agent shows its time line; empty is none."""
+
+    listen: Address = ''
+    token: Token = ''
+    plain_beyond_loopback: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings of ``agatepick agent``."""
@@ -230,6 +239,7 @@
     process: Process
     entries: Entries
     upstream: Upstreams
+    operators: Operators = Operators()
     tls: Tls = Tls()
     timing: Timing = Timing()
     metrics: Metrics = Metrics()
--- a/src/agatepick/settings_files.py
+++ b/src/agatepick/settings_files.py
@@ -92,9 +92,9 @@
     """Faults of values that are sound alone but not together."""
     faults = []
     tls = getattr(cfg, 'tls', None)
-    for name in ('http', 'peers', 'upstream'):
+    for name in ('http', 'peers', 'upstream', 'operators'):
         section = getattr(cfg, name, None)
-        if section is not None and section.listen is not None:
+        if section is not None and section.listen:
             faults += _bind_faults(name, section, tls)
     if tls is not None:
         faults += _tls_faults(cfg, tls)
@@ -106,6 +106,12 @@
     if isinstance(cfg, settings.AgentSettings) and cfg.entries is not None:
         if cfg.entries.seeds == ():
             faults.append('entries.seeds: found []; allowed: one or more')
+    if isinstance(cfg, settings.AgentSettings) and cfg.operators is not None:
+        if cfg.operators.listen and cfg.operators.token == '':
+            faults.append(
+                'operators.token: found nothing with operators.listen; '
+                'allowed: text of 16 to 512 characters'
+            )
     return faults
 
 
@@ -131,7 +137,7 @@
     if not tls.enabled:
         return []
     wanted = ['peer_certificate', 'peer_key', 'peer_authority']
-    if isinstance(cfg, settings.EntrySettings):
+    if isinstance(cfg, settings.EntrySettings) or _shows_timeline(cfg):
         wanted += ['http_certificate', 'http_key']
     return [
         f'tls.{name}: found nothing with tls.enabled = true; '
@@ -141,6 +147,11 @@
     ]
 
 
+def _shows_timeline(cfg: object) -> bool:
+    section = getattr(cfg, 'operators', None)
+    return section is not None and bool(section.listen)
+
+
 def _with_paths(
     cfg: typing.Any, base: pathlib.Path, faults: list[str]
 ) -> typing.Any:
--- a/src/agatepick/web.py
+++ b/src/agatepick/web.py
@@ -20,6 +20,7 @@
 from agatepick import calls
 from agatepick import exceptions
 from agatepick import logs
+from agatepick import metrics
 from agatepick import settings
 from agatepick import types
 
@@ -58,6 +59,7 @@
     tokens: settings.Tokens
     timeline: Timelike
     ready: typing.Callable[[], bool] = lambda: True
+    statsd: metrics.Metrics = metrics.Metrics()
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -355,6 +357,11 @@
 
 
 def _log_request(handler: tornado.web.RequestHandler) -> None:
+    if isinstance(handler, Handler):
+        sent = handler.front.statsd
+        sent.count('http.requests', f'{handler.get_status() // 100}xx')
+        sent.seconds('http.seconds', handler.request.request_time())
+        sent.gauge('http.open', len(handler.front.calls))
     logs.event(
         _log,
         logging.DEBUG,
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -91,6 +91,21 @@
     assert any(fault in line for line in found), found
 
 
+def test_an_agent_that_shows_its_time_line_needs_a_token():
+    text = (
+        '[process]\nname = "a"\nzone = "z"\n[entries]\nseeds = []\n'
+        '[upstream]\nlisten = "127.0.0.1:1"\n[tls]\nenabled = false\n'
+        '[operators]\nlisten = "10.0.0.1:2"\n'
+    )
+    found = faults(text, settings.AgentSettings)
+    starts = sorted(line.split(': found')[0] for line in found)
+    assert starts == [
+        'entry.toml: entries.seeds',
+        'entry.toml: operators.listen',
+        'entry.toml: operators.token',
+    ]
+
+
 def test_a_file_that_cannot_be_read_is_named(tmp_path):
     with pytest.raises(exceptions.BadSettings, match='nowhere.toml'):
         settings_files.load(tmp_path / 'nowhere.toml', settings.EntrySettings)
