--- /dev/null
+++ b/tests/sessions.py
@@ -0,0 +1,365 @@
+"""Whole sessions in virtual time: real reducers, fakes at the interfaces.
+
+Entries and agents are the product's reducers.  The network delivers every
+message after a fixed time, the table service is the stand-in's memory, and a
+worker takes the seconds that a task's payload names.  What goes over the
+network or to a caller is written down, a line each, with the periodic
+messages left out.
+"""
+
+import heapq
+import itertools
+import json
+import random
+
+from agatepick import agent
+from agatepick import calls
+from agatepick import cluster
+from agatepick import configuration
+from agatepick import core
+from agatepick import dispatch
+from agatepick import entry
+from agatepick import exceptions
+from agatepick import messages
+from agatepick import standin_table
+from agatepick import store
+from agatepick import types
+from agatepick import upstream
+
+START = 1_800_000_000.0
+NETWORK = 0.001
+WRITE = 0.005
+TICK = 0.25
+REDIAL = 0.5
+PERIODIC = (
+    messages.Ask,
+    messages.Changes,
+    messages.ChangesWanted,
+    messages.Grant,
+    messages.Offer,
+    messages.QuotaAsk,
+    messages.QuotaGrant,
+)
+CAPACITY = types.Needs(16.0, 65536, 0)
+
+
+class Process:
+    """One process: its reducer, and whether it lives."""
+
+    def __init__(self, name, role, zone, reducer):
+        self.name = name
+        self.role = role
+        self.zone = zone
+        self.reducer = reducer
+        self.incarnation = 1
+        self.alive = True
+
+    def hello(self):
+        return messages.Hello(
+            self.name, self.role, 1, self.zone, '', f'{self.name}:1', 0
+        )
+
+
+class Session:
+    """Two entries, an agent in each of three zones, one table service."""
+
+    def __init__(self):
+        self.now = START
+        self.lines = []
+        self.telling = False
+        self.table = standin_table.MemoryTable()
+        self.replies = {}
+        self.answers = []
+        self.starts = []
+        self.processes = {}
+        self._events = []
+        self._order = itertools.count()
+        self._calls = itertools.count(1)
+        self._jobs = {}
+        self._specs = {}
+        self._wakes = {}
+        self._up = set()
+        self._dials = set()
+        for place, name in enumerate(('entry-1', 'entry-2')):
+            self._add_entry(name, 'ab'[place], place)
+        for name, zone in (('a-1', 'a'), ('b-1', 'b'), ('c-1', 'c')):
+            self._add_agent(name, zone)
+        self.run(8.0)
+        self.telling = True
+        self._began = self.now
+
+    def run(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            self.now, _, step = heapq.heappop(self._events)
+            step()
+        self.now = until
+
+    def submit(self, name, tasks, at='entry-1', timeout=10.0, kind='slot'):
+        """A caller hands in tasks of so many seconds each."""
+        job = types.JobSpec(
+            self._key(name),
+            'team',
+            tuple(
+                types.TaskSpec(f't{index}', kind, json.dumps(one).encode())
+                for index, one in enumerate(tasks)
+            ),
+            self.now + timeout,
+            digest=name.encode(),
+        )
+        self._specs[name] = job
+        self.submit_again(name, at)
+
+    def submit_again(self, name, at):
+        """The caller hands in the same job, under the same key."""
+        job = self._specs[name]
+        self._call(at, lambda number: calls.JobSubmitted(number, job), name)
+
+    def owner_of(self, name):
+        """The entry that sent a job's tasks to agents."""
+        for line in self.lines:
+            words = line.split()
+            if words[4:5] == ['Starts'] and words[5] == name:
+                return words[1]
+        raise AssertionError(f'nobody owns {name}')
+
+    def propose(self, change, at='entry-1', based_on=None):
+        """An operator proposes a change."""
+        self._call(
+            at,
+            lambda number: calls.ChangeProposed(number, change, based_on),
+            f'{type(change).__name__} {cluster.subject(change)}',
+        )
+
+    def kill(self, name):
+        """End a process at once."""
+        self._tell(f'{name} is killed')
+        self.processes[name].alive = False
+        for pair in [one for one in self._up if name in one]:
+            self._up.discard(pair)
+            (other,) = pair - {name}
+            self._feed(other, core.PeerDown(name, 1, False))
+
+    def _key(self, name):
+        self._jobs[name] = len(self._jobs) + 1
+        stamp = f'{int(self.now * 1000):012x}'
+        number = self._jobs[name]
+        key = f'{stamp[:8]}-{stamp[8:]}-7000-8000-{number:012x}'
+        self._jobs[key] = name
+        return key
+
+    def _call(self, at, make, what):
+        number = next(self._calls)
+        self._tell(f'caller > {at}: {what}')
+        self.replies[number] = what
+        self._at(0.0, lambda: self._feed(at, make(number)))
+
+    def _add_entry(self, name, zone, seed):
+        me = messages.Member(name, 1, f'{name}:1', zone, 0.0)
+        cfg = entry.EntryConfig(
+            me,
+            configuration.ConfigurationSettings(),
+            dispatch.DispatchSettings(),
+        )
+        made = entry.Entry.from_config(cfg, random.Random(seed))
+        self._add(Process(name, 'entry', zone, made))
+
+    def _add_agent(self, name, zone):
+        seeds = ('entry-1:1', 'entry-2:1')
+        made = agent.Agent.from_config(
+            agent.AgentConfig(name, zone, seeds=seeds), 1
+        )
+        self._add(Process(name, 'agent', zone, made))
+        self._announce(name)
+
+    def _announce(self, name):
+        offer = upstream.Announced('s', ('slot',), 2, CAPACITY, 'url', 5.0)
+        self._feed(name, offer)
+        self._at(1.0, lambda: self._announce(name))
+
+    def _add(self, process):
+        self.processes[process.name] = process
+        self._tick(process.name)
+
+    def _tick(self, name):
+        self._feed(name, core.Tick())
+        self._at(TICK, lambda: self._tick(name))
+
+    def _wake(self, name, at):
+        at = max(at, self.now + NETWORK)
+        if at >= self._wakes.get(name, float('inf')):
+            return
+        self._wakes[name] = at
+
+        def tick():
+            if self._wakes.get(name) == at:
+                del self._wakes[name]
+                self._feed(name, core.Tick())
+
+        self._at(at - self.now, tick)
+
+    def _at(self, seconds, step):
+        heapq.heappush(
+            self._events, (self.now + seconds, next(self._order), step)
+        )
+
+    def _feed(self, name, event):
+        process = self.processes[name]
+        if not process.alive:
+            return
+        for effect in process.reducer.reduce(event, self.now):
+            self._carry_out(process, effect)
+
+    def _carry_out(self, process, effect):
+        name = process.name
+        match effect:
+            case core.Send(peer, message):
+                self._send(name, peer, message)
+            case core.Dial(peer, address) if (
+                name,
+                address,
+            ) not in self._dials:
+                self._dials.add((name, address))
+                self._at(0.0, lambda: self._dial(name, address))
+            case core.Note(event, fields):
+                told = ' '.join(f'{key}={val}' for key, val in fields)
+                self._tell(f'{name}: {event} {self._named(told)}')
+            case core.WakeAt(at):
+                self._wake(name, at)
+            case calls.Reply(number, answer):
+                self._reply(name, number, answer)
+            case store.CallStore():
+                self._store(name, effect)
+            case upstream.RunTask():
+                self._start(name, effect)
+            case upstream.StopTask():
+                self._tell(f'{name} > worker: stop {effect.index}')
+
+    def _dial(self, name, address):
+        """Connect, and again after the connection or the try has failed."""
+        if not self.processes[name].alive:
+            return
+        peer = address.partition(':')[0]
+        pair = frozenset((name, peer))
+        if pair not in self._up and self.processes[peer].alive:
+            self._connect(pair)
+        elif not self.processes[peer].alive:
+            self._feed(name, core.PeerDown(peer, 0, True))
+        self._at(REDIAL, lambda: self._dial(name, address))
+
+    def _connect(self, pair):
+        self._up.add(pair)
+        for one, two in itertools.permutations(sorted(pair)):
+            hello = self.processes[two].hello()
+            self._feed(one, core.PeerUp(hello))
+            pong = messages.Pong(self.now, self.now, self.now)
+            self._feed(one, core.Received(two, pong))
+
+    def _send(self, name, peer, message):
+        if frozenset((name, peer)) not in self._up:
+            return
+        if not isinstance(message, PERIODIC):
+            self._tell(f'{name} > {peer}: {self._shown(message)}')
+        data = messages.encode(message)
+
+        def arrive():
+            if frozenset((name, peer)) in self._up:
+                received = core.Received(name, messages.decode(data))
+                self._feed(peer, received)
+
+        self._at(NETWORK, arrive)
+
+    def _start(self, name, effect):
+        seconds = json.loads(effect.payload)
+        self._tell(
+            f'{name} > worker: run {self._jobs[effect.job]} {effect.index}'
+        )
+        self.starts.append(
+            (self.now, self.processes[name].zone, effect.job, effect.index)
+        )
+        ended = upstream.TaskEnded(
+            effect.job,
+            effect.index,
+            effect.attempt,
+            types.TaskState.FINISHED,
+            b'{}',
+            '',
+            seconds,
+        )
+        self._at(seconds, lambda: self._feed(name, ended))
+
+    def _store(self, name, call):
+        def execute():
+            try:
+                answer = self.table.execute(call.request)
+            except exceptions.StoreError as exc:
+                answer = exc
+            self._feed(name, store.StoreAnswered(call.id, answer))
+
+        self._at(WRITE, execute)
+
+    def _reply(self, name, number, answer):
+        what = self.replies[number]
+        if isinstance(answer, types.JobAnswer):
+            self.answers.append(answer)
+        if isinstance(answer, cluster.Proposed):
+            told = f'{answer.verdict}, version {answer.version}'
+            if answer.verdict == 'accepted':
+                told += f', in force at {self._time(answer.in_force_at)}'
+        else:
+            told = ' '.join(
+                [answer.status.value, answer.code]
+                + [f'{one.id}={one.outcome.value}' for one in answer.tasks]
+            )
+        self._tell(f'{name} > caller: {what}: {told}')
+
+    def _shown(self, message):
+        kind = type(message).__name__
+        match message:
+            case messages.Starts():
+                tasks = self._refs(message.tasks)
+                before = self._time(message.start_before)
+                return f'{kind} {tasks} before {before}'
+            case messages.Results():
+                tasks = ' '.join(
+                    f'{self._jobs[one.job]} {one.index} {one.state}'
+                    for one in message.reports
+                )
+                return f'{kind} {tasks}'.rstrip()
+            case messages.Settle():
+                return f'{kind} {self._refs(message.tasks)}'
+            case messages.Forward():
+                return f'{kind} {message.action} {self._jobs[message.key]}'
+            case messages.StopJob():
+                return f'{kind} {self._jobs[message.job]} {message.action}'
+            case messages.Members():
+                names = ' '.join(
+                    one.name for one in message.entries if not one.removed_at
+                )
+                return f'{kind} version {message.version}: {names}'
+            case messages.Intent() | messages.IntentAck():
+                return f'{kind} on version {message.version}'
+            case messages.Orphans():
+                tasks = ' '.join(
+                    f'{self._jobs[one.job]} {one.index} {one.state}'
+                    for one in message.reports
+                )
+                return f'{kind} of {message.owner}: {tasks}'.rstrip()
+        return kind
+
+    def _refs(self, refs):
+        return ' '.join(f'{self._jobs[one.job]} {one.index}' for one in refs)
+
+    def _named(self, text):
+        for key, name in self._jobs.items():
+            if isinstance(name, str):
+                text = text.replace(key, name)
+        return text
+
+    def _time(self, instant):
+        return f'{instant - self._began:.3f}'
+
+    def _tell(self, text):
+        if self.telling:
+            self.lines.append(f'{self.now - self._began:8.3f} {text}')
