Tell the way of each task in the time line

The time line had the stages of jobs but not where and when a task was sent, started and ended, which is what one looks for after a fault. Owners and agents now keep a small mark for each, made into events only when read.

--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -138,7 +138,7 @@
         self.shell = shell.Shell(reducer, outside.clock)
         self.links = links.Links(
             self._hello,
-            self.shell.feed,
+            self._take,
             outside.clock,
             outside.rng,
             contexts.peer_server,
@@ -147,12 +147,22 @@
             self.timeline.hybrid,
         )
         self.shell.use_links(self.links)
+        self.shell.handle(core.Send, self._send)
         self.shell.handle(core.Note, self._note)
         self._gauge()
 
     def _hello(self) -> messages.Hello:
         raise NotImplementedError
 
+    def _send(self, effect: core.Send) -> None:
+        self.timeline.add_tasks(timeline.sent(effect.peer, effect.message))
+        self.links.send(effect.peer, effect.message)
+
+    def _take(self, event: object) -> None:
+        if isinstance(event, core.Received):
+            self.timeline.add_tasks(timeline.taken(event.peer, event.message))
+        self.shell.feed(event)
+
     def _note(self, effect: core.Note) -> None:
         self.timeline.add(effect)
         self.metrics.noted(effect)
@@ -313,6 +323,7 @@
         self.agent: agent.Agent
         self.upstream_address = ''
         self.operators_address = ''
+        self._runner: upstream.Upstream
         self._operators: httpserver.HTTPServer | None = None
 
     @classmethod
@@ -338,10 +349,30 @@
 
     def _use_upstream(self) -> None:
         make = self.outside.runner or httpupstream.HttpUpstream
-        runner = make(self.shell.feed)
-        self.shell.handle(upstream.RunTask, runner.run)
+        runner = make(self._take_ended)
+        self._runner = runner
+        self.shell.handle(upstream.RunTask, self._run_task)
         self.shell.handle(upstream.StopTask, runner.stop)
 
+    def _run_task(self, effect: upstream.RunTask) -> None:
+        self._mark('task_started', effect, '')
+        self._runner.run(effect)
+
+    def _take_ended(self, event: object) -> None:
+        if isinstance(event, upstream.TaskEnded):
+            self._mark('task_ended', event, event.state)
+        self.shell.feed(event)
+
+    def _mark(
+        self,
+        name: str,
+        task: upstream.RunTask | upstream.TaskEnded,
+        state: str,
+    ) -> None:
+        mark = timeline.TaskMark(task.job, task.index, task.attempt, state)
+        zone = self.cfg.process.zone
+        self.timeline.add_tasks(timeline.TaskNote(name, '', zone, (mark,)))
+
     def _listen_announcements(self) -> None:
         sockets = _bind(self.cfg.upstream.listen)
         self.upstream_address = _address(sockets)
--- a/src/agatepick/timeline.py
+++ b/src/agatepick/timeline.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import dataclasses
 import heapq
 import logging
 import typing
@@ -17,6 +18,7 @@
 from agatepick import core
 from agatepick import exceptions
 from agatepick import logs
+from agatepick import messages
 from agatepick import types
 
 MICROSECONDS = 1_000_000
@@ -63,9 +65,11 @@
 
     def concerns(self, job: str, task: str, zone: str) -> bool:
         """Whether the event is about what is named; empty is anything."""
-        return all(
-            not wanted or self.fields.get(name) == wanted
-            for name, wanted in (('job', job), ('task', task), ('zone', zone))
+        fields = self.fields
+        return (
+            (not job or fields.get('job') == job)
+            and (not task or fields.get('task') == task)
+            and (not zone or zone in _zones(fields))
         )
 
     def show(self) -> str:
@@ -74,6 +78,53 @@
         return f'{self.at:.6f} {self.process} {fields}'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskMark:
+    """One task in a :class:`TaskNote`, by its index in the job."""
+
+    job: types.JobKey
+    index: int
+    attempt: int
+    state: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskNote:
+    """What befell some tasks at once; an event for each when it is read.
+
+    Thousands of tasks a second pass through an entry, so what is kept of
+    them is small and is made into events only for whoever looks.
+    """
+
+    name: str
+    peer: str
+    zone: str
+    marks: tuple[TaskMark, ...]
+
+
+def sent(peer: str, message: messages.Message) -> TaskNote | None:
+    """What sending a message means for tasks, if anything."""
+    if not isinstance(message, messages.Starts):
+        return None
+    marks = tuple(
+        [TaskMark(one.job, one.index, one.attempt) for one in message.tasks]
+    )
+    return TaskNote('task_sent', peer, '', marks)
+
+
+def taken(peer: str, message: messages.Message) -> TaskNote | None:
+    """What a message that came in means for tasks, if anything."""
+    if not isinstance(message, messages.Results) or not message.reports:
+        return None
+    marks = tuple(
+        [
+            TaskMark(one.job, one.index, one.attempt, one.state)
+            for one in message.reports
+        ]
+    )
+    return TaskNote('task_reported', peer, '', marks)
+
+
 class Timeline:
     """The last events of one process.
 
@@ -85,8 +136,8 @@
         self.hybrid = HybridClock(clock)
         self._process = process
         self._clock = clock
-        self._kept: collections.deque[tuple[int, float, core.Note]] = (
-            collections.deque(maxlen=capacity)
+        self._kept: collections.deque[_Kept] = collections.deque(
+            maxlen=capacity
         )
 
     def __len__(self) -> int:
@@ -94,16 +145,29 @@
 
     def add(self, note: core.Note) -> None:
         """Keep an event, and log it."""
-        self._kept.append((self.hybrid.stamp(), self._clock.now(), note))
+        self._keep(note)
         logs.noted(_log, note)
 
+    def add_tasks(self, note: TaskNote | None) -> None:
+        """Keep what befell tasks; shown in the log only for debugging."""
+        if note is None:
+            return
+        self._keep(note)
+        if _log.isEnabledFor(logging.DEBUG):
+            for name, fields in _told(note):
+                logs.event(_log, logging.DEBUG, name, **fields)
+
+    def _keep(self, what: core.Note | TaskNote) -> None:
+        self._kept.append(_Kept(self.hybrid.stamp(), self._clock.now(), what))
+
     def events(
         self, job: str = '', task: str = '', zone: str = ''
     ) -> list[Event]:
         """Kept events about a job, task and zone, oldest first."""
         events = (
-            Event(stamp, at, self._process, note.name, dict(note.fields))
-            for stamp, at, note in self._kept
+            Event(kept.stamp, kept.at, self._process, name, fields)
+            for kept in self._kept
+            for name, fields in _told(kept.what)
         )
         return [one for one in events if one.concerns(job, task, zone)]
 
@@ -116,6 +180,41 @@
         ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    stamp: int
+    at: float
+    what: core.Note | TaskNote
+
+
+def _told(
+    what: core.Note | TaskNote,
+) -> list[tuple[str, dict[str, str]]]:
+    """Names and fields of the events that one kept thing stands for."""
+    if isinstance(what, core.Note):
+        return [(what.name, dict(what.fields))]
+    return [(what.name, _task_fields(what, mark)) for mark in what.marks]
+
+
+def _task_fields(note: TaskNote, mark: TaskMark) -> dict[str, str]:
+    fields = {
+        'job': mark.job,
+        'task': str(mark.index),
+        'attempt': str(mark.attempt),
+        'state': mark.state,
+        'peer': note.peer,
+        'zone': note.zone,
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
+def _zones(fields: dict[str, str]) -> tuple[str, str]:
+    """Zones that an event is about: by its field, or by its subject."""
+    subject = fields.get('about', '')
+    named = subject.removeprefix('zone:') if ':' in subject else ''
+    return fields.get('zone', ''), named
+
+
 def merge(parts: typing.Iterable[list[Event]]) -> list[Event]:
     """Events of several processes in causal order."""
     return list(heapq.merge(*parts, key=lambda one: (one.stamp, one.process)))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,9 +1,12 @@
+import asyncio
+
 import pytest
 
 from agatepick import core
 from agatepick import exceptions
 from agatepick import timeline
 from tests import conftest
+from tests import whole
 
 
 def test_an_effect_never_comes_before_its_cause():
@@ -47,3 +50,35 @@
     )
     with pytest.raises(exceptions.BadMessage):
         timeline.parse(b'{"stamp": "x"}')
+
+
+def test_a_zones_changes_are_found_by_its_name():
+    line = timeline.Timeline('entry-1', 10, conftest.FixedClock(100.0))
+    line.add(core.note('change_accepted', about='zone:talca'))
+    line.add(core.note('change_accepted', about='preset'))
+    assert len(line.events(zone='talca')) == 1
+    assert line.events(zone='curico') == []
+
+
+def test_the_way_of_one_task_is_told_over_all_processes():
+    async def main():
+        async with whole.cluster(agents=1) as cluster:
+            code, answer = await cluster.call(
+                cluster.entries[0], 'POST', '/v1/jobs', whole.job(3)
+            )
+            assert code == 200
+            processes = [*cluster.entries, *cluster.agents]
+            found = [
+                timeline.parse(
+                    b'\n'.join(one.timeline.lines(answer['job'], '1'))
+                )
+                for one in processes
+            ]
+            return [one.event for one in timeline.merge(found)]
+
+    assert asyncio.run(main()) == [
+        'task_sent',
+        'task_started',
+        'task_ended',
+        'task_reported',
+    ]
