Send heartbeats only where a peer is silent

Cause: every connection sent a ping each second both ways, 24% of all messages at 80% load. Change: a ping goes out when nothing was heard for a second, or when the clock sample is 30 s old.

--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -37,6 +37,9 @@
 SILENCE_SECONDS = 5.0
 """Five missed heartbeats: longer than a garbage collection or a busy loop,
 shorter than what a caller waits."""
+SAMPLE_SECONDS = 30.0
+"""Age at which a clock sample is renewed where messages flow anyway.  Two
+clocks that drift apart by 200 parts in a million differ by 6 ms more then."""
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
 YIELD_SECONDS = 0.25
@@ -99,6 +102,7 @@
         self.stream = stream
         self.hello: messages.Hello | None = None
         self.heard_at = 0.0
+        self._pinged_at = 0.0
         self._traffic = traffic
         self._stamps = stamps
 
@@ -119,6 +123,16 @@
         # The reader notices a closed stream; nobody awaits this future.
         fut.add_done_callback(lambda done: done.exception())
 
+    def ping(self, now: float) -> None:
+        """Ask for a sign of life and a clock sample."""
+        self._pinged_at = now
+        self.send(messages.Ping(now))
+
+    def needs_ping(self, now: float) -> bool:
+        """Whether the peer has been silent, or its clock sample is old."""
+        silent = now - self.heard_at >= HEARTBEAT_SECONDS
+        return silent or now - self._pinged_at >= SAMPLE_SECONDS
+
     async def receive(self) -> messages.Message:
         """The next message.
 
@@ -291,7 +305,7 @@
             dead = before != hello.incarnation
             self._feed(core.PeerDown(hello.name, before, dead))
         self._feed(core.PeerUp(hello))
-        conn.send(messages.Ping(self._clock.now()))
+        conn.ping(self._clock.now())
 
     def _lost(self, conn: Connection, hello: messages.Hello) -> None:
         if self._peers.get(hello.name) is conn:
@@ -378,5 +392,5 @@
             for conn in list(self._peers.values()):
                 if now - conn.heard_at > SILENCE_SECONDS:
                     conn.stream.close()
-                else:
-                    conn.send(messages.Ping(now))
+                elif conn.needs_ping(now):
+                    conn.ping(now)
