Cut a killed entry's callers off, and find the best clock sample once

Change: kill closes the connections; stop leaves time for the last answers; the best sample is kept. Conclusion: callers are cut and ask elsewhere; the bench names the first doubled tasks.

--- a/src/agatepick/bench_run.py
+++ b/src/agatepick/bench_run.py
@@ -21,6 +21,7 @@
 from agatepick import bench_plan
 from agatepick import bench_player
 from agatepick import bench_report
+from agatepick import bench_truth
 from agatepick import bench_upstream
 from agatepick import clocks
 from agatepick import cluster
@@ -157,6 +158,7 @@
         'store_writes': site.table.counts.writes,
         'failed_steps': len(player.step_errors),
         'step_errors': '; '.join(player.step_errors) or None,
+        'second_starts': bench_truth.second_starts(evidence) or None,
     }
     figures |= {
         f'answers_{code}': count
--- a/src/agatepick/bench_truth.py
+++ b/src/agatepick/bench_truth.py
@@ -17,6 +17,7 @@
 from agatepick import types
 
 TASK_PREFIX = 't'
+TRACED = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +62,22 @@
     )
 
 
+def second_starts(evidence: bench_evidence.Evidence) -> str:
+    """The first few tasks that were started twice, for a person to trace."""
+    doubled = [
+        pair for pair, count in key_starts(evidence.runs).items() if count > 1
+    ]
+    return '; '.join(
+        f'{key}/{task}: '
+        + ', '.join(
+            f'worker {run.worker} at {run.start:.3f}'
+            for run in evidence.runs
+            if (run.key, run.task) == (key, task)
+        )
+        for key, task in doubled[:TRACED]
+    )
+
+
 def late_starts(evidence: bench_evidence.Evidence) -> list[bench_evidence.Run]:
     """Starts in a zone while its departure was in force."""
     return [
--- a/src/agatepick/clocks.py
+++ b/src/agatepick/clocks.py
@@ -79,14 +79,13 @@
     """
 
     def __init__(self) -> None:
+        self.best = UNKNOWN
+        """The sample with the least error; :data:`UNKNOWN` if none."""
         self._samples: list[Offset] = []
 
     def add(self, sample: Offset) -> None:
         """Take one more sample."""
         self._samples.append(sample)
         del self._samples[:-SAMPLES_KEPT]
-
-    @property
-    def best(self) -> Offset:
-        """The sample with the least error; :data:`UNKNOWN` if none."""
-        return min(self._samples, key=lambda one: one.error, default=UNKNOWN)
+        # Asked for at every start, so found once a sample and kept.
+        self.best = min(self._samples, key=lambda one: one.error)
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -42,6 +42,7 @@
 
 LOG = logging.getLogger(__name__)
 
+LAST_ANSWERS_SECONDS = 0.1
 _INCARNATION_BITS = 63
 _POLL_SHARE = 1 / 6
 _RENEW_SHARE = 0.23
@@ -98,6 +99,7 @@
         )
         self._stop_seconds = stop_seconds
         self._http: httpserver.HTTPServer | None = None
+        self._closing: asyncio.Task[None] | None = None
         self.shell: shell.Shell
         self.links: links.Links
 
@@ -114,8 +116,8 @@
         except TimeoutError:
             LOG.warning('event=stop_cut_off process=%s', self.name)
         self.shell.done.set()
-        # The last messages leave before their connections close.
-        await asyncio.sleep(0)
+        # The last messages and answers leave before their connections close.
+        await asyncio.sleep(LAST_ANSWERS_SECONDS)
         self.kill()
 
     def kill(self) -> None:
@@ -125,6 +127,12 @@
         self.links.end()
         if self._http is not None:
             self._http.stop()
+            # Callers of a dead process must see a broken connection and ask
+            # elsewhere; one left open would let them wait for ever.
+            loop = asyncio.get_running_loop()
+            self._closing = loop.create_task(
+                self._http.close_all_connections()
+            )
 
     def _begin(self, contexts: tls.Contexts, reducer: core.Reducer) -> None:
         outside = self.outside
