Let whole-cluster tests begin only once each entry has its lease

A test of a dying agent hung in about one run of fourteen, and with it every landing behind it: its job was refused as not run, for the entry was listed but had not read the head since, and the test waits for starts for ever. The rig now waits for the lease as well; nothing that a test checks is changed.

--- a/tests/whole.py
+++ b/tests/whole.py
@@ -91,7 +91,9 @@
         status = process.entry.status(now)
         listed = len(status.configuration.entries) == len(self.entries)
         all_agents = len(status.agents) == len(self.agents)
-        return status.ready and listed and all_agents and status.dispatch.slots
+        leased = status.configuration.lease_seconds > 0
+        serves = status.ready and leased and status.dispatch.slots
+        return serves and listed and all_agents
 
     async def call(self, process, method, path, body=None, **headers):
         """One HTTP request; its status and JSON."""
