Name the address that a program cannot listen at

An address in use showed as an unforeseen OSError that asked for a report. It is now a fault of the settings: one line with the address and what to do, exit status 2.

--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -23,6 +23,7 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
+from agatepick import exceptions
 from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
@@ -425,7 +426,14 @@
 
 def _bind(address: str) -> list[typing.Any]:
     host, _, port = address.rpartition(':')
-    return netutil.bind_sockets(int(port), host.strip('[]'))
+    try:
+        return netutil.bind_sockets(int(port), host.strip('[]'))
+    except OSError as exc:
+        raise exceptions.BadSettings(
+            f'{address}: cannot listen: {exc.strerror}; free the address or '
+            f'set another',
+            step='listen',
+        ) from exc
 
 
 def _address(sockets: list[typing.Any]) -> str:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import logging
 import threading
 
 import pytest
@@ -96,6 +97,26 @@
     assert len(json.loads(capsys.readouterr().out)['faults']) == 6
 
 
+def test_an_address_in_use_is_named(capsys, tmp_path):
+    """An operator starts an agent where another process listens."""
+    (sock,) = conftest.bound()
+    address = '127.0.0.1:%d' % sock.getsockname()[1]
+    path = tmp_path / 'agent.toml'
+    path.write_text(
+        '[process]\nname = "a"\nzone = "z"\n[tls]\nenabled = false\n'
+        f'[entries]\nseeds = ["127.0.0.1:9"]\n'
+        f'[upstream]\nlisten = "{address}"\n'
+    )
+    before = logging.getLogger().handlers[:]
+    try:
+        assert cli.main(['agent', f'--config={path}']) == 2
+    finally:
+        logging.getLogger().handlers[:] = before
+        sock.close()
+    error = capsys.readouterr().err.splitlines()[-1]
+    assert address in error and 'cannot listen' in error
+
+
 @pytest.mark.parametrize(
     'run, status',
     [('complete', 0), ('not_run', 3), ('failed', 4)],
