List every change that an operator may propose in the OpenAPI document

The document told of POST /v1/config but not what its body is. It now names each kind of change that operators may propose, from the code's own types; entries list themselves.

--- a/src/agatepick/openapi.py
+++ b/src/agatepick/openapi.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from agatepick import cluster
 from agatepick import job_bodies
 from agatepick import operators
 from agatepick import web
@@ -21,7 +22,14 @@
 _REF = '#/components/schemas/{name}'
 _Json = dict[str, typing.Any]
 
+CHANGES: tuple[type, ...] = tuple(
+    one
+    for one in typing.get_args(cluster.Change)
+    if one is not cluster.EntryListed
+)
+"""Changes that an operator may propose; entries list themselves."""
 BODIES: tuple[type, ...] = (
+    *CHANGES,
     job_bodies.JobBody,
     job_bodies.JobReply,
     operators.ConfigReply,
@@ -123,6 +131,14 @@
     return operation
 
 
+def _any_change() -> _Json:
+    refs = [_ref(one) for one in CHANGES]
+    return {
+        'required': True,
+        'content': {web.JSON: {'schema': {'oneOf': refs}}},
+    }
+
+
 def _caller_paths() -> _Json:
     job = job_bodies.JobReply
     answers: dict[int, tuple[str, type | None]] = {
@@ -164,7 +180,10 @@
                 'The configuration, with its version as ETag',
                 {200: ('the configuration', operators.ConfigReply)},
             ),
-            'post': _operation('Any change', verdict, headers=match),
+            'post': {
+                **_operation('Any change', verdict, headers=match),
+                'requestBody': _any_change(),
+            },
         },
         '/v1/presets': {
             'get': _operation(
