Show a job going all the way under TLS

Contexts were tested alone; whether links, HTTP server and client use them was not. An entry, an agent and the client now run a job with certificates of one authority on every side.

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,5 +1,8 @@
 import asyncio
+import dataclasses
 import datetime
+import ipaddress
+import random
 import ssl
 
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -9,10 +12,18 @@
 from cryptography.x509 import oid
 import pytest
 
+from agatepick import client
+from agatepick import clocks
 from agatepick import exceptions
+from agatepick import processes
 from agatepick import settings
+from agatepick import standin_table
+from agatepick import standin_upstream
 from agatepick import tls
+from agatepick import types
+from agatepick import upstream
 
+LOOPBACK = x509.IPAddress(ipaddress.ip_address('127.0.0.1'))
 START = datetime.datetime(2020, 1, 1)
 END = datetime.datetime(2100, 1, 1)
 
@@ -59,6 +70,7 @@
             .add_extension(
                 x509.BasicConstraints(ca=is_authority, path_length=None), True
             )
+            .add_extension(x509.SubjectAlternativeName([LOOPBACK]), False)
             .sign(self.key, hashes.SHA256())
         )
         return cert.public_bytes(serialization.Encoding.PEM)
@@ -133,3 +145,78 @@
         contexts.reload()
     shown = name_shown(contexts.peer_server, contexts.peer_client)
     assert asyncio.run(shown) == 'first'
+
+
+@pytest.fixture
+def secured(ours):
+    """Settings of an entry and an agent with TLS on all sides."""
+    cfg = ours.settings('agatepick')
+    cfg = dataclasses.replace(
+        cfg, http_certificate=cfg.peer_certificate, http_key=cfg.peer_key
+    )
+    anywhere = '127.0.0.1:0'
+
+    def build(table):
+        entry = settings.EntrySettings(
+            process=settings.Process('entry-1', 'z'),
+            http=settings.Http(anywhere),
+            peers=settings.Peers(anywhere),
+            store=settings.Store(f'http://{table.address}'),
+            tokens=settings.Tokens('x' * 16),
+            tls=cfg,
+        )
+
+        def agent(seed):
+            return settings.AgentSettings(
+                process=settings.Process('agent-1', 'z'),
+                entries=settings.Entries((seed,)),
+                upstream=settings.Upstreams(anywhere),
+                tls=cfg,
+            )
+
+        return entry, agent
+
+    return build
+
+
+def test_a_job_goes_all_the_way_under_tls(ours, secured):
+    async def main():
+        table = await standin_table.TableServer.start()
+        entry_cfg, agent_cfg = secured(table)
+        contexts = tls.Contexts.from_config(entry_cfg.tls)
+        entry = processes.EntryProcess.from_settings(entry_cfg)
+        await entry.start(contexts)
+        made = []
+
+        def runner(feed):
+            offer = upstream.Announced(
+                's', ('k',), 2, types.Needs(1.0, 1), '', 5.0
+            )
+            worker = standin_upstream.StandIn()
+            made.append(standin_upstream.LocalUpstream(worker, feed, offer))
+            return made[0]
+
+        outside = processes.Outside(
+            clocks.ProcessClock.start(), random.Random(1), runner=runner
+        )
+        agent = processes.AgentProcess.from_settings(
+            agent_cfg(entry.member.address), outside
+        )
+        await agent.start(contexts)
+        made[0].begin()
+        caller = client.Client(
+            [f'https://{entry.http_address}'],
+            tls=tls.caller_context(str(ours.file)),
+        )
+        try:
+            task = client.Task('a', 'k', {'seconds': 0.0})
+            return await caller.submit(
+                client.Job((task,), team='t', timeout_seconds=60.0)
+            )
+        finally:
+            caller.close()
+            agent.kill()
+            entry.kill()
+            await table.stop()
+
+    assert asyncio.run(main()).complete
