--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -23,6 +23,7 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
+from agatepick import exceptions
 from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
@@ -43,6 +44,7 @@
 
 LOG = logging.getLogger(__name__)
 
+LAST_ANSWERS_SECONDS = 0.1
 _INCARNATION_BITS = 63
 GAUGE_SECONDS = 10.0
 _POLL_SHARE = 1 / 6
@@ -103,6 +105,7 @@
         self._stop_seconds = stop_seconds
         self._gauging: asyncio.TimerHandle | None = None
         self._http: httpserver.HTTPServer | None = None
+        self._closing: asyncio.Task[None] | None = None
         self.shell: shell.Shell
         self.links: links.Links
 
@@ -119,8 +122,8 @@
         except TimeoutError:
             LOG.warning('event=stop_cut_off process=%s', self.name)
         self.shell.done.set()
-        # The last messages leave before their connections close.
-        await asyncio.sleep(0)
+        # The last messages and answers leave before their connections close.
+        await asyncio.sleep(LAST_ANSWERS_SECONDS)
         self.kill()
 
     def kill(self) -> None:
@@ -132,6 +135,12 @@
             self._gauging.cancel()
         if self._http is not None:
             self._http.stop()
+            # Callers of a dead process must see a broken connection and ask
+            # elsewhere; one left open would let them wait for ever.
+            loop = asyncio.get_running_loop()
+            self._closing = loop.create_task(
+                self._http.close_all_connections()
+            )
 
     def _begin(self, contexts: tls.Contexts, reducer: core.Reducer) -> None:
         outside = self.outside
@@ -425,7 +434,14 @@
 
 def _bind(address: str) -> list[typing.Any]:
     host, _, port = address.rpartition(':')
-    return netutil.bind_sockets(int(port), host.strip('[]'))
+    try:
+        return netutil.bind_sockets(int(port), host.strip('[]'))
+    except OSError as exc:
+        raise exceptions.BadSettings(
+            f'{address}: cannot listen: {exc.strerror}; free the address or '
+            f'set another',
+            step='listen',
+        ) from exc
 
 
 def _address(sockets: list[typing.Any]) -> str:
