Answer a lost entry's jobs at the entries that take over its keys

Cause: an entry that dies leaves jobs whose tasks may have started; its successor knew nothing of them and would have run them again. Change: the successor keeps what agents report of the lost entry's tasks, holds callers off until all have told, and adopts a resubmitted job: results are collected, running tasks awaited, what nobody reports is unknown. Reports carry a digest of the task, so that another body under the key is refused.

--- a/src/agatepick/answers.py
+++ b/src/agatepick/answers.py
@@ -14,6 +14,8 @@
 CODE_UNKNOWN_JOB = 'unknown_job'
 CODE_NO_LEASE = 'no_lease'
 CODE_STOPPING = 'stopping'
+CODE_TAKEN_OVER = 'taken_over'
+GATHERING_RETRY_SECONDS = 0.5
 
 
 def encode(answer: types.JobAnswer) -> bytes:
@@ -102,6 +104,34 @@
     )
 
 
+def gathering(key: types.JobKey, peer: types.PeerName) -> types.JobAnswer:
+    """The answer while agents still report what a lost entry started."""
+    return types.JobAnswer(
+        key,
+        types.JobStatus.PENDING,
+        code=CODE_TAKEN_OVER,
+        reason="the job's entry was lost; its tasks are being collected",
+        step='takeover',
+        peer=peer,
+        retry_after=GATHERING_RETRY_SECONDS,
+    )
+
+
+def submit_again(key: types.JobKey, peer: types.PeerName) -> types.JobAnswer:
+    """The answer to a question after a job that only its tasks tell of."""
+    return types.JobAnswer(
+        key,
+        types.JobStatus.PENDING,
+        code=CODE_TAKEN_OVER,
+        reason=(
+            "the job's entry was lost; submit the job again under its key "
+            'to get its answer'
+        ),
+        step='takeover',
+        peer=peer,
+    )
+
+
 _KEY_FAULTS = {
     ownership.KeyFault.MALFORMED: 'the key is not a canonical UUIDv7',
     ownership.KeyFault.EXPIRED: (
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -142,6 +142,7 @@
         return {
             messages.Results: self.owner.on_results,
             messages.Offer: self.owner.on_offer,
+            messages.Orphans: self.owner.on_orphans,
             messages.Forward: self._on_forward,
             messages.Forwarded: self._on_forwarded,
             messages.QuotaAsk: self.dispatch.quotas.on_message,
@@ -222,6 +223,9 @@
         known = self.owner.known(spec, waiter)
         if known is None:
             known = self.owner.check_key(spec, waiter, now)
+        if known is None:
+            members = self.configuration.in_force(now).entries
+            known = self.owner.adopt(spec, waiter, members, now)
         if known is not None:
             return known
         if self._stopping:
--- a/src/agatepick/jobs.py
+++ b/src/agatepick/jobs.py
@@ -48,11 +48,13 @@
     """One task of an owned job.
 
     :param agent: where it was started; empty while it is queued.
+    :param adopted: started for an entry that has been removed.
     """
 
     agent: types.PeerName = ''
     incarnation: int = 0
     attempt: int = 0
+    adopted: bool = False
     answer: types.TaskAnswer | None = None
 
 
--- a/src/agatepick/ledger.py
+++ b/src/agatepick/ledger.py
@@ -10,6 +10,8 @@
 import collections.abc
 import dataclasses
 
+import xxhash
+
 from agatepick import messages
 from agatepick import ownership
 from agatepick import types
@@ -33,6 +35,12 @@
 )
 
 
+def task_digest(team: str, kind: str, payload: bytes) -> bytes:
+    """Tells a task from another one under the same key and index."""
+    head = f'{team}\0{kind}\0'.encode()
+    return xxhash.xxh3_128_digest(head + payload)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
     """An entry in one of its lives."""
@@ -48,6 +56,7 @@
     body: bytes = b''
     reason: str = ''
     seconds: float = 0.0
+    digest: bytes = b''
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,13 +118,15 @@
 
     def start(
         self,
-        ref: messages.TaskRef | messages.StartTask,
+        start: messages.StartTask,
         owner: Owner,
         now: float,
     ) -> None:
         """Record that an attempt starts; :meth:`known` allowed it."""
-        job = self._touch(ref.job, owner, now)
-        self._put(job, ref.index, _Task(ref.attempt, types.TaskState.RUNNING))
+        job = self._touch(start.job, owner, now)
+        task = _Task(start.attempt, types.TaskState.RUNNING)
+        task.digest = task_digest(start.team, start.kind, start.payload)
+        self._put(job, start.index, task)
         job.running += 1
 
     def refuse(
@@ -209,7 +220,9 @@
             if job.owner == owner:
                 for index, task in job.tasks.items():
                     if task.state in _STARTED:
-                        yield _report(key, index, task)
+                        yield dataclasses.replace(
+                            _report(key, index, task), digest=task.digest
+                        )
 
     def forget(self, now: float) -> None:
         """Drop the records whose keys nobody serves any more."""
--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -82,6 +82,7 @@
   body @4 :Data;
   reason @5 :Text;
   seconds @6 :Float64;
+  digest @7 :Data;
 }
 
 struct Results {
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -85,7 +85,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskReport:
-    """What an agent knows of one task; ``state`` is a ``TaskState``."""
+    """What an agent knows of one task; ``state`` is a ``TaskState``.
+
+    :param digest: tells a task from another of its index; only in
+        :class:`Orphans`.
+    """
 
     job: str
     index: int
@@ -94,6 +98,7 @@
     body: bytes = b''
     reason: str = ''
     seconds: float = 0.0
+    digest: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -16,6 +16,7 @@
 from agatepick import jobs
 from agatepick import messages
 from agatepick import ownership
+from agatepick import takeover
 from agatepick import types
 
 STOP = 'stop'
@@ -56,6 +57,9 @@
         dispatcher: dispatch.Dispatch,
     ):
         self.jobs = jobs.Jobs(cfg.retention_seconds)
+        self.takeover = takeover.Takeover(
+            name, cfg.retention_seconds, cfg.key_skew_seconds
+        )
         self.agents: dict[types.PeerName, messages.Hello] = {}
         self._name = name
         self._incarnation = incarnation
@@ -102,6 +106,31 @@
         answer = answers.bad_key(spec.key, fault, self._name)
         return answers.deliver((waiter,), answer)
 
+    def adopt(
+        self,
+        spec: types.JobSpec,
+        waiter: jobs.Waiter,
+        members: takeover.Members,
+        now: float,
+    ) -> list[object] | None:
+        """Take over a lost entry's job; ``None`` if the key is new."""
+        if not self.takeover.concerns(spec.key, members):
+            return None
+        if not self.takeover.gathered(spec.key, members, self.agents, now):
+            answer = answers.gathering(spec.key, self._name)
+            return answers.deliver((waiter,), answer)
+        if not self.takeover.fits(spec):
+            answer = answers.key_reused(spec.key, self._name)
+            return answers.deliver((waiter,), answer)
+        job = self.jobs.add(spec, now)
+        job.waiters.append(waiter)
+        heapq.heappush(self._deadlines, (spec.deadline, spec.key))
+        takeover.adopt(job, self.takeover.take(spec.key), self.agents)
+        return [
+            core.note('job_adopted', job=spec.key, open=job.open),
+            *self._settle(job, now),
+        ]
+
     def submit(
         self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
     ) -> list[object]:
@@ -142,6 +171,8 @@
         job = self.jobs.get(key)
         if job is None or job.spec.team != team:
             answer = self.jobs.refusal(key)
+            if answer is None and self.takeover.reported(key):
+                answer = answers.submit_again(key, self._name)
             answer = answer or answers.unknown_job(key, self._name)
             return answers.deliver((waiter,), answer)
         return answers.deliver((waiter,), job.answer or job.pending())
@@ -171,6 +202,15 @@
 
     # Agents.
 
+    def on_orphans(
+        self, peer: types.PeerName, message: messages.Orphans, now: float
+    ) -> list[object]:
+        """Take an agent's reports on the tasks of a removed entry."""
+        hello = self.agents.get(peer)
+        if hello is not None:
+            self.takeover.on_orphans(peer, hello.incarnation, message)
+        return []
+
     def agent_up(self, hello: messages.Hello, now: float) -> list[object]:
         """Settle what is open with an agent that has connected."""
         name = hello.name
@@ -244,7 +284,10 @@
         self, agent: types.PeerName, report: messages.TaskReport, now: float
     ) -> list[object]:
         job = self.jobs.get(report.job)
-        if job is None or report.index >= len(job.tasks):
+        if job is None:
+            self.takeover.on_result(agent, report)
+            return []
+        if report.index >= len(job.tasks):
             return []
         record = job.tasks[report.index]
         # An old report may cross with a later attempt elsewhere.
@@ -289,9 +332,11 @@
     ) -> list[object]:
         outcome = _OUTCOMES[types.TaskState(report.state)]
         ok = outcome == types.Outcome.FINISHED
-        self._dispatch.ended(
-            agent, job.spec, report.index, ok, report.seconds, now
-        )
+        # The slot of an adopted task was never leased to this entry.
+        if not job.tasks[report.index].adopted:
+            self._dispatch.ended(
+                agent, job.spec, report.index, ok, report.seconds, now
+            )
         job.end_task(
             report.index, outcome, report.body, report.reason, 'run', agent
         )
@@ -304,6 +349,7 @@
     def on_tick(self, now: float) -> list[object]:
         """Forget old jobs; give up on agents that stay away."""
         self.jobs.forget(now)
+        self.takeover.forget(now)
         effects: list[object] = []
         for name, until in list(self._lost_agents.items()):
             if until <= now:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -23,7 +23,7 @@
     """
     found = book()
     job = agents.key()
-    found.start(ref(job), OWNER, NOW)
+    found.start(agents.task(job), OWNER, NOW)
     found.end(job, 0, FINISHED, NOW + 1)
     now = NOW
     while len(found):
@@ -40,7 +40,7 @@
     """
     found = book()
     job = agents.key()
-    found.start(ref(job), OWNER, NOW)
+    found.start(agents.task(job), OWNER, NOW)
     for step in range(30):
         found.forget(NOW + 100 * step)
     assert found.known(ref(job), NOW + 3000).state == types.TaskState.RUNNING
@@ -76,7 +76,7 @@
     found = book(max_body_bytes=100)
     jobs = [agents.key(seed) for seed in range(3)]
     for job in jobs:
-        found.start(ref(job), OWNER, NOW)
+        found.start(agents.task(job), OWNER, NOW)
         found.end(job, 0, FINISHED, NOW, b'x' * 40)
     reports = {one.job: one for one in found.started_for(OWNER)}
     assert [reports[job].state for job in jobs] == [
