Refuse wrong bench and demo options as usage

A mistyped pattern or option of the bench showed as an unforeseen error, or was ignored. Each now names what was found and what is allowed, with exit status 2.

--- a/src/agatepick/cli.py
+++ b/src/agatepick/cli.py
@@ -34,6 +34,7 @@
 import fire.core
 import fire.decorators
 
+from agatepick import bench_plan
 from agatepick import cluster
 from agatepick import commands
 from agatepick import exceptions
@@ -41,6 +42,17 @@
 from agatepick import settings_files
 
 Run = typing.Callable[[], commands.Output]
+SLOPES = 'slopes'
+BENCH_OPTIONS = (
+    'seed',
+    'seconds',
+    'load',
+    'deployment',
+    'policy',
+    'json',
+    'plot',
+    'baselines',
+)
 _TEXT_NAMES = (
     'config',
     'entry',
@@ -245,14 +257,21 @@
 
     @_text
     def bench(self, pattern: str = '', **options: typing.Any) -> None:
-        """Play a pattern of load and measure it against the ideal."""
-        self._run = lambda: _other('bench', 'run_command', pattern, **options)
+        """Play a pattern of load and measure it against the ideal.
+
+        Options: --seed, --seconds, --load, --deployment, --policy, --json,
+        --plot=FILE, --baselines.  The pattern "slopes" measures costs.
+        """
+        self._run = lambda: _bench(pattern, options)
 
     def demo(self, seconds: float = 20.0, json: bool = False) -> None:
         """Show the whole system at work in one process."""
-        self._run = lambda: _other(
-            'demo', 'run_command', seconds=seconds, as_json=json
-        )
+
+        def run() -> commands.Output:
+            _check_number('--seconds', seconds)
+            return _other('demo', 'run_command', seconds, json)
+
+        self._run = run
 
     def version(self, json: bool = False) -> None:
         """The version of agatepick."""
@@ -415,6 +434,44 @@
     return commands.Output(f'{file}: sound settings of agatepick {kind}')
 
 
+def _bench(pattern: str, options: dict[str, typing.Any]) -> commands.Output:
+    patterns = [one.value for one in bench_plan.Pattern]
+    if pattern not in (*patterns, SLOPES):
+        raise exceptions.BadUsage(
+            f'bench: found {pattern!r}; allowed: {", ".join(patterns)}, '
+            f'{SLOPES}'
+        )
+    if pattern != SLOPES:
+        _check_bench(options)
+    return _other('bench', 'run_command', pattern, **options)
+
+
+def _check_bench(options: dict[str, typing.Any]) -> None:
+    for name in options:
+        if name not in BENCH_OPTIONS:
+            raise exceptions.BadUsage(
+                f'bench: found --{name}; allowed: '
+                f'{", ".join(f"--{one}" for one in BENCH_OPTIONS)}'
+            )
+    for name in ('seed', 'seconds', 'load'):
+        if name in options:
+            _check_number(f'--{name}', options[name])
+    deployment = options.get('deployment', 'lectores')
+    if deployment not in bench_plan.DEPLOYMENTS:
+        raise exceptions.BadUsage(
+            f'--deployment: found {deployment!r}; allowed: '
+            f'{", ".join(bench_plan.DEPLOYMENTS)}'
+        )
+
+
+def _check_number(name: str, value: object) -> None:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 < float(typing.cast(float, value)) <= 86400:
+        raise exceptions.BadUsage(
+            f'{name}: found {value!r}; allowed: a number over 0, up to 86400'
+        )
+
+
 def _other(
     module: str, function: str, *args: typing.Any, **kwargs: typing.Any
 ) -> commands.Output:
