--- /dev/null
+++ b/tests/test_entries_and_agents.py
@@ -0,0 +1,358 @@
+"""Entries, agents and workers as reducers, under an adverse network."""
+
+import collections
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from agatepick import agent
+from agatepick import calls
+from agatepick import cluster
+from agatepick import configuration
+from agatepick import core
+from agatepick import dispatch
+from agatepick import entry
+from agatepick import messages
+from agatepick import takeover
+from agatepick import types
+from agatepick import upstream
+from tests import agents
+from tests import test_at_most_once
+
+FENCE = 3.0
+LEASE = 2.75
+FLYING = 25
+MOVES = 300
+JOBS = 4
+TASKS = 2
+
+
+class FakeConfiguration:
+    """What an entry knows of the cluster, while it can read the store."""
+
+    left = False
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+        self._read_at = world.now
+        self._known = list(world.configs)
+
+    @property
+    def version(self):
+        return self.in_force(self._world.now).version
+
+    def in_force(self, now):
+        return [one for one in self._known if one.in_force_at <= now][-1]
+
+    def lease_until(self, now):
+        return self._read_at + LEASE
+
+    def start_before(self, zone, now):
+        return self.lease_until(now)
+
+    def serving(self, now):
+        listed = self.in_force(now).member(self._name) is not None
+        return listed and now < self.lease_until(now)
+
+    def zone_open(self, zone, now):
+        return True
+
+    def on_tick(self, now):
+        self._read_at = now
+        self._known = list(self._world.configs)
+        return []
+
+    def on_peer_up(self, hello, now):
+        return []
+
+    def on_peer_down(self, event, now):
+        return []
+
+    def on_message(self, peer, message, now):
+        return []
+
+
+class Node:
+    """An entry or agent, with what the network knows of it."""
+
+    def __init__(self, world, name, role):
+        self.world = world
+        self.name = name
+        self.role = role
+        self.incarnation = 1
+        self.paused = False
+        self.dead = False
+        self.running = {}
+        self.reducer = None
+
+    def hello(self):
+        return messages.Hello(
+            self.name, self.role, self.incarnation, 'z', self.name, '', 0
+        )
+
+    def feed(self, event):
+        if self.dead:
+            return
+        for effect in self.reducer.reduce(event, self.world.now):
+            if isinstance(effect, core.Send):
+                self.world.post(self, effect)
+            elif isinstance(effect, calls.Reply):
+                self.world.answered(effect.answer)
+            elif isinstance(effect, upstream.RunTask):
+                self.running[effect.job, effect.index] = effect
+                self.world.starts[effect.job, effect.index] += 1
+
+    def end(self, number):
+        keys = sorted(self.running)
+        if keys:
+            key = keys[number % len(keys)]
+            effect = self.running.pop(key)
+            self.world.finished.add(key)
+            state = types.TaskState.FINISHED
+            self.feed(upstream.TaskEnded(*key, effect.attempt, state, b'1'))
+
+
+class World:
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.now = agents.NOW
+        self.flying = []
+        self.starts = collections.Counter()
+        self.finished = set()
+        self.not_run = set()
+        self.jobs = {}
+        self.statuses = collections.Counter()
+        members = tuple(agents.member(name) for name in 'abc')
+        self.configs = [cluster.ClusterConfig(1, 0.0, entries=members)]
+        self.entries = [self.entry(one) for one in members]
+        self.agents = [Node(self, name, 'agent') for name in 'xy']
+        for one in self.agents:
+            self.begin(one)
+        self.nodes = {one.name: one for one in self.entries + self.agents}
+        for one in self.agents:
+            self.connect_all(one)
+        self.drain()
+
+    def entry(self, member):
+        node = Node(self, member.name, 'entry')
+        cfg = entry.EntryConfig(
+            member,
+            configuration.ConfigurationSettings(),
+            dispatch.DispatchSettings(member.name),
+        )
+        node.reducer = entry.Entry.from_config(cfg, random.Random(1))
+        fake = FakeConfiguration(self, member.name)
+        node.reducer.configuration = fake
+        node.reducer.owner._config = fake
+        for name in 'abc':
+            if name != member.name:
+                other = messages.Hello(name, 'entry', 1, 'z', '', '', 0)
+                node.feed(core.PeerUp(other))
+        return node
+
+    def begin(self, node):
+        cfg = agent.AgentConfig(node.name)
+        node.reducer = agent.Agent.from_config(cfg, node.incarnation)
+        session = f'{node.name}{node.incarnation}'
+        node.feed(agents.announced(session, slots=3, term=1e6))
+
+    def connect_all(self, node):
+        for one in self.entries:
+            self.connect(one, node)
+
+    def connect(self, one, node):
+        if one.dead or one.paused:
+            return
+        node.feed(core.PeerUp(one.hello()))
+        pong = messages.Pong(self.now, self.now, self.now)
+        node.feed(core.Received(one.name, pong))
+        one.feed(core.PeerUp(node.hello()))
+
+    def disconnect(self, one, node):
+        if one.dead or one.paused:
+            return
+        node.feed(core.PeerDown(one.name, one.incarnation))
+        if node.name in one.reducer.owner.agents:
+            one.feed(core.PeerDown(node.name, node.incarnation))
+
+    def post(self, node, effect):
+        self.flying.append((node.name, effect.peer, effect.message))
+        del self.flying[:-FLYING]
+
+    def drain(self):
+        while self.flying:
+            self.deliver(0)
+
+    def deliver(self, number, keep=False):
+        if not self.flying:
+            return
+        at = number % len(self.flying)
+        source, target, message = self.flying[at]
+        node = self.nodes[target]
+        if node.paused:
+            return
+        if not keep:
+            del self.flying[at]
+        known = node.role == 'agent' or self.nodes[source].role == 'entry'
+        if known or source in node.reducer.owner.agents:
+            node.feed(core.Received(source, message))
+
+    def submit(self, one, number):
+        if one.dead or one.paused:
+            return
+        number %= JOBS
+        if number not in self.jobs:
+            tasks = tuple(
+                types.TaskSpec(f't{index}', 'k') for index in range(TASKS)
+            )
+            key = agents.key(self.rng.randrange(1 << 40), self.now)
+            self.jobs[number] = types.JobSpec(key, 'team', tasks, 0.0)
+        spec = dataclasses.replace(self.jobs[number], deadline=self.now + 60)
+        one.feed(calls.JobSubmitted(0, spec))
+
+    def answered(self, answer):
+        self.statuses[answer.status.value, answer.code] += 1
+        keys = [(answer.key, index) for index in range(TASKS)]
+        if answer.status == types.JobStatus.COMPLETE:
+            assert self.finished >= set(keys)
+        elif answer.status == types.JobStatus.NOT_RUN:
+            self.not_run.update(keys)
+        for key, task in zip(keys, answer.tasks):
+            if task.outcome == types.Outcome.NOT_RUN:
+                self.not_run.add(key)
+            elif task.outcome == types.Outcome.FINISHED:
+                assert key in self.finished
+
+    def remove(self, one):
+        """The entry's removal is written, and in force after the fence."""
+        latest = self.configs[-1]
+        if len(latest.listed()) == 1 or latest.member(one.name) is None:
+            return
+        at = self.now + FENCE
+        entries = tuple(
+            dataclasses.replace(member, removed_at=at)
+            if member.name == one.name
+            else member
+            for member in latest.entries
+        )
+        self.configs.append(
+            cluster.ClusterConfig(latest.version + 1, at, entries=entries)
+        )
+
+    def restart_agent(self, node):
+        for one in self.entries:
+            self.disconnect(one, node)
+        node.incarnation += 1
+        node.running.clear()
+        self.begin(node)
+        self.connect_all(node)
+
+    def tick(self, seconds):
+        self.now += seconds
+        for node in self.nodes.values():
+            if not node.paused:
+                node.feed(core.Tick())
+
+    def step(self):
+        kind = self.rng.choice(_KINDS)
+        number = self.rng.randrange(1 << 20)
+        one = self.rng.choice(self.entries)
+        node = self.rng.choice(self.agents)
+        if kind in ('deliver', 'copy'):
+            self.deliver(number, keep=kind == 'copy')
+        elif kind == 'lose' and self.flying:
+            del self.flying[number % len(self.flying)]
+        elif kind == 'submit':
+            self.submit(one, number)
+        elif kind == 'end':
+            node.end(number)
+        elif kind == 'tick':
+            self.tick(number % 6 / 10)
+        elif kind == 'reconnect':
+            self.disconnect(one, node)
+            self.connect(one, node)
+        elif kind == 'remove':
+            self.remove(one)
+        elif kind == 'kill':
+            one.dead = True
+        elif kind == 'pause':
+            one.paused = True
+        elif kind == 'resume':
+            one.paused = False
+        elif kind == 'restart_agent':
+            self.restart_agent(node)
+        assert all(count == 1 for count in self.starts.values())
+        assert not self.not_run & self.starts.keys()
+
+
+_KINDS = [
+    *['deliver'] * 24,
+    *['submit', 'end', 'tick'] * 6,
+    *['copy', 'lose', 'reconnect', 'pause', 'remove'],
+    *['resume'] * 2,
+    *['kill', 'restart_agent'],
+]
+
+
+def play(seed):
+    world = World(seed)
+    for _ in range(MOVES):
+        world.step()
+    return world
+
+
+seeds = st.integers(0, 2**32 - 1)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(seeds)
+def test_jobs_survive_the_loss_of_their_entries_without_a_second_start(seed):
+    """Entries are killed, paused past their removal, and come back.
+
+    Messages are lost, copied and out of order, and callers submit again to
+    any entry.  No task may start twice, no "not run" be false, and no job
+    be called complete that isn't.
+    """
+    play(seed)
+
+
+def serve_as_new(monkeypatch):
+    monkeypatch.setattr(
+        takeover.Takeover, 'concerns', lambda *args, **more: False
+    )
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        serve_as_new,
+        test_at_most_once.forget_refusals,
+        test_at_most_once.start_copies,
+    ],
+)
+def test_the_property_notices_each_broken_rule(broken, monkeypatch):
+    """A check that can't fail would prove nothing.
+
+    A successor that runs a lost entry's jobs anew, or an agent that forgets
+    what it refused or started, must be caught.
+    """
+    broken(monkeypatch)
+
+    def fails(seed):
+        try:
+            play(seed)
+        except AssertionError:
+            return True
+        return False
+
+    cfg = hypothesis.settings(
+        max_examples=400,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+    )
+    hypothesis.find(seeds, fails, settings=cfg, random=random.Random(1))
