--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -17,6 +17,7 @@
 from agatepick import messages
 from agatepick import ownership
 from agatepick import types
+from agatepick import zones
 
 STOP = 'stop'
 REASON_AGENT_LOST = 'agent_lost'
@@ -387,7 +388,7 @@
     def _zone_share(self, zone: str, now: float) -> float:
         if self._config.start_before(zone, now) <= now:
             return 0.0
-        return 1.0
+        return zones.share(self._config.in_force(now).zone(zone), now)
 
     def _starts(self, placement: dispatch.Placement, now: float) -> core.Send:
         zone = self.agents[placement.agent].zone
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,22 @@
+from agatepick import cluster
+from agatepick import zones
+
+
+def test_a_zone_that_never_left_has_all_its_slots():
+    assert zones.share(None, 10.0) == 1.0
+    assert zones.share(cluster.Zone('a', True, 5.0), 10.0) == 0.0
+
+
+def test_a_returned_zone_does_not_take_the_whole_queue_at_once():
+    """Operators return a zone while a queue waits for slots.
+
+    Without the ramp its cold upstreams get all of it, and callers wait for
+    the slowest.
+    """
+    back = cluster.Zone('a', False, 100.0)
+    instants = [100.0 + tenth / 10 for tenth in range(30)]
+    shares = [zones.share(back, now) for now in instants]
+    assert shares[0] == zones.FIRST_SHARE
+    assert shares == sorted(shares)
+    assert shares[-10:] == [1.0] * 10
+    assert len(set(shares)) <= zones.STEPS
