Own keys at once that were minted after their owner died

Change: whoever knows the process to be provably gone leaves it out of the choice for keys minted after that, which it can't have taken; a hash argument and a property test show that two live entries never both take a key. A question about a key that is no UUIDv7 no longer raises in the reducer.

--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -16,6 +16,7 @@
 from agatepick import cluster
 from agatepick import configuration
 from agatepick import core
+from agatepick import deaths
 from agatepick import dispatch
 from agatepick import forwarding
 from agatepick import jobs
@@ -81,6 +82,7 @@
             self.dispatch,
         )
         self.forwarding = forwarding.Forwarding()
+        self._deaths = deaths.Deaths(self._skew)
         self._entries_up: set[types.PeerName] = set()
         self._members_version = 0
         self._preset = ''
@@ -228,14 +230,22 @@
         if known is None:
             known = self.owner.check_key(spec, waiter, now)
         if known is None:
-            members = self.configuration.in_force(now).entries
-            known = self.owner.adopt(spec, waiter, members, now)
+            known = self._adopt(spec, waiter, now)
         if known is not None:
             return known
         if self._stopping:
             return self._hand_over(spec, waiter, now)
         return self.owner.submit(spec, waiter, now)
 
+    def _adopt(
+        self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
+    ) -> _Effects | None:
+        members = self.configuration.in_force(now).entries
+        suspects = self._deaths.dated(members)
+        if not self.owner.takeover.concerns(spec.key, suspects):
+            return None
+        return self.owner.adopt(spec, waiter, members, now)
+
     def _hand_over(
         self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
     ) -> _Effects:
@@ -247,7 +257,7 @@
         """
         others = [
             one
-            for one in self.configuration.in_force(now).entries
+            for one in self._may_own(spec.key, now)
             if one.name != self._me.name
         ]
         heir = ownership.owner(spec.key, others, self._skew)
@@ -266,10 +276,18 @@
         """Name of the owner; empty while that can't be told."""
         if not self.configuration.serving(now):
             return ''
-        members = self.configuration.in_force(now).entries
-        member = ownership.owner(key, members, self._skew)
+        if ownership.is_malformed(key):
+            # Refused by whichever entry it came to.
+            return self._me.name
+        member = ownership.owner(key, self._may_own(key, now), self._skew)
         return '' if member is None else member.name
 
+    def _may_own(
+        self, key: types.JobKey, now: float
+    ) -> tuple[messages.Member, ...]:
+        members = self.configuration.in_force(now).entries
+        return self._deaths.may_own(key, members)
+
     # Peers, time, configuration.
 
     def _on_received(self, event: core.Received, now: float) -> _Effects:
@@ -291,11 +309,19 @@
             self.owner.agent_down(event.peer, now)
             return []
         self._entries_up.discard(event.peer)
+        self._note_death(event, now)
         return [
             *self._answered(self.forwarding.owner_lost(event.peer)),
             *self.configuration.on_peer_down(event, now),
         ]
 
+    def _note_death(self, event: core.PeerDown, now: float) -> None:
+        member = self.configuration.latest.member(event.peer)
+        if not event.dead or member is None:
+            return
+        if event.incarnation in (0, member.incarnation):
+            self._deaths.proved(member, now)
+
     def _on_proposed(
         self, event: calls.ChangeProposed, now: float
     ) -> _Effects:
@@ -349,6 +375,7 @@
         limits = {one.team: one.slots for one in in_force.quotas}
         self.dispatch.quotas.configure(limits, names, now)
         self.owner.set_leaving(frozenset(in_force.leaving), now)
+        self._deaths.forget(in_force.entries)
         members = self._members(now)
         return [core.Send(name, members) for name in sorted(self.owner.agents)]
 
--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -289,7 +289,8 @@
                 self._received(conn, hello.name, message)
         except iostream.StreamClosedError:
             pass
-        except exceptions.BadMessage as exc:
+        except exceptions.AgatepickError as exc:
+            # Also what a reducer raises for a message it can't take.
             exc.peer = hello.name
             LOG.warning('event=bad_message reason="%s"', exc.show())
             conn.stream.close()
--- a/src/agatepick/ownership.py
+++ b/src/agatepick/ownership.py
@@ -47,11 +47,16 @@
     :raises agatepick.exceptions.BadKey: if it isn't a UUIDv7 in canonical
         text form.  Two spellings of one UUID would hash to two owners.
     """
-    if _KEY.fullmatch(key) is None:
+    if is_malformed(key):
         raise exceptions.BadKey('not a canonical UUIDv7', step='key')
     return int(key[:8] + key[9:13], 16) / _MILLISECONDS
 
 
+def is_malformed(key: types.JobKey) -> bool:
+    """Whether ``key`` isn't a UUIDv7 in canonical text form."""
+    return _KEY.fullmatch(key) is None
+
+
 def check(
     key: types.JobKey,
     now: float,
--- /dev/null
+++ b/tests/test_deaths.py
@@ -0,0 +1,89 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from agatepick import deaths
+from agatepick import messages
+from agatepick import ownership
+
+NOW = 1_800_000_000.0
+SKEW = 2.0
+NAMES = 'abc'
+MEMBERS = tuple(messages.Member(name, 1, '', 'z', NOW - 100) for name in NAMES)
+
+
+def key_at(instant, seed):
+    text = f'{int(instant * 1000):012x}'
+    return f'{text[:8]}-{text[8:]}-7{seed % 4096:03x}-8000-{seed:012x}'
+
+
+def owner(key, known):
+    members = known.may_own(key, MEMBERS)
+    return ownership.owner(key, members, SKEW)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(
+    st.integers(0, 4095),
+    st.floats(-5, 20),
+    st.floats(0, 10),
+    st.sets(st.sampled_from(NAMES), max_size=2),
+    st.data(),
+)
+def test_no_two_live_entries_take_a_key_whatever_deaths_each_knows(
+    seed, minted, died, dead, data
+):
+    """Entries are killed and the others notice at different moments.
+
+    If two of those left both took a key, its tasks would run twice.
+    """
+    key = key_at(NOW + minted, seed)
+    takers = []
+    for name in sorted(set(NAMES) - dead):
+        known = deaths.Deaths(SKEW)
+        noticed = sorted(dead)
+        if noticed:
+            noticed = data.draw(st.lists(st.sampled_from(noticed)))
+        for one in noticed:
+            member = MEMBERS[NAMES.index(one)]
+            known.proved(member, NOW + died)
+        if owner(key, known).name == name:
+            takers.append(name)
+    assert len(takers) <= 1
+
+
+def test_a_key_minted_after_its_owner_died_has_another_owner_at_once():
+    """The store is down and an entry is killed, so it stays listed.
+
+    Callers of new jobs must not wait for the store to come back.
+    """
+    known = deaths.Deaths(SKEW)
+    known.proved(MEMBERS[0], NOW)
+    late = NOW + SKEW + deaths.DEATH_MARGIN + 0.1
+    owners = {owner(key_at(late, seed), known).name for seed in range(50)}
+    assert owners == {'b', 'c'}
+    early = {owner(key_at(NOW, seed), known).name for seed in range(50)}
+    assert early == {'a', 'b', 'c'}
+
+
+def test_keys_minted_between_death_and_removal_need_no_takeover():
+    """An entry died and was removed ten seconds later.
+
+    Jobs that others took in between must not be marked failed as if the
+    dead entry might have started them.
+    """
+    known = deaths.Deaths(SKEW)
+    known.proved(MEMBERS[0], NOW)
+    removed = messages.Member('a', 1, '', 'z', NOW - 100, NOW + 10)
+    members = (removed, *MEMBERS[1:])
+    seeds = [
+        seed
+        for seed in range(50)
+        if ownership.taken_over(key_at(NOW + 5, seed), members, SKEW)
+    ]
+    assert seeds
+    dated = known.dated(members)
+    for seed in seeds:
+        assert not ownership.taken_over(key_at(NOW + 5, seed), dated, SKEW)
+        assert ownership.taken_over(key_at(NOW - 1, seed), dated, SKEW) == (
+            ownership.taken_over(key_at(NOW - 1, seed), members, SKEW)
+        )
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -106,3 +106,24 @@
             await stopping
 
     asyncio.run(main())
+
+
+def test_a_question_about_a_key_of_another_format_is_answered():
+    """A caller asks for a job under a UUID that is no UUIDv7.
+
+    No job can have that key; the question must not break the entry.
+    """
+
+    async def main():
+        async with whole.cluster(entries=1, agents=1) as cluster:
+            entry = cluster.entries[0]
+            path = '/v1/jobs/00000000-0000-4000-8000-000000000000'
+            code, answer = await cluster.call(entry, 'GET', path)
+            assert code == 404
+            assert answer['code'] == 'unknown_job'
+            code, _ = await cluster.call(
+                entry, 'POST', '/v1/jobs', whole.job(1)
+            )
+            assert code == 200
+
+    asyncio.run(main())
