--- a/scripts/measure_slopes.sh
+++ b/scripts/measure_slopes.sh
@@ -36,4 +36,5 @@
 for agents in 4 8 16 32; do point 2 "$agents" idle-by-agents; done
 for entries in 2 3 4 6; do point "$entries" 4 idle-by-entries; done
 point 1 10 loaded
+point 1 10 remembered
 "$agatepick" bench slopes --points="$work/points" --json >"$out"
--- a/src/agatepick/slopes_programs.py
+++ b/src/agatepick/slopes_programs.py
@@ -38,6 +38,7 @@
 IDLE_BY_AGENTS = 'idle-by-agents'
 IDLE_BY_ENTRIES = 'idle-by-entries'
 LOADED = 'loaded'
+REMEMBERED = 'remembered'
 
 SUBJECTS = (
     slopes.Subject(
@@ -184,8 +185,8 @@
     """Watch the processes that the script has started."""
     pids = _pids(place)
     time.sleep(SETTLE_SECONDS)
-    if mode == LOADED:
-        return asyncio.run(_loaded(place, pids))
+    if mode in (LOADED, REMEMBERED):
+        return asyncio.run(_loaded(place, pids, mode))
     return _idle(pids, mode)
 
 
@@ -233,7 +234,7 @@
 
 
 async def _loaded(
-    place: pathlib.Path, pids: dict[str, list[int]]
+    place: pathlib.Path, pids: dict[str, list[int]], mode: str
 ) -> list[Point]:
     urls = (place / 'urls').read_text().split()
     book = bench_upstream.StartBook(clocks.ProcessClock.start())
@@ -242,10 +243,12 @@
     )
     points: list[Point] = []
     try:
+        if mode == REMEMBERED:
+            line = 'entry_resident_by_tasks'
+            return await _memory(callers, pids, 130, line)
         points += await _memory(callers, pids, 1, 'entry_resident_by_jobs')
         for tasks in TASKS_A_JOB:
             points += await _cpu(callers, pids, tasks)
-        points += await _memory(callers, pids, 130, 'entry_resident_by_tasks')
     finally:
         callers.close()
     return points
