--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -58,6 +58,7 @@
     jobs_remembered: int
     forwarded: int
     agents: tuple[str, ...]
+    zones: tuple[str, ...]
     configuration: configuration.ConfigurationStatus
     dispatch: dispatch.DispatchStatus
 
@@ -115,6 +116,9 @@
             jobs_remembered=len(self.owner.jobs),
             forwarded=len(self.forwarding),
             agents=tuple(sorted(self.owner.agents)),
+            zones=tuple(
+                sorted({one.zone for one in self.owner.agents.values()})
+            ),
             configuration=self.configuration.status(now),
             dispatch=self.dispatch.status(now),
         )
@@ -142,6 +146,7 @@
         return {
             messages.Results: self.owner.on_results,
             messages.Offer: self.owner.on_offer,
+            messages.Orphans: self.owner.on_orphans,
             messages.Forward: self._on_forward,
             messages.Forwarded: self._on_forwarded,
             messages.QuotaAsk: self.dispatch.quotas.on_message,
@@ -222,6 +227,9 @@
         known = self.owner.known(spec, waiter)
         if known is None:
             known = self.owner.check_key(spec, waiter, now)
+        if known is None:
+            members = self.configuration.in_force(now).entries
+            known = self.owner.adopt(spec, waiter, members, now)
         if known is not None:
             return known
         if self._stopping:
