--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 from agatepick import calls
 from agatepick import cli
 from agatepick import cluster
+from agatepick import command_tree
 from agatepick import exceptions
 from agatepick import operators
 from agatepick import types
@@ -187,11 +188,13 @@
 
 
 def test_what_config_set_means():
-    assert cli.named_change('quota.talca', '5') == cluster.QuotaSet('talca', 5)
-    assert cli.named_change('color', 'none') == cluster.SettingSet(
+    assert command_tree.named_change('quota.talca', '5') == cluster.QuotaSet(
+        'talca', 5
+    )
+    assert command_tree.named_change('color', 'none') == cluster.SettingSet(
         'color', None
     )
-    leaving = cli.named_change('upstream.agent-1', 'leaving')
+    leaving = command_tree.named_change('upstream.agent-1', 'leaving')
     assert leaving == cluster.UpstreamLeaving('agent-1')
     with pytest.raises(exceptions.BadUsage):
-        cli.named_change('upstream.agent-1', 'gone')
+        command_tree.named_change('upstream.agent-1', 'gone')
