--- a/src/agatepick/clocks.py
+++ b/src/agatepick/clocks.py
@@ -79,16 +79,13 @@
     """
 
     def __init__(self) -> None:
+        self.best = UNKNOWN
+        """The sample with the least error; :data:`UNKNOWN` if none."""
         self._samples: list[Offset] = []
-        self._best = UNKNOWN
 
     def add(self, sample: Offset) -> None:
         """Take one more sample."""
         self._samples.append(sample)
         del self._samples[:-SAMPLES_KEPT]
-        self._best = min(self._samples, key=lambda one: one.error)
-
-    @property
-    def best(self) -> Offset:
-        """The sample with the least error; :data:`UNKNOWN` if none."""
-        return self._best
+        # Asked for at every start, so found once a sample and kept.
+        self.best = min(self._samples, key=lambda one: one.error)
--- a/src/agatepick/processes.py
+++ b/src/agatepick/processes.py
@@ -23,9 +23,11 @@
 from agatepick import core
 from agatepick import dispatch
 from agatepick import entry
+from agatepick import exceptions
 from agatepick import httpupstream
 from agatepick import links
 from agatepick import messages
+from agatepick import metrics
 from agatepick import operators
 from agatepick import owner
 from agatepick import placement
@@ -42,7 +44,9 @@
 
 LOG = logging.getLogger(__name__)
 
+LAST_ANSWERS_SECONDS = 0.1
 _INCARNATION_BITS = 63
+GAUGE_SECONDS = 10.0
 _POLL_SHARE = 1 / 6
 _RENEW_SHARE = 0.23
 """Parts of the fence between reads of the head, and between renewals and
@@ -88,6 +92,7 @@
         cfg: settings.Process,
         stop_seconds: float,
         timeline_events: int,
+        statsd: settings.Metrics,
         outside: Outside,
     ):
         self.name = cfg.name
@@ -96,8 +101,11 @@
         self.timeline = timeline.Timeline(
             cfg.name, timeline_events, outside.clock
         )
+        self.metrics = metrics.Metrics.from_config(statsd)
         self._stop_seconds = stop_seconds
+        self._gauging: asyncio.TimerHandle | None = None
         self._http: httpserver.HTTPServer | None = None
+        self._closing: asyncio.Task[None] | None = None
         self.shell: shell.Shell
         self.links: links.Links
 
@@ -114,8 +122,8 @@
         except TimeoutError:
             LOG.warning('event=stop_cut_off process=%s', self.name)
         self.shell.done.set()
-        # The last messages leave before their connections close.
-        await asyncio.sleep(0)
+        # The last messages and answers leave before their connections close.
+        await asyncio.sleep(LAST_ANSWERS_SECONDS)
         self.kill()
 
     def kill(self) -> None:
@@ -123,29 +131,60 @@
         self.shell.done.set()
         self.shell.end()
         self.links.end()
+        if self._gauging is not None:
+            self._gauging.cancel()
         if self._http is not None:
             self._http.stop()
+            # Callers of a dead process must see a broken connection and ask
+            # elsewhere; one left open would let them wait for ever.
+            loop = asyncio.get_running_loop()
+            self._closing = loop.create_task(
+                self._http.close_all_connections()
+            )
 
     def _begin(self, contexts: tls.Contexts, reducer: core.Reducer) -> None:
         outside = self.outside
         self.shell = shell.Shell(reducer, outside.clock)
         self.links = links.Links(
             self._hello,
-            self.shell.feed,
+            self._take,
             outside.clock,
             outside.rng,
             contexts.peer_server,
             contexts.peer_client,
             outside.delay,
+            self.timeline.hybrid,
         )
         self.shell.use_links(self.links)
+        self.shell.handle(core.Send, self._send)
         self.shell.handle(core.Note, self._note)
+        self._gauge()
 
     def _hello(self) -> messages.Hello:
         raise NotImplementedError
 
+    def _send(self, effect: core.Send) -> None:
+        self.timeline.add_tasks(timeline.sent(effect.peer, effect.message))
+        self.links.send(effect.peer, effect.message)
+
+    def _take(self, event: object) -> None:
+        if isinstance(event, core.Received):
+            self.timeline.add_tasks(timeline.taken(event.peer, event.message))
+        self.shell.feed(event)
+
     def _note(self, effect: core.Note) -> None:
         self.timeline.add(effect)
+        self.metrics.noted(effect)
+
+    def _gauge(self) -> None:
+        """Send the gauges, again and again."""
+        traffic = self.links.traffic
+        self.metrics.gauge('links.messages_out', traffic.messages_out)
+        self.metrics.gauge('links.messages_in', traffic.messages_in)
+        self.metrics.gauge('links.bytes_out', traffic.bytes_out)
+        self.metrics.gauge('links.bytes_in', traffic.bytes_in)
+        loop = asyncio.get_running_loop()
+        self._gauging = loop.call_later(GAUGE_SECONDS, self._gauge)
 
 
 class EntryProcess(Process):
@@ -161,6 +200,7 @@
             cfg.process,
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
+            cfg.metrics,
             outside,
         )
         self.cfg = cfg
@@ -239,6 +279,7 @@
             self.cfg.tokens,
             self.timeline,
             lambda: self.entry.ready(self.outside.clock.now()),
+            self.metrics,
         )
         routes = [*callers.routes(front), *operators.routes(front)]
         self._http = web.server(front, routes, contexts.http)
@@ -284,11 +325,15 @@
             cfg.process,
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
+            cfg.metrics,
             outside,
         )
         self.cfg = cfg
         self.agent: agent.Agent
         self.upstream_address = ''
+        self.operators_address = ''
+        self._runner: upstream.Upstream
+        self._operators: httpserver.HTTPServer | None = None
 
     @classmethod
     def from_settings(
@@ -306,21 +351,67 @@
         self._begin(contexts or _PLAIN, self.agent)
         self._use_upstream()
         self._listen_announcements()
+        if self.cfg.operators.listen:
+            self._listen_operators(contexts or _PLAIN)
         self.links.begin()
         self.shell.begin()
 
     def _use_upstream(self) -> None:
         make = self.outside.runner or httpupstream.HttpUpstream
-        runner = make(self.shell.feed)
-        self.shell.handle(upstream.RunTask, runner.run)
+        runner = make(self._take_ended)
+        self._runner = runner
+        self.shell.handle(upstream.RunTask, self._run_task)
         self.shell.handle(upstream.StopTask, runner.stop)
 
+    def _run_task(self, effect: upstream.RunTask) -> None:
+        self._mark('task_started', effect, '')
+        self._runner.run(effect)
+
+    def _take_ended(self, event: object) -> None:
+        if isinstance(event, upstream.TaskEnded):
+            self._mark('task_ended', event, event.state)
+        self.shell.feed(event)
+
+    def _mark(
+        self,
+        name: str,
+        task: upstream.RunTask | upstream.TaskEnded,
+        state: str,
+    ) -> None:
+        mark = timeline.TaskMark(task.job, task.index, task.attempt, state)
+        zone = self.cfg.process.zone
+        self.timeline.add_tasks(timeline.TaskNote(name, '', zone, (mark,)))
+
     def _listen_announcements(self) -> None:
         sockets = _bind(self.cfg.upstream.listen)
         self.upstream_address = _address(sockets)
         self._http = announce.server(self.shell.feed, self.cfg.upstream)
         self._http.add_sockets(sockets)
 
+    def _listen_operators(self, contexts: tls.Contexts) -> None:
+        """Serve the time line; everything else is asked of entries."""
+        cfg = self.cfg.operators
+        front = web.Front(
+            self.name,
+            calls.Calls(self.shell.feed),
+            self.outside.clock,
+            settings.Http(cfg.listen),
+            settings.Tokens(cfg.token),
+            self.timeline,
+            statsd=self.metrics,
+        )
+        routes = operators.process_routes(front)
+        self._operators = web.server(front, routes, contexts.http)
+        sockets = _bind(cfg.listen)
+        self.operators_address = _address(sockets)
+        self._operators.add_sockets(sockets)
+
+    def kill(self) -> None:
+        """End at once, as a crash would."""
+        super().kill()
+        if self._operators is not None:
+            self._operators.stop()
+
     def _hello(self) -> messages.Hello:
         process = self.cfg.process
         return messages.Hello(
@@ -343,7 +434,14 @@
 
 def _bind(address: str) -> list[typing.Any]:
     host, _, port = address.rpartition(':')
-    return netutil.bind_sockets(int(port), host.strip('[]'))
+    try:
+        return netutil.bind_sockets(int(port), host.strip('[]'))
+    except OSError as exc:
+        raise exceptions.BadSettings(
+            f'{address}: cannot listen: {exc.strerror}; free the address or '
+            f'set another',
+            step='listen',
+        ) from exc
 
 
 def _address(sockets: list[typing.Any]) -> str:
--- a/src/agatepick/settings.py
+++ b/src/agatepick/settings.py
@@ -66,9 +66,6 @@
     typing.Literal['debug', 'info', 'warning', 'error'],
     msgspec.Meta(description='"debug", "info", "warning" or "error"'),
 ]
-Fraction = typing.Annotated[
-    float, msgspec.Meta(ge=0, le=1, description='a number from 0 to 1')
-]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +103,7 @@
     """
 
     listen: Address
-    advertise: Address | typing.Literal[''] = ''
+    advertise: Address = ''
     plain_beyond_loopback: bool = False
 
     @property
@@ -180,7 +177,7 @@
 class Metrics:
     """Where statsd metrics go, over UDP; empty sends none."""
 
-    statsd: Address | typing.Literal[''] = ''
+    statsd: Address = ''
     prefix: str = 'agatepick'
 
 
@@ -223,6 +220,15 @@
     plain_beyond_loopback: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operators:
+    """HTTP side on which an agent shows its time line; empty is none."""
+
+    listen: Address = ''
+    token: Token = ''
+    plain_beyond_loopback: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings of ``agatepick agent``."""
@@ -230,6 +236,7 @@
     process: Process
     entries: Entries
     upstream: Upstreams
+    operators: Operators = Operators()
     tls: Tls = Tls()
     timing: Timing = Timing()
     metrics: Metrics = Metrics()
@@ -259,7 +266,7 @@
     """A stand-in worker with its upstream.
 
     :param agent: where the upstream announces itself.
-    :param fail_share: share of tasks that fail.
+    :param task_seconds: run time of a task whose payload names none.
     """
 
     name: Name
@@ -271,7 +278,6 @@
     memory_mb: int = 16384
     accelerators: int = 0
     task_seconds: Seconds = 0.1
-    fail_share: Fraction = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
