Hold demand back only at an entry that is busy over time

An entry now holds back only if it filled three tenths of all slots over the last ten seconds or so; the golden file is as before.

--- a/src/agatepick/dispatch.py
+++ b/src/agatepick/dispatch.py
@@ -15,6 +15,8 @@
 a second, at different times.  If each queued task moved a slot from one
 entry to another, and soon back, a message in nine would only move slots.  A
 queue that an entry's own slots take within :data:`HOLD_SECONDS` moves none.
+Only an entry that has filled three tenths of all slots of late holds back
+so: with fewer, slots idle elsewhere, and a job would take twice its time.
 Twice as long halves the offers once more, but the mean response is then
 above 1.05 times the ideal at 80% load, as slots idle at one entry while
 tasks wait at the other.
@@ -43,6 +45,8 @@
 ASK_SECONDS = 0.25
 HOLD_SECONDS = 0.5
 """Queue, in time, that is left to the slots this entry holds already."""
+BUSY_SHARE = 0.3
+"""Part of all slots that one entry fills, on average, on busy days."""
 MEAN_WEIGHT = 0.02
 """Weight of one run time in the moving mean over all kinds."""
 IDLE_SHARE = 0.5
@@ -130,6 +134,7 @@
         self._sized: sizing.SizedJob | None = None
         self._blocked: set[placement.Requirement] = set()
         self._placed_at = 0.0
+        self._busy = workers.BusyShare()
         self._notes: list[core.Note] = []
         self._mean_seconds = estimates.DEFAULT_SECONDS
 
@@ -232,6 +237,7 @@
         :param zone_share: part of each zone's slots in use, 0 to 1.
         """
         self._workers.prepare(zone_share, now)
+        self._busy.add(self._workers.running, self._workers.slots, now)
         self._blocked.clear()
         if not self.waiting():
             self._placed_at = now
@@ -285,10 +291,11 @@
     def demand(self, now: float) -> int:
         """Waiting tasks that agents should move slots here for.
 
-        Those that this entry's own slots will soon take don't count, unless
-        no slot took any for :data:`HOLD_SECONDS`.
+        On busy days those that this entry's own slots will soon take don't
+        count, unless no slot took any for :data:`HOLD_SECONDS`.
         """
-        if now - self._placed_at >= HOLD_SECONDS:
+        calm = self._busy.share < BUSY_SHARE
+        if calm or now - self._placed_at >= HOLD_SECONDS:
             return self.waiting()
         soon = self._workers.running * HOLD_SECONDS / self._mean_seconds
         return max(0, self.waiting() - int(soon))
--- a/src/agatepick/placement.py
+++ b/src/agatepick/placement.py
@@ -41,6 +41,7 @@
 class Worker:
     """What an entry knows of one worker and its own use of it.
 
+    :ivar usable: slots counted as usable, whoever leases them.
     :ivar limit: slots that this entry may fill now.
     :ivar running: slots that this entry fills.
     :ivar cpu_left: cores that this entry's own tasks leave; likewise
@@ -58,6 +59,7 @@
         'memory_left',
         'accelerators_left',
         'slots',
+        'usable',
         'credits',
         'running',
         'limit',
@@ -82,6 +84,7 @@
         self.memory_left = 0
         self.accelerators_left = 0
         self.slots = 0
+        self.usable = 0
         self.credits = 0
         self.running = 0
         self.limit = 0
--- a/src/agatepick/workers.py
+++ b/src/agatepick/workers.py
@@ -16,6 +16,8 @@
 
 FORGET_SECONDS = 600.0
 """How long a worker that has gone still counts as one that may return."""
+BUSY_SECONDS = 10.0
+"""Time constant of the share of slots in use: several jobs long."""
 MAX_CLASSES = 2048
 """Classes of task kept; callers choose kinds, so memory needs a bound."""
 
@@ -33,12 +35,29 @@
     rack: str
 
 
+class BusyShare:
+    """Part of all slots that an entry fills, on average over time."""
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self._filled = 0.0
+        self._at = 0.0
+
+    def add(self, running: int, slots: int, now: float) -> None:
+        """Take what runs from ``now`` on."""
+        kept = math.exp(-max(0.0, now - self._at) / BUSY_SECONDS)
+        self.share = kept * self.share + (1.0 - kept) * self._filled
+        self._filled = running / max(1, slots)
+        self._at = now
+
+
 class Workers:
     """All known workers.
 
     :param leased: whether only leased slots may be filled.
     :ivar limit: slots that may be filled, over all workers.
     :ivar running: slots filled, over all workers.
+    :ivar slots: slots of all usable workers, whoever leases them.
     """
 
     def __init__(self, leased: bool, ejection: outliers.Outliers) -> None:
@@ -51,6 +70,7 @@
         self._next_ask = 0.0
         self.limit = 0
         self.running = 0
+        self.slots = 0
 
     def offered(
         self, info: AgentInfo, offer: messages.Offer, now: float
@@ -252,6 +272,9 @@
         before = worker.limit
         worker.limit = self._limit(worker)
         self.limit += worker.limit - before
+        usable = worker.slots if _is_usable(worker) else 0
+        self.slots += usable - worker.usable
+        worker.usable = usable
         _file(worker)
 
     def _limit(self, worker: placement.Worker) -> int:
@@ -314,6 +337,7 @@
         for index in worker.classes:
             index.remove(worker)
         self.limit -= worker.limit
+        self.slots -= worker.usable
         self.running -= worker.running
         self._canonical.clear()
         del self._workers[worker.name]
