--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -74,3 +74,39 @@
     session.submit('job', [0.1])
     session.run(5.0)
     assert told(session) == snapshot
+
+
+def test_an_entry_lost(session, snapshot):
+    """An entry is killed while it owns a running job.
+
+    Its caller asks the other entry, which never starts a task again and
+    answers once the lost one is removed.
+    """
+    session.submit('job', [0.3, 3.0], timeout=60.0)
+    session.run(0.5)
+    owner = session.owner_of('job')
+    other = {'entry-1': 'entry-2', 'entry-2': 'entry-1'}[owner]
+    session.kill(owner)
+    session.run(1.0)
+    session.submit_again('job', at=other)
+    session.run(8.0)
+    session.submit_again('job', at=other)
+    session.run(5.0)
+    assert told(session) == snapshot
+
+
+def test_an_entry_lost_and_asked_for_too_late(session, snapshot):
+    """The caller comes back only after its job's deadline has passed.
+
+    Its tasks ran, so the answer must not be "not run".
+    """
+    session.submit('job', [0.3, 3.0], timeout=5.0)
+    session.run(0.5)
+    owner = session.owner_of('job')
+    session.kill(owner)
+    session.run(15.0)
+    other = {'entry-1': 'entry-2', 'entry-2': 'entry-1'}[owner]
+    session.submit_again('job', at=other)
+    session.run(5.0)
+    assert told(session) == snapshot
+    assert session.answers[-1].status != types.JobStatus.NOT_RUN
