--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -18,6 +18,7 @@
 from agatepick import ownership
 from agatepick import takeover
 from agatepick import types
+from agatepick import zones
 
 STOP = 'stop'
 REASON_AGENT_LOST = 'agent_lost'
@@ -366,6 +367,7 @@
             if job is not None and not job.ended:
                 effects += self._end_at_deadline(job, now)
         effects += self._place(now)
+        effects += self._dispatch.take_notes()
         wakes = [self._deadlines[0][0]] if self._deadlines else []
         wake = self._dispatch.next_wake(now)
         if wake is not None:
@@ -433,7 +435,7 @@
     def _zone_share(self, zone: str, now: float) -> float:
         if self._config.start_before(zone, now) <= now:
             return 0.0
-        return 1.0
+        return zones.share(self._config.in_force(now).zone(zone), now)
 
     def _starts(self, placement: dispatch.Placement, now: float) -> core.Send:
         zone = self.agents[placement.agent].zone
@@ -444,7 +446,7 @@
             agent_incarnation=placement.incarnation,
             version=self._config.version,
             start_before=self._config.start_before(zone, now),
-            waiting=self._dispatch.waiting(),
+            waiting=self._dispatch.demand(now),
             tasks=tuple(tasks),
         )
         return core.Send(placement.agent, starts)
