Let jobs in for a second after a read lease ran out

Cause: a process that had stood still for longer than its lease refused every job until its next read, some milliseconds later; a test that blocked the loop showed it. Change: jobs are let in, and wait, for one second after the lapse was noticed; that test no longer blocks the loop.

--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import heapq
+import math
 
 from agatepick import answers
 from agatepick import configuration
@@ -21,6 +22,15 @@
 from agatepick import zones
 
 STOP = 'stop'
+LEASE_GRACE_SECONDS = 1.0
+"""How long jobs are let in after a read lease ran out.
+
+A process that was paused for longer than its lease has a new one some
+milliseconds after it goes on.  If it refused what came in between, each long
+garbage collection or slow read would turn callers away.  Nothing starts
+without a lease; what is let in waits that second longer at most, then the
+store is taken to be out of reach, and new jobs are better told so at once.
+"""
 REASON_AGENT_LOST = 'agent_lost'
 
 _OUTCOMES = {
@@ -71,6 +81,7 @@
         self._leaving: frozenset[types.PeerName] = frozenset()
         self._lost_agents: dict[types.PeerName, float] = {}
         self._deadlines: list[tuple[float, types.JobKey]] = []
+        self._lapsed_at = math.inf
 
     # Requests.
 
@@ -360,6 +371,10 @@
 
     def advance(self, now: float) -> list[object]:
         """End jobs at their deadlines and start what can start."""
+        if self._config.lease_until(now) > now:
+            self._lapsed_at = math.inf
+        else:
+            self._lapsed_at = min(self._lapsed_at, now)
         effects: list[object] = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, key = heapq.heappop(self._deadlines)
@@ -379,7 +394,7 @@
     def _admit(
         self, spec: types.JobSpec, now: float
     ) -> dispatch.Refusal | None:
-        if self._config.lease_until(now) <= now:
+        if now >= self._lapsed_at + LEASE_GRACE_SECONDS:
             return dispatch.Refusal(
                 answers.CODE_NO_LEASE,
                 'this entry may start nothing until it reads the '
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,146 @@
+import random
+
+import pytest
+
+from agatepick import calls
+from agatepick import cluster
+from agatepick import core
+from agatepick import dispatch
+from agatepick import jobs
+from agatepick import messages
+from agatepick import owner
+from agatepick import types
+
+NOW = 1_800_000_000.0
+LEASE = 2.0
+
+
+class Config:
+    """The part of the configuration that an owner asks."""
+
+    version = 1
+
+    def __init__(self):
+        self.lease = NOW + LEASE
+
+    def lease_until(self, now):
+        return self.lease if now < self.lease else 0.0
+
+    def zone_open(self, zone, now):
+        return True
+
+    def in_force(self, now):
+        return cluster.ClusterConfig()
+
+    def start_before(self, zone, now):
+        return self.lease_until(now)
+
+
+@pytest.fixture
+def config():
+    return Config()
+
+
+@pytest.fixture
+def made(config):
+    """An owner with one agent of two slots."""
+    rng = random.Random(1)
+    settings = dispatch.DispatchSettings('e')
+    dispatcher = dispatch.Dispatch.from_config(settings, rng)
+    made = owner.Owner('e', 1, owner.OwnerConfig(), config, dispatcher)
+    hello = messages.Hello('a', 'agent', 7, 'z', 'r', '', 0)
+    made.agent_up(hello, NOW)
+    offer = messages.Offer(7, 2, 2, ('k',), types.Needs(), False)
+    made.on_offer('a', offer, NOW)
+    return made
+
+
+def job(name, count=1):
+    tasks = tuple(types.TaskSpec(f't{i}', 'k') for i in range(count))
+    return types.JobSpec(name, 'team', tasks, NOW + 60)
+
+
+def submit(made, name, now, count=1):
+    made.advance(now)
+    effects = made.submit(job(name, count), jobs.LocalWaiter(1), now)
+    return effects + made.advance(now)
+
+
+def replies(effects):
+    return [one.answer for one in effects if isinstance(one, calls.Reply)]
+
+
+def starts(effects):
+    return [
+        one.message
+        for one in effects
+        if isinstance(one, core.Send)
+        and isinstance(one.message, messages.Starts)
+    ]
+
+
+def report(state, attempt=0):
+    one = messages.TaskReport('j', 0, attempt, state, b'1', 'why', 0.1)
+    return messages.Results(7, 2, (one,))
+
+
+def test_a_job_sent_after_a_pause_waits_for_the_lease(made, config):
+    """The process was paused for longer than its read lease.
+
+    The first callers after it goes on are served a moment later, when the
+    configuration was read again, and are not turned away.
+    """
+    late = NOW + LEASE + 5
+    effects = made.submit(job('j'), jobs.LocalWaiter(1), late)
+    effects += made.advance(late)
+    assert not replies(effects) and not starts(effects)
+    config.lease = late + LEASE
+    (sent,) = starts(made.advance(late + 0.01))
+    assert sent.start_before == config.lease
+
+
+def test_jobs_are_refused_once_the_lease_stays_away(made):
+    """The store is out of reach and so are the peers.
+
+    New callers are told at once, and truly, that their jobs did not run.
+    """
+    lapsed = NOW + LEASE
+    made.advance(lapsed)
+    effects = submit(made, 'j', lapsed + owner.LEASE_GRACE_SECONDS)
+    (answer,) = replies(effects)
+    assert answer.status is types.JobStatus.NOT_RUN
+    assert answer.code == 'no_lease'
+    assert not starts(effects)
+
+
+def test_a_refused_start_is_tried_again_under_the_next_attempt(made):
+    (sent,) = starts(submit(made, 'j', NOW))
+    assert sent.tasks[0].attempt == 0
+    effects = made.on_results('a', report('refused'), NOW + 0.1)
+    assert not replies(effects)
+    (again,) = starts(effects + made.advance(NOW + 1.5))
+    assert again.tasks[0].attempt == 1
+
+
+def test_a_report_of_an_older_attempt_changes_nothing(made):
+    """A report was held up on the way and crosses with a later attempt.
+
+    Taken for the later one, a task that runs would be called ended.
+    """
+    submit(made, 'j', NOW)
+    assert not replies(made.on_results('a', report('finished', 5), NOW))
+    (answer,) = replies(made.on_results('a', report('finished'), NOW))
+    assert answer.status is types.JobStatus.COMPLETE
+    assert not replies(made.on_results('a', report('failed'), NOW))
+
+
+def test_a_deadline_ends_a_job_at_once_and_tells_what_may_have_run(made):
+    """A straggler runs on past the deadline while other tasks wait.
+
+    The caller is told which task may have run and which never will.
+    """
+    submit(made, 'j', NOW, count=3)
+    (answer,) = replies(made.advance(NOW + 60))
+    assert answer.status is types.JobStatus.FAILED
+    outcomes = [one.outcome for one in answer.tasks]
+    assert outcomes == ['unknown', 'unknown', 'not_run']
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -144,7 +144,7 @@
     async def main():
         async with whole.cluster() as cluster:
             first, second = cluster.entries
-            key = {'Idempotency-Key': _key_of(first)}
+            key = {'Idempotency-Key': await _key_of(first)}
             body = whole.job(4, 0.3)
             lost = asyncio.create_task(
                 cluster.call(first, 'POST', '/v1/jobs', body, **key)
@@ -170,7 +170,7 @@
     asyncio.run(main())
 
 
-def _key_of(entry):
+async def _key_of(entry):
     """A new key that an entry owns."""
     now = entry.outside.clock.now()
     members = entry.entry.configuration.in_force(now).entries
@@ -178,3 +178,6 @@
         key = str(uuid_utils.uuid7())
         if ownership.owner(key, members).name == entry.name:
             return key
+        # Soon after a start all keys are another's; the loop must go on
+        # meanwhile, or every entry's lease runs out.
+        await asyncio.sleep(0.01)
