Part the configuration: listings and dials are components of their own

Change: listing.py keeps the right entries listed, dials.py their connections; a peer not heard for 10 s has no vote on clocks.

--- a/src/agatepick/clockwatch.py
+++ b/src/agatepick/clockwatch.py
@@ -4,12 +4,17 @@
 from agatepick import messages
 
 
+FRESH_SECONDS = 10.0
+"""A peer not heard for so long has gone; its clock has no vote."""
+
+
 class ClockWatch:
     """Offsets of all connected peers, from their answers to our pings."""
 
     def __init__(self, margin: float):
         self._margin = margin
         self._peers: dict[str, clocks.OffsetEstimate] = {}
+        self._heard: dict[str, float] = {}
         self._trusted = True
 
     def add(self, peer: str, pong: messages.Pong, now: float) -> None:
@@ -17,11 +22,16 @@
         sample = clocks.offset(pong.sent, pong.received, pong.replied, now)
         estimate = self._peers.setdefault(peer, clocks.OffsetEstimate())
         estimate.add(sample)
+        self._heard[peer] = now
+        for name, heard in list(self._heard.items()):
+            if heard < now - FRESH_SECONDS:
+                self.forget(name)
         self._judge()
 
     def forget(self, peer: str) -> None:
         """A peer disconnected; the next process of its name is measured."""
         self._peers.pop(peer, None)
+        self._heard.pop(peer, None)
         self._judge()
 
     def agrees(self, peer: str) -> bool:
--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -12,10 +12,12 @@
 from agatepick import clockwatch
 from agatepick import cluster
 from agatepick import core
+from agatepick import dials
 from agatepick import exceptions
 from agatepick import headreader
 from agatepick import headrows
 from agatepick import history
+from agatepick import listing
 from agatepick import membership
 from agatepick import messages
 from agatepick import proposals
@@ -108,10 +110,11 @@
         self._has_read = False
         self._granted: dict[str, float] = {}
         self._due: dict[str, float] = {}
-        self._dialed: dict[str, str] = {}
-        self._dialed_version = 0
-        self._leave_by = math.inf
-        self._left = False
+        self._dials = dials.Dials()
+        self._followed = 0
+        self._listing = listing.Listing(
+            me, self._known, self._members, self._writer, rng, cfg.leave
+        )
 
     @classmethod
     def from_config(
@@ -138,7 +141,7 @@
     @property
     def left(self) -> bool:
         """Whether a graceful stop may go on: this entry is delisted."""
-        return self._left
+        return self._listing.left
 
     def in_force(self, now: float) -> cluster.ClusterConfig:
         """The document in force at ``now``."""
@@ -277,7 +280,9 @@
         self._members.down(event.peer, event.incarnation, event.dead, now)
         if event.peer not in self._members.connected:
             self._clocks.forget(event.peer)
-        return self._hang_up(event.peer) + self._after_evidence(now)
+        connected = self._members.connected
+        effects = self._dials.let_go(event.peer, self._wanted(), connected)
+        return effects + self._after_evidence(now)
 
     def on_tick(self, now: float) -> list[object]:
         """Do whatever is due."""
@@ -288,12 +293,9 @@
         if self._is_due('grant', self._cfg.grant, now):
             effects += self._grant(now)
         if self._is_due('listing', self._cfg.listing, now):
-            effects += self._keep_listed(now)
-            effects += self._remove_lost(now)
-            if self._leave_by < math.inf and not self._left:
-                effects += self._delist(now)
+            effects += self._keep_entries(now)
         effects += self._advance(now)
-        self._check_left(now)
+        self._listing.check_left(now)
         return [*effects, core.WakeAt(min(self._due.values()))]
 
     def propose(
@@ -312,9 +314,8 @@
 
     def leave(self, now: float) -> list[object]:
         """Delist this entry, for a graceful stop; see :attr:`left`."""
-        self._leave_by = min(self._leave_by, now + self._cfg.leave)
-        self._check_left(now)
-        return [] if self._left else self._delist(now)
+        self._listing.begin_to_leave(now)
+        return self._advance(now)
 
     # -- the store ---------------------------------------------------------
 
@@ -403,7 +404,9 @@
         if self._members.intends(peer, intent):
             ack = messages.IntentAck(message.version, intent.row.attempt)
             return [core.Send(peer, ack)]
-        return self._list_for(peer, intent.row.change, now)
+        if self.serving(now):
+            self._listing.list_for(peer, intent.row.change)
+        return self._advance(now)
 
     def _on_changes(
         self, message: messages.Changes, now: float
@@ -464,44 +467,22 @@
 
     def _versions_moved(self, now: float) -> list[object]:
         """Follow the listed entries after new versions came to be known."""
-        if self._dialed_version == self.version:
+        if self._followed == self.version:
             return []
-        self._dialed_version = self.version
+        self._followed = self.version
         self._members.list_anew(self.latest, now)
-        wanted = {
+        connected = self._members.connected
+        return [
+            core.note('version_known', version=self.version),
+            *self._dials.follow(self._wanted(), connected),
+        ]
+
+    def _wanted(self) -> dict[str, str]:
+        return {
             one.name: one.address
             for one in self._members.others
             if one.name != self._me.name
         }
-        effects: list[object] = [
-            core.note('version_known', version=self.version)
-        ]
-        for name, address in wanted.items():
-            effects += self._dial(name, address)
-        for name in self._dialed.keys() - wanted.keys():
-            effects += self._hang_up(name)
-        return effects
-
-    def _dial(self, name: str, address: str) -> list[object]:
-        old = self._dialed.get(name)
-        if old == address:
-            return []
-        self._dialed[name] = address
-        dial = core.Dial(name, address)
-        return [dial] if old is None else [core.Hangup(name), dial]
-
-    def _hang_up(self, name: str) -> list[object]:
-        """Dial a removed entry no more, once it has disconnected itself.
-
-        A stopping entry is removed first and then finishes its jobs, whose
-        answers still come over the connection.
-        """
-        listed = {one.name for one in self._members.others}
-        keep = name in listed or name in self._members.connected
-        if keep or name not in self._dialed:
-            return []
-        del self._dialed[name]
-        return [core.Hangup(name)]
 
     # -- changes -----------------------------------------------------------
 
@@ -533,71 +514,10 @@
             return 'this entry is not listed in force yet'
         return ''
 
-    def _keep_listed(self, now: float) -> list[object]:
-        if self._leave_by < math.inf or not self._has_read:
-            return []
-        if self.latest.lists(self._me):
-            return []
-        change = cluster.EntryListed(
-            self._me.name,
-            self._me.incarnation,
-            self._me.address,
-            self._me.zone,
-        )
-        alive = sorted(self._members.alive() & self._members.connected.keys())
-        if self._members.alive():
-            return self._ask_listing(change, alive)
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _ask_listing(
-        self, change: cluster.EntryListed, alive: list[str]
-    ) -> list[object]:
-        if not alive:
-            return []
-        row = cluster.ChangeRow(
-            self.version + 1,
-            0.0,
-            change,
-            self._me.name,
-            self._me.incarnation,
-            0,
-        )
-        data = cluster.encode(cluster.Uncertain(row, 0.0))
-        intent = messages.Intent(self.version, data)
-        return [core.Send(self._rng.choice(alive), intent)]
-
-    def _list_for(
-        self, peer: str, change: cluster.Change, now: float
-    ) -> list[object]:
-        """Write the listing that an unlisted entry asks for."""
-        if not isinstance(change, cluster.EntryListed) or change.name != peer:
-            return []
-        if not self.serving(now):
-            return []
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _remove_lost(self, now: float) -> list[object]:
-        if not self.serving(now) or now >= self._store_lease:
-            return []
-        for one in self._members.lost(now):
-            change = cluster.EntryRemoved(one.name, one.incarnation)
-            self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _delist(self, now: float) -> list[object]:
-        if not self.latest.lists(self._me):
-            return []
-        change = cluster.EntryRemoved(self._me.name, self._me.incarnation)
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _check_left(self, now: float) -> None:
-        if self._leave_by == math.inf or self._left:
-            return
-        listed = self.latest.lists(self._me) or self.serving(now)
-        self._left = not listed or now >= self._leave_by
+    def _keep_entries(self, now: float) -> list[object]:
+        if self.serving(now) and now < self._store_lease:
+            self._listing.remove_lost(now)
+        return self._listing.keep() if self._has_read else []
 
     def _is_due(self, name: str, seconds: float, now: float) -> bool:
         if now < self._due.get(name, 0.0):
--- /dev/null
+++ b/src/agatepick/dials.py
@@ -0,0 +1,52 @@
+"""Which connections to other entries are kept, as listed entries change."""
+
+import collections.abc
+
+from agatepick import core
+
+
+class Dials:
+    """The entries that are being dialled, by name."""
+
+    def __init__(self) -> None:
+        self._addresses: dict[str, str] = {}
+
+    def follow(
+        self,
+        wanted: collections.abc.Mapping[str, str],
+        connected: collections.abc.Container[str],
+    ) -> list[object]:
+        """Dial the listed entries and let go of the others.
+
+        :param wanted: addresses of the listed entries.
+        """
+        effects: list[object] = []
+        for name, address in wanted.items():
+            effects += self._dial(name, address)
+        for name in self._addresses.keys() - wanted.keys():
+            effects += self.let_go(name, wanted, connected)
+        return effects
+
+    def let_go(
+        self,
+        name: str,
+        wanted: collections.abc.Container[str],
+        connected: collections.abc.Container[str],
+    ) -> list[object]:
+        """Dial a removed entry no more, once it has disconnected itself.
+
+        A stopping entry is removed first and then finishes its jobs, whose
+        answers still come over the connection.
+        """
+        if name in wanted or name in connected or name not in self._addresses:
+            return []
+        del self._addresses[name]
+        return [core.Hangup(name)]
+
+    def _dial(self, name: str, address: str) -> list[object]:
+        old = self._addresses.get(name)
+        if old == address:
+            return []
+        self._addresses[name] = address
+        dial = core.Dial(name, address)
+        return [dial] if old is None else [core.Hangup(name), dial]
--- /dev/null
+++ b/src/agatepick/listing.py
@@ -0,0 +1,110 @@
+"""Keeps the right entries listed: this one, newcomers, and no lost ones."""
+
+import math
+import random
+
+from agatepick import cluster
+from agatepick import core
+from agatepick import history
+from agatepick import membership
+from agatepick import messages
+from agatepick import proposals
+
+
+class Listing:
+    """Submits changes of the listed entries to the writer.
+
+    :param leave: seconds after which a stopping entry goes though it is
+        still listed; the store may be down for longer than anyone waits.
+    """
+
+    def __init__(
+        self,
+        me: messages.Member,
+        known: history.History,
+        members: membership.Membership,
+        writer: proposals.Writer,
+        rng: random.Random,
+        leave: float,
+    ):
+        self._me = me
+        self._known = known
+        self._members = members
+        self._writer = writer
+        self._rng = rng
+        self._leave = leave
+        self._leave_by = math.inf
+        self.left = False
+        """Whether this entry, asked to leave, is delisted in force."""
+
+    @property
+    def listed(self) -> bool:
+        """Whether this entry is listed in the last known version."""
+        return self._known.latest.lists(self._me)
+
+    def begin_to_leave(self, now: float) -> None:
+        """Delist this entry as soon as the store takes it."""
+        self._leave_by = min(self._leave_by, now + self._leave)
+        self.check_left(now)
+        self._delist()
+
+    def check_left(self, now: float) -> None:
+        """Note whether a stopping entry may go."""
+        if self._leave_by == math.inf:
+            return
+        listed = self.listed or self._known.in_force(now).lists(self._me)
+        self.left = self.left or not listed or now >= self._leave_by
+
+    def keep(self) -> list[object]:
+        """Try to be listed, or delisted when leaving."""
+        if self._leave_by < math.inf:
+            self._delist()
+            return []
+        if self.listed:
+            return []
+        change = cluster.EntryListed(
+            self._me.name,
+            self._me.incarnation,
+            self._me.address,
+            self._me.zone,
+        )
+        if self._members.alive():
+            return self._ask(change)
+        self._submit(change)
+        return []
+
+    def list_for(self, peer: str, change: cluster.Change) -> None:
+        """Write the listing that an unlisted entry asks for."""
+        if isinstance(change, cluster.EntryListed) and change.name == peer:
+            self._submit(change)
+
+    def remove_lost(self, now: float) -> None:
+        """Remove entries whose processes are gone or silent."""
+        for one in self._members.lost(now):
+            self._submit(cluster.EntryRemoved(one.name, one.incarnation))
+
+    def _ask(self, change: cluster.EntryListed) -> list[object]:
+        """Ask any listed entry to write the listing of this one.
+
+        Two listed entries cut off from the store and from a newcomer could
+        else go on without it, and own the same new keys as it does.
+        """
+        reached = self._members.alive() & self._members.connected.keys()
+        if not reached:
+            return []
+        version = self._known.version
+        row = cluster.ChangeRow(
+            version + 1, 0.0, change, self._me.name, self._me.incarnation, 0
+        )
+        data = cluster.encode(cluster.Uncertain(row, 0.0))
+        peer = self._rng.choice(sorted(reached))
+        return [core.Send(peer, messages.Intent(version, data))]
+
+    def _delist(self) -> None:
+        if self.listed and not self.left:
+            self._submit(
+                cluster.EntryRemoved(self._me.name, self._me.incarnation)
+            )
+
+    def _submit(self, change: cluster.Change) -> None:
+        self._writer.submit(proposals.INTERNAL, change, None)
