Expect other teams' work for as long as a job waits

Admission counted on what lighter teams bring ahead for 5 s only, a cap that kept a burst's rate from going on. Jobs with 30 s deadlines were let in too freely, and then went ahead of light teams at their latest start. The rate is now taken over 10 s, without a cap.

--- a/src/agatepick/queues.py
+++ b/src/agatepick/queues.py
@@ -40,8 +40,9 @@
 EXACT_JOBS = 512
 """Waiting jobs up to which a new job's place among them is worked out."""
 
-RATE_SECONDS = 5.0
-"""Time constant of a team's rate of work; a queue is rarely longer."""
+RATE_SECONDS = 10.0
+"""Time constant of a team's rate of work.  A shorter one takes a burst for
+what will go on and refuses work that would be in time."""
 MAX_RATES = 1024
 """Teams whose rates are kept; callers choose the names."""
 
@@ -158,7 +159,7 @@
             return 0.0
         return sum(
             min(
-                rate.a_second(now) * min(seconds, RATE_SECONDS),
+                rate.a_second(now) * seconds,
                 max(0.0, rank - self.team_ends.get(other, self.virtual)),
             )
             for other, rate in self.rates.items()
