Play sessions of any order of deaths, cuts, changes and resubmissions

Golden files hold only what we thought of. A property test now lets callers, operators and faults act in any order on real reducers and checks that no task starts twice or in a zone that is out, that no 'not run' is false, and that answers are final and agree.

--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -70,6 +70,7 @@
         self.table = standin_table.MemoryTable()
         self.replies = {}
         self.answers = []
+        self.verdicts = []
         self.starts = []
         self.processes = {}
         self._events = []
@@ -141,6 +142,16 @@
             (other,) = pair - {name}
             self._feed(other, core.PeerDown(name, 1, False))
 
+    def cut(self, name):
+        """Break every connection of a process; it may dial again."""
+        self._tell(f'{name} is cut off')
+        for pair in sorted(
+            [one for one in self._up if name in one], key=sorted
+        ):
+            self._up.discard(pair)
+            for one, two in itertools.permutations(sorted(pair)):
+                self._feed(one, core.PeerDown(two, 1))
+
     def _key(self, name):
         self._jobs[name] = len(self._jobs) + 1
         stamp = f'{int(self.now * 1000):012x}'
@@ -304,6 +315,7 @@
         if isinstance(answer, types.JobAnswer):
             self.answers.append(answer)
         if isinstance(answer, cluster.Proposed):
+            self.verdicts.append((what, answer))
             told = f'{answer.verdict}, version {answer.version}'
             if answer.verdict == 'accepted':
                 told += f', in force at {self._time(answer.in_force_at)}'
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,8 @@
 
 import collections
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from agatepick import cluster
@@ -110,3 +112,116 @@
     session.run(5.0)
     assert told(session) == snapshot
     assert session.answers[-1].status != types.JobStatus.NOT_RUN
+
+
+ENTRIES = strategies.sampled_from(['entry-1', 'entry-2'])
+PROCESSES = strategies.sampled_from(['entry-1', 'entry-2', 'a-1', 'b-1'])
+STEPS = strategies.lists(
+    strategies.tuples(strategies.just('submit'), ENTRIES)
+    | strategies.tuples(strategies.just('again'), ENTRIES)
+    | strategies.tuples(strategies.just('cut'), PROCESSES)
+    | strategies.tuples(strategies.just('kill'), PROCESSES)
+    | strategies.tuples(strategies.just('out'), ENTRIES)
+    | strategies.tuples(strategies.just('in'), ENTRIES)
+    | strategies.tuples(
+        strategies.just('wait'), strategies.sampled_from([0.01, 0.3, 4.0])
+    ),
+    max_size=14,
+)
+
+
+class Player:
+    """Plays steps against a session; at most one entry is killed."""
+
+    def __init__(self):
+        self.session = sessions.Session()
+        self.names = []
+        self.killed = set()
+
+    def play(self, kind, what):
+        getattr(self, f'_{kind}')(what)
+        self.session.run(0.05)
+
+    def _submit(self, at):
+        self.names.append(f'job-{len(self.names)}')
+        self.session.submit(self.names[-1], [0.2, 0.4, 2.0], at=at)
+
+    def _again(self, at):
+        if self.names:
+            self.session.submit_again(self.names[-1], at)
+
+    def _cut(self, name):
+        self.session.cut(name)
+
+    def _kill(self, name):
+        entries = [one for one in self.killed if one.startswith('entry')]
+        if name in self.killed or (entries and name.startswith('entry')):
+            return
+        self.killed.add(name)
+        self.session.kill(name)
+
+    def _out(self, at):
+        self.session.propose(cluster.ZoneOut('b'), at)
+
+    def _in(self, at):
+        self.session.propose(cluster.ZoneIn('b'), at)
+
+    def _wait(self, seconds):
+        self.session.run(seconds)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
+@hypothesis.given(STEPS)
+def test_promises_hold_whatever_happens_and_in_whatever_order(steps):
+    """Processes die, connections break, zones go and callers ask again.
+
+    No task starts twice or in a zone that is out, no "not run" is false,
+    and every job that is asked for again in the end has a final answer.  Its
+    answers agree, but for a job whose owner and agent both died since: what
+    only they knew is unknown then, and the job is marked failed.
+    """
+    player = Player()
+    for kind, what in steps:
+        player.play(kind, what)
+    session = player.session
+    session.run(30.0)
+    alive = sorted({'entry-1', 'entry-2'} - player.killed)
+    for name in player.names:
+        for at in alive:
+            session.submit_again(name, at)
+    session.run(30.0)
+    told(session)
+    assert late_starts(session) == []
+    final = collections.defaultdict(set)
+    for answer in session.answers:
+        if answer.status != types.JobStatus.PENDING:
+            final[answer.key].add(answer)
+    assert len(final) == len(player.names)
+    lost = {one.startswith('entry') for one in player.killed}
+    both_died = lost == {True, False}
+    for answers in final.values():
+        if both_died:
+            answers = {one for one in answers if not is_unknown(one)} or {None}
+        assert len(answers) == 1
+
+
+def is_unknown(answer):
+    """Whether a failed job's answer says that some outcome is unknown."""
+    return answer.status == types.JobStatus.FAILED and any(
+        task.outcome == types.Outcome.UNKNOWN for task in answer.tasks
+    )
+
+
+def late_starts(session):
+    """Starts in zone b while it was out, by the accepted changes."""
+    changes = sorted(
+        (verdict.version, verdict.in_force_at, what.startswith('ZoneOut'))
+        for what, verdict in session.verdicts
+        if verdict.verdict == 'accepted'
+    )
+    late = []
+    for at, zone, job, index in session.starts:
+        state = [out for _, since, out in changes if since <= at]
+        if zone == 'b' and state and state[-1]:
+            late.append((at, job, index))
+    return late
