Type a proposed change as one of the cluster's changes

The event carried an empty protocol from before the changes existed, and the entry had to cast it. It now names the union of changes; no behaviour changes, and the type checker passes.

--- a/src/agatepick/calls.py
+++ b/src/agatepick/calls.py
@@ -10,6 +10,7 @@
 import itertools
 import typing
 
+from agatepick import cluster
 from agatepick import exceptions
 from agatepick import types
 
@@ -18,10 +19,6 @@
 this bounds what a burst of held-open requests may take of the memory."""
 
 
-class Change(typing.Protocol):
-    """A change of the cluster's configuration, see ``agatepick.cluster``."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSubmitted:
     """A caller hands in a job; replied to once it has ended."""
@@ -56,7 +53,7 @@
     """
 
     call: int
-    change: Change
+    change: cluster.Change
     based_on: int | None = None
 
 
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -299,7 +299,7 @@
     def _on_proposed(
         self, event: calls.ChangeProposed, now: float
     ) -> _Effects:
-        change = typing.cast(cluster.Change, event.change)
+        change = event.change
         return self.configuration.propose(
             event.call, change, event.based_on, now
         )
