Close gaps at odd values and at the end of the retention window

Cause: a start_before that is no number never passed, a report with an unknown state or key would have stopped an entry, and a job whose key was stamped ahead of the clock was forgotten up to 2 s before its key expired, so a late copy could have run it again. Change: each is mended and has a test; messages with generated values are fed to the agent.

--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -56,7 +56,9 @@
         config: configuration.Configuration,
         dispatcher: dispatch.Dispatch,
     ):
-        self.jobs = jobs.Jobs(cfg.retention_seconds)
+        # A key may be stamped ahead of our clock and is valid that much
+        # longer; forgotten earlier, its job would be taken for a new one.
+        self.jobs = jobs.Jobs(cfg.retention_seconds + cfg.key_skew_seconds)
         self.takeover = takeover.Takeover(
             name, cfg.retention_seconds, cfg.key_skew_seconds
         )
--- a/src/agatepick/ownership.py
+++ b/src/agatepick/ownership.py
@@ -41,13 +41,18 @@
     AHEAD = 'ahead'
 
 
+def is_key(key: types.JobKey) -> bool:
+    """Whether ``key`` is a UUIDv7 in canonical text form."""
+    return _KEY.fullmatch(key) is not None
+
+
 def stamp(key: types.JobKey) -> float:
     """The instant at which ``key`` was minted.
 
     :raises agatepick.exceptions.BadKey: if it isn't a UUIDv7 in canonical
         text form.  Two spellings of one UUID would hash to two owners.
     """
-    if _KEY.fullmatch(key) is None:
+    if not is_key(key):
         raise exceptions.BadKey('not a canonical UUIDv7', step='key')
     return int(key[:8] + key[9:13], 16) / _MILLISECONDS
 
--- a/src/agatepick/startcheck.py
+++ b/src/agatepick/startcheck.py
@@ -41,7 +41,8 @@
         if not self.offset.within(margin):
             return REASON_CLOCK
         end = self.start_before - self.offset.seconds - self.offset.error
-        return REASON_TOO_LATE if now >= end else ''
+        # Asked this way round, an end that is no number has passed.
+        return '' if now < end else REASON_TOO_LATE
 
 
 def room_fault(
--- a/src/agatepick/takeover.py
+++ b/src/agatepick/takeover.py
@@ -29,6 +29,7 @@
 Members = tuple[messages.Member, ...]
 Agents = collections.abc.Mapping[types.PeerName, messages.Hello]
 
+_RUNNING = types.TaskState.RUNNING
 _OUTCOMES = {
     types.TaskState.FINISHED: types.Outcome.FINISHED,
     types.TaskState.FAILED: types.Outcome.FAILED,
@@ -75,6 +76,8 @@
     ) -> None:
         """Take an agent's reports on a removed entry's tasks."""
         for report in message.reports:
+            if not _usable(report):
+                continue
             tasks = self._found.setdefault(report.job, {})
             tasks[report.index] = Found(agent, incarnation, report)
         if message.last:
@@ -85,6 +88,8 @@
         self, agent: types.PeerName, report: messages.TaskReport
     ) -> None:
         """Take the end of a task whose job nobody has asked for yet."""
+        if not _usable(report):
+            return
         tasks = self._found.get(report.job)
         found = tasks.get(report.index) if tasks is not None else None
         if tasks is None or found is None or found.agent != agent:
@@ -173,7 +178,7 @@
         task = found.get(index)
         if task is None:
             _end(job, index, types.Outcome.UNKNOWN, REASON_OWNER_LOST)
-        elif task.report.state == types.TaskState.RUNNING:
+        elif task.report.state == _RUNNING:
             _await(job, index, task, agents)
         else:
             report = task.report
@@ -187,6 +192,12 @@
             )
 
 
+def _usable(report: messages.TaskReport) -> bool:
+    """Whether a report names a job that can be and a state it can have."""
+    known = report.state in _OUTCOMES or report.state == _RUNNING
+    return known and ownership.is_key(report.job)
+
+
 def _await(job: jobs.Job, index: int, task: Found, agents: Agents) -> None:
     hello = agents.get(task.agent)
     if hello is None or hello.incarnation != task.incarnation:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,3 +1,5 @@
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from agatepick import core
@@ -311,3 +313,51 @@
     assert agents.reports(effects) == {1: ('refused', 'no_upstream')}
     effects = rig.feed(agents.announced('other'))
     assert agents.sent(effects, messages.Offer)[0].credits == 8
+
+
+any_message = st.one_of(
+    *[
+        st.from_type(kind)
+        for kind in (
+            messages.Starts,
+            messages.Settle,
+            messages.StopJob,
+            messages.Ask,
+            messages.Members,
+            messages.Pong,
+            messages.Goodbye,
+            messages.Forward,
+        )
+    ]
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(st.lists(any_message, max_size=12))
+def test_no_message_stops_an_agent_or_overfills_its_slots(drawn):
+    """A peer of another version, or a broken one, sends odd values.
+
+    If one stopped the agent, all tasks of its worker would be lost.
+    """
+    rig = agents.ready()
+    for message in drawn:
+        rig.receive('e', message)
+        rig.tick()
+    assert len(agents.ran(rig.effects)) == 0
+    good = [agents.task(agents.key(at=rig.now), index) for index in range(9)]
+    rig.connect('f')
+    before = len(rig.effects)
+    rig.start('f', *good)
+    assert len(agents.ran(rig.effects[before:])) <= 8
+
+
+@pytest.mark.parametrize('before', [float('nan'), float('-inf')])
+def test_a_permit_that_is_no_instant_has_passed(before):
+    """An owner computes an end of its lease that is no number.
+
+    Compared the wrong way round it would never pass, and tasks would start
+    in a zone that was taken out.
+    """
+    rig = agents.ready()
+    effects = rig.start('e', agents.task(KEY), before=before)
+    assert agents.reports(effects) == {0: ('refused', 'start_too_late')}
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -125,6 +125,17 @@
     assert not found.gathered(KEY, late, more, now + 60)
 
 
+def test_reports_that_make_no_sense_are_left_out():
+    """A peer of another version reports a state or key of its own.
+
+    Kept, it would stop this entry when the report is used or forgotten.
+    """
+    odd = dataclasses.replace(report(1, 'finished'), job='x')
+    found = told(report(0, 'odd'), odd)
+    found.on_result('x', odd)
+    assert len(found) == 0
+
+
 def test_reports_are_forgotten_with_their_keys():
     found = told(report(0, 'finished'))
     found.forget(NOW + 599)
