Keep new keys free of suspicion after a planned stop, and handovers true

Cause: keys stamped within the skew of any removal were suspect, so every planned stop would have failed new jobs for 2 s. And the property test, once it stopped entries too, found a false "not run": a stopping entry refused a job that it had handed over before its heir was lost. Change: a removal says since when the entry had let in nothing; a handed over key stays with its first heir, and a stopping entry answers pending instead of refusing.

--- a/src/agatepick/answers.py
+++ b/src/agatepick/answers.py
@@ -13,7 +13,6 @@
 CODE_KEY_REUSED = 'key_reused'
 CODE_UNKNOWN_JOB = 'unknown_job'
 CODE_NO_LEASE = 'no_lease'
-CODE_STOPPING = 'stopping'
 CODE_TAKEN_OVER = 'taken_over'
 GATHERING_RETRY_SECONDS = 0.5
 
--- a/src/agatepick/cluster.py
+++ b/src/agatepick/cluster.py
@@ -73,10 +73,14 @@
 
 
 class EntryRemoved(_Change, frozen=True, tag='entry_removed'):
-    """Remove one incarnation of an entry."""
+    """Remove one incarnation of an entry.
+
+    :param stopped_at: since when it has let in no job; 0 if it was lost.
+    """
 
     name: str
     incarnation: int
+    stopped_at: float = 0.0
 
 
 class SettingSet(_Change, frozen=True, tag='setting_set'):
@@ -364,8 +368,8 @@
             return dataclasses.replace(base, leaving=kept)
         case EntryListed():
             return _with_entry(base, change, at)
-        case EntryRemoved(name, incarnation):
-            return _without_entry(base, name, incarnation, at)
+        case EntryRemoved(name, incarnation, stopped_at):
+            return _without_entry(base, name, incarnation, at, stopped_at)
         case SettingSet(key, value):
             return _with_setting(base, key, value)
 
@@ -412,10 +416,14 @@
 
 
 def _without_entry(
-    base: ClusterConfig, name: str, incarnation: int, at: float
+    base: ClusterConfig,
+    name: str,
+    incarnation: int,
+    at: float,
+    stopped_at: float = 0.0,
 ) -> ClusterConfig:
     entries = tuple(
-        dataclasses.replace(one, removed_at=at)
+        dataclasses.replace(one, removed_at=at, stopped_at=stopped_at)
         if one.name == name
         and one.incarnation == incarnation
         and not one.removed_at
--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -112,6 +112,7 @@
         self._dialed_version = 0
         self._leave_by = math.inf
         self._left = False
+        self._stopped_at = 0.0
 
     @classmethod
     def from_config(
@@ -310,8 +311,12 @@
         self._writer.submit(request_id, change, based_on)
         return self._advance(now)
 
-    def leave(self, now: float) -> list[object]:
-        """Delist this entry, for a graceful stop; see :attr:`left`."""
+    def leave(self, stopped_at: float, now: float) -> list[object]:
+        """Delist this entry, for a graceful stop; see :attr:`left`.
+
+        :param stopped_at: since when this entry has let in no job.
+        """
+        self._stopped_at = stopped_at
         self._leave_by = min(self._leave_by, now + self._cfg.leave)
         self._check_left(now)
         return [] if self._left else self._delist(now)
@@ -589,7 +594,9 @@
     def _delist(self, now: float) -> list[object]:
         if not self.latest.lists(self._me):
             return []
-        change = cluster.EntryRemoved(self._me.name, self._me.incarnation)
+        change = cluster.EntryRemoved(
+            self._me.name, self._me.incarnation, self._stopped_at
+        )
         self._writer.submit(proposals.INTERNAL, change, None)
         return self._advance(now)
 
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -85,6 +85,8 @@
         self._members_version = 0
         self._preset = ''
         self._stopping = False
+        self._stopped_at = 0.0
+        self._handed: dict[types.JobKey, messages.Member] = {}
         self._left = False
         self._handlers = self._event_handlers()
         self._message_handlers = self._handlers_of_messages()
@@ -251,16 +253,20 @@
             if one.name != self._me.name
         ]
         heir = ownership.owner(spec.key, others, self._skew)
+        # A second heir would not know what the first one started, and "not
+        # run" might be false: once handed over, a job stays where it went.
         if heir is not None and heir.name in self._entries_up:
-            return self.forwarding.pass_on(
-                heir.name, waiter, HANDOVER, spec.key, spec.team, (spec,)
-            )
-        refusal = dispatch.Refusal(
-            answers.CODE_STOPPING,
-            'this entry is stopping and no other can be reached',
-            forwarding.RETRY_AFTER_SECONDS,
-        )
-        return self.owner.refuse(spec, refusal, waiter, now)
+            first = self._handed.setdefault(spec.key, heir)
+            if (first.name, first.incarnation) == (
+                heir.name,
+                heir.incarnation,
+            ):
+                return self.forwarding.pass_on(
+                    heir.name, waiter, HANDOVER, spec.key, spec.team, (spec,)
+                )
+        reason = 'this entry is stopping and the next owner is not reachable'
+        answer = forwarding.pending(spec.key, reason, self._me.name)
+        return answers.deliver((waiter,), answer)
 
     def _owner_of(self, key: types.JobKey, now: float) -> types.PeerName:
         """Name of the owner; empty while that can't be told."""
@@ -318,7 +324,9 @@
         ]
 
     def _on_stop(self, event: core.StopRequested, now: float) -> _Effects:
-        self._stopping = True
+        if not self._stopping:
+            self._stopping = True
+            self._stopped_at = now
         return [core.note('entry_stopping')]
 
     def _leave_when_done(self, now: float) -> _Effects:
@@ -327,7 +335,7 @@
         if self.owner.jobs.running() or len(self.forwarding):
             return []
         if not self.configuration.left:
-            return self.configuration.leave(now)
+            return self.configuration.leave(self._stopped_at, now)
         self._left = True
         peers = sorted([*self._entries_up, *self.owner.agents])
         goodbye = messages.Goodbye('stopped')
--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -134,6 +134,7 @@
   zone @3 :Text;
   listedAt @4 :Float64;
   removedAt @5 :Float64;
+  stoppedAt @6 :Float64;
 }
 
 struct Members {
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -172,6 +172,8 @@
     """An entry in the cluster's configuration.
 
     :param removed_at: when it left; 0 while it is listed.
+    :param stopped_at: since when it had let in no job when it left; 0 if it
+        was lost rather than stopped.
     """
 
     name: str
@@ -180,6 +182,7 @@
     zone: str
     listed_at: float
     removed_at: float = 0.0
+    stopped_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/ownership.py
+++ b/src/agatepick/ownership.py
@@ -99,8 +99,8 @@
 
     Such a job may run no task that isn't known to be unstarted: its former
     owner may have started any of them.  An entry accepts keys stamped up to
-    ``skew`` ahead of its clock, so keys stamped that long after its removal
-    are still suspect.
+    ``skew`` ahead of its clock, so keys stamped that long after its end are
+    still suspect.
     """
     members = tuple(members)
     minted = stamp(key)
@@ -108,10 +108,23 @@
     return any(
         _pick(key, [*listed, member], skew) is member
         for member in members
-        if member.removed_at and minted < member.removed_at + skew
+        if minted < suspect_until(member, skew)
     )
 
 
+def suspect_until(member: messages.Member, skew: float = SKEW) -> float:
+    """Stamp from which on no key can have been let in by an entry.
+
+    :return: 0 while the entry is listed, so that no key is suspect.
+    """
+    if not member.removed_at:
+        return 0.0
+    # An entry that stops lets in nothing for at least a fence before its
+    # removal is in force.  Without its word for that, each planned stop
+    # would fail new jobs for as long as the skew.
+    return (member.stopped_at or member.removed_at) + skew
+
+
 def _pick(
     key: types.JobKey, listed: list[messages.Member], skew: float
 ) -> messages.Member | None:
--- a/src/agatepick/takeover.py
+++ b/src/agatepick/takeover.py
@@ -119,7 +119,7 @@
         removed = [
             one
             for one in members
-            if one.removed_at and minted < one.removed_at + self._skew
+            if minted < ownership.suspect_until(one, self._skew)
         ]
         since = [one.removed_at for one in removed]
         # An entry listed after the removal has to meet the agents first.
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -370,7 +370,7 @@
 def test_all_entries_are_replaced_one_by_one(world):
     """A rolling update: each leaves, goes, and a new process comes."""
     for name in 'xyz':
-        world.feed(name, lambda conf, now: conf.leave(now))
+        world.feed(name, lambda conf, now: conf.leave(now, now))
         run(world, 5.0)
         assert conf(world, name).left
         assert len(world.leases()) == 2
--- a/tests/test_entries_and_agents.py
+++ b/tests/test_entries_and_agents.py
@@ -33,8 +33,6 @@
 class FakeConfiguration:
     """What an entry knows of the cluster, while it can read the store."""
 
-    left = False
-
     def __init__(self, world, name):
         self._world = world
         self._name = name
@@ -45,6 +43,14 @@
     def version(self):
         return self.in_force(self._world.now).version
 
+    @property
+    def left(self):
+        return self.in_force(self._world.now).member(self._name) is None
+
+    def leave(self, stopped_at, now):
+        self._world.remove(self._world.nodes[self._name], stopped_at)
+        return []
+
     def in_force(self, now):
         return [one for one in self._known if one.in_force_at <= now][-1]
 
@@ -100,6 +106,8 @@
         for effect in self.reducer.reduce(event, self.world.now):
             if isinstance(effect, core.Send):
                 self.world.post(self, effect)
+            elif isinstance(effect, core.Exit):
+                self.dead = True
             elif isinstance(effect, calls.Reply):
                 self.world.answered(effect.answer)
             elif isinstance(effect, upstream.RunTask):
@@ -227,14 +235,14 @@
             elif task.outcome == types.Outcome.FINISHED:
                 assert key in self.finished
 
-    def remove(self, one):
+    def remove(self, one, stopped_at=0.0):
         """The entry's removal is written, and in force after the fence."""
         latest = self.configs[-1]
         if len(latest.listed()) == 1 or latest.member(one.name) is None:
             return
         at = self.now + FENCE
         entries = tuple(
-            dataclasses.replace(member, removed_at=at)
+            dataclasses.replace(member, removed_at=at, stopped_at=stopped_at)
             if member.name == one.name
             else member
             for member in latest.entries
@@ -277,6 +285,8 @@
             self.connect(one, node)
         elif kind == 'remove':
             self.remove(one)
+        elif kind == 'stop' and not one.paused:
+            one.feed(core.StopRequested())
         elif kind == 'kill':
             one.dead = True
         elif kind == 'pause':
@@ -294,7 +304,7 @@
     *['submit', 'end', 'tick'] * 6,
     *['copy', 'lose', 'reconnect', 'pause', 'remove'],
     *['resume'] * 2,
-    *['kill', 'restart_agent'],
+    *['kill', 'stop', 'restart_agent'],
 ]
 
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -56,6 +56,24 @@
     assert ownership.owner(key_at(NOW), ()) is None
 
 
+def test_a_planned_stop_leaves_no_new_key_suspect():
+    """An operator replaces entries one by one while callers submit jobs.
+
+    A new key that falls to the next owner has never been let in before; were
+    it suspect, its job would be marked failed after every planned stop.
+    """
+    lost = member('a', NOW - 60, NOW)
+    stopped = dataclasses.replace(lost, stopped_at=NOW - 3)
+    keys = [key_at(NOW, seed) for seed in range(50)]
+    for gone, suspects in ((lost, True), (stopped, False)):
+        members = (gone, member('b', NOW - 60))
+        found = [ownership.taken_over(key, members) for key in keys]
+        assert any(found) is suspects
+    before = [key_at(NOW - 2, seed) for seed in range(50)]
+    members = (stopped, member('b', NOW - 60))
+    assert any(ownership.taken_over(key, members) for key in before)
+
+
 times = st.floats(0, 20).map(lambda shift: NOW + round(shift, 1))
 members_drawn = st.lists(
     st.tuples(times, st.none() | times), min_size=1, max_size=5
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -181,6 +181,39 @@
     asyncio.run(main())
 
 
+def test_new_jobs_run_at_once_after_a_planned_stop():
+    """An operator replaces an entry while callers go on submitting jobs.
+
+    The jobs that the next owner gets first must run, not be marked failed.
+    """
+
+    async def main():
+        async with whole.cluster() as cluster:
+            first, second = cluster.entries
+            keys = []
+            stopping = asyncio.create_task(first.stop())
+            while len(cluster.listed(second)) > 1:
+                keys.append(str(uuid_utils.uuid7()))
+                await asyncio.sleep(0.1)
+            keys += [str(uuid_utils.uuid7()) for _ in range(10)]
+            answers = await asyncio.gather(
+                *[
+                    cluster.call(
+                        second,
+                        'POST',
+                        '/v1/jobs',
+                        whole.job(1),
+                        **{'Idempotency-Key': key},
+                    )
+                    for key in keys[-15:]
+                ]
+            )
+            assert [code for code, _ in answers] == [200] * 15, answers
+            await stopping
+
+    asyncio.run(main())
+
+
 def _key_of(entry):
     """A new key that an entry owns."""
     now = entry.outside.clock.now()
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -96,6 +96,11 @@
         serves = status.ready and leased and status.dispatch.slots
         return serves and listed and all_agents
 
+    def listed(self, process):
+        """The listed entries in force, as an entry sees them."""
+        now = process.outside.clock.now()
+        return process.entry.configuration.in_force(now).listed()
+
     async def call(self, process, method, path, body=None, **headers):
         """One HTTP request; its status and JSON."""
         resp = await self._client.fetch(
