--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -11,6 +11,7 @@
 
 from agatepick import clockwatch
 from agatepick import cluster
+from agatepick import configstatus
 from agatepick import core
 from agatepick import dials
 from agatepick import exceptions
@@ -20,6 +21,7 @@
 from agatepick import listing
 from agatepick import membership
 from agatepick import messages
+from agatepick import permits
 from agatepick import proposals
 from agatepick import readlease
 from agatepick import store
@@ -52,38 +54,6 @@
     leave: float = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationStatus:
-    """What an operator is shown.
-
-    :param version: the last version known; ``version_in_force`` is in
-        force.
-    :param lease_source: ``store``, ``peers`` or ``none``.
-    :param lease_seconds: seconds that the read lease has left.
-    :param uncertain: changes whose fate isn't settled.
-    :param lost: listed entries whose processes are gone or silent.
-    :param in_force: the whole document in force.
-    :param accepted: the last one known, which may be in force later.
-    """
-
-    version: int
-    version_in_force: int
-    in_force_at: float
-    preset: str
-    lease_source: str
-    lease_seconds: float
-    serving: bool
-    settled: bool
-    zones: tuple[cluster.Zone, ...]
-    quotas: tuple[cluster.Quota, ...]
-    leaving: tuple[str, ...]
-    entries: tuple[messages.Member, ...]
-    uncertain: tuple[cluster.ChangeRow, ...]
-    lost: tuple[str, ...]
-    in_force: cluster.ClusterConfig
-    accepted: cluster.ClusterConfig
-
-
 class Configuration:
     """The cluster configuration as one entry knows it."""
 
@@ -105,9 +75,14 @@
         self._last_call = 0
         self._last_write = 0
         self._renewing: cluster.Head | None = None
-        self._store_lease = 0.0
-        self._lease = 0.0
-        self._has_read = False
+        self._permits = permits.Permits(
+            me,
+            cfg.rules,
+            self._known,
+            self._members,
+            self._writer,
+            self._clocks,
+        )
         self._granted: dict[str, float] = {}
         self._due: dict[str, float] = {}
         self._dials = dials.Dials()
@@ -152,51 +127,35 @@
 
         0 if there is none.
         """
-        end = min(self._lease, self._known.removal(self._me, now))
-        holds = now < end and self.serving(now) and self._clocks.trusted
-        return end if holds else 0.0
+        return self._permits.lease_until(now)
 
     def serving(self, now: float) -> bool:
         """Whether the head was read and this entry is listed in force."""
-        return (
-            self._has_read
-            and self._known.knows(now)
-            and self._known.in_force(now).lists(self._me)
-        )
+        return self._permits.serving(now)
 
     def zone_open(self, zone: str, now: float) -> bool:
         """Whether tasks may start in ``zone`` at ``now``."""
-        if self._known.in_force(now).zone_out(zone):
-            return False
-        return now < readlease.zone_bound(zone, self._uncertain())
+        return now < self._permits.zone_bound(zone, now)
 
     def start_before(self, zone: str, now: float) -> float:
         """Instant before which a task sent now to ``zone`` must start.
 
-        A permit that reached past a pending departure would let a task wait
-        in a socket's buffer and start in a zone that is out.  0 if no task
-        may start.
+        0 if no task may start.
         """
-        if not self.zone_open(zone, now):
-            return 0.0
-        return min(
-            self.lease_until(now),
-            self._known.departure(zone, now),
-            readlease.zone_bound(zone, self._uncertain()),
-        )
+        return self._permits.start_before(zone, now)
 
     def settled(self, now: float) -> bool:
         """Whether nothing is pending, uncertain or being written."""
         return (
             self._writer.idle
             and not self._known.pending(now)
-            and not self._uncertain()
+            and not self._permits.uncertain()
         )
 
-    def status(self, now: float) -> ConfigurationStatus:
+    def status(self, now: float) -> configstatus.ConfigurationStatus:
         """What an operator is shown."""
         doc = self._known.in_force(now)
-        return ConfigurationStatus(
+        return configstatus.ConfigurationStatus(
             version=self.version,
             version_in_force=doc.version,
             in_force_at=doc.in_force_at,
@@ -209,7 +168,7 @@
             quotas=doc.quotas,
             leaving=doc.leaving,
             entries=doc.entries,
-            uncertain=tuple(one.row for one in self._uncertain()),
+            uncertain=tuple(one.row for one in self._permits.uncertain()),
             lost=tuple(one.name for one in self._members.lost(now)),
             in_force=doc,
             accepted=self._known.latest,
@@ -287,7 +246,7 @@
     def on_tick(self, now: float) -> list[object]:
         """Do whatever is due."""
         effects = self._writer.expire(now)
-        self._extend(now)
+        self._permits.extend(now)
         if self._is_due('poll', self._cfg.poll, now):
             effects += self._read()
         if self._is_due('grant', self._cfg.grant, now):
@@ -334,7 +293,7 @@
         outcome = self._reader.answered(answer, now)
         effects = self._versions_moved(now)
         if isinstance(outcome, headreader.HeadSeen):
-            self._has_read = True
+            self._permits.has_read = True
             return effects + self._on_head(outcome.head, now)
         if isinstance(outcome, headreader.ReadFailed):
             effects += self._writer.read_failed(outcome.reason)
@@ -343,9 +302,7 @@
 
     def _on_head(self, head: cluster.Head, now: float) -> list[object]:
         if head != headrows.NO_HEAD:
-            end = readlease.from_stamp(head.stamp, self._cfg.rules)
-            self._store_lease = max(self._store_lease, end)
-            self._lease = max(self._lease, end)
+            self._permits.read(head.stamp)
         effects = self._writer.settle()
         effects += self._writer.head_seen(self._peers(now), now)
         effects += self._advance(now)
@@ -390,7 +347,7 @@
             return []
         grant = readlease.PeerGrant(message.version, message.sent, doubt)
         self._members.granted(peer, grant, now)
-        self._extend(now)
+        self._permits.extend(now)
         if message.version > self.version:
             return [_wanted(peer, self.version)]
         return []
@@ -415,7 +372,7 @@
             self._known.take(cluster.decode(data, cluster.ChangeRow), now)
         effects = self._versions_moved(now)
         effects += self._writer.settle()
-        self._extend(now)
+        self._permits.extend(now)
         return effects
 
     def _on_wanted(
@@ -428,29 +385,9 @@
         return [core.Send(peer, messages.Changes(message.since, data))]
 
     def _after_evidence(self, now: float) -> list[object]:
-        self._extend(now)
+        self._permits.extend(now)
         return self._advance(now)
 
-    def _extend(self, now: float) -> None:
-        """Count the peers' grants; only a listed entry is told of writes."""
-        if not self.latest.lists(self._me):
-            return
-        self._lease = readlease.extend(
-            self._lease,
-            now,
-            self.version,
-            self._members.grants(),
-            self._uncertain(),
-            self._cfg.rules,
-        )
-
-    def _uncertain(self) -> tuple[cluster.Uncertain, ...]:
-        doubts = self._members.unsettled()
-        own = self._writer.uncertain()
-        if own is not None:
-            doubts.append(own)
-        return readlease.live(doubts, self._known.head)
-
     def _grant(self, now: float) -> list[object]:
         if not self.latest.lists(self._me):
             return []
@@ -515,9 +452,9 @@
         return ''
 
     def _keep_entries(self, now: float) -> list[object]:
-        if self.serving(now) and now < self._store_lease:
+        if self.serving(now) and self._permits.reads_store(now):
             self._listing.remove_lost(now)
-        return self._listing.keep() if self._has_read else []
+        return self._listing.keep() if self._permits.has_read else []
 
     def _is_due(self, name: str, seconds: float, now: float) -> bool:
         if now < self._due.get(name, 0.0):
@@ -529,7 +466,7 @@
     def _lease_source(self, now: float) -> str:
         if not self.lease_until(now):
             return 'none'
-        return 'store' if now < self._store_lease else 'peers'
+        return 'store' if self._permits.reads_store(now) else 'peers'
 
 
 def _doubt(data: bytes) -> cluster.Uncertain | None:
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -14,6 +14,7 @@
 from agatepick import answers
 from agatepick import calls
 from agatepick import cluster
+from agatepick import configstatus
 from agatepick import configuration
 from agatepick import core
 from agatepick import dispatch
@@ -59,7 +60,7 @@
     forwarded: int
     agents: tuple[str, ...]
     zones: tuple[str, ...]
-    configuration: configuration.ConfigurationStatus
+    configuration: configstatus.ConfigurationStatus
     dispatch: dispatch.DispatchStatus
 
 
--- /dev/null
+++ b/src/agatepick/permits.py
@@ -0,0 +1,97 @@
+"""Until when this entry may start tasks, and in which zones."""
+
+from agatepick import clockwatch
+from agatepick import cluster
+from agatepick import history
+from agatepick import membership
+from agatepick import messages
+from agatepick import proposals
+from agatepick import readlease
+
+
+class Permits:
+    """The read lease that one entry holds, and what narrows it."""
+
+    def __init__(
+        self,
+        me: messages.Member,
+        rules: readlease.Rules,
+        known: history.History,
+        members: membership.Membership,
+        writer: proposals.Writer,
+        clocks: clockwatch.ClockWatch,
+    ):
+        self._me = me
+        self._rules = rules
+        self._known = known
+        self._members = members
+        self._writer = writer
+        self._clocks = clocks
+        self._lease = 0.0
+        self._store_lease = 0.0
+        self.has_read = False
+        """Whether the head was read since the start of the process."""
+
+    def read(self, stamp: float) -> None:
+        """Take the lease of a head that was read."""
+        end = readlease.from_stamp(stamp, self._rules)
+        self._store_lease = max(self._store_lease, end)
+        self._lease = max(self._lease, end)
+
+    def extend(self, now: float) -> None:
+        """Count the peers' grants; only a listed entry is told of writes."""
+        if not self._known.latest.lists(self._me):
+            return
+        self._lease = readlease.extend(
+            self._lease,
+            now,
+            self._known.version,
+            self._members.grants(),
+            self.uncertain(),
+            self._rules,
+        )
+
+    def uncertain(self) -> tuple[cluster.Uncertain, ...]:
+        """Changes that may yet turn out to be written, ours among them."""
+        doubts = self._members.unsettled()
+        own = self._writer.uncertain()
+        if own is not None:
+            doubts.append(own)
+        return readlease.live(doubts, self._known.head)
+
+    def serving(self, now: float) -> bool:
+        """Whether the head was read and this entry is listed in force."""
+        return (
+            self.has_read
+            and self._known.knows(now)
+            and self._known.in_force(now).lists(self._me)
+        )
+
+    def lease_until(self, now: float) -> float:
+        """End of the read lease; 0 if there is none."""
+        end = min(self._lease, self._known.removal(self._me, now))
+        holds = now < end and self.serving(now) and self._clocks.trusted
+        return end if holds else 0.0
+
+    def reads_store(self, now: float) -> bool:
+        """Whether the lease comes from the store, not from peers."""
+        return now < self._store_lease
+
+    def zone_bound(self, zone: str, now: float) -> float:
+        """Instant from which ``zone`` is, or may be, out; 0 if it is."""
+        if self._known.in_force(now).zone_out(zone):
+            return 0.0
+        bound = readlease.zone_bound(zone, self.uncertain())
+        return min(bound, self._known.departure(zone, now))
+
+    def start_before(self, zone: str, now: float) -> float:
+        """Instant before which a task sent now to ``zone`` must start.
+
+        A permit that reached past a pending departure would let a task wait
+        in a socket's buffer and start in a zone that is out.  0 if no task
+        may start.
+        """
+        bound = self.zone_bound(zone, now)
+        if bound <= now:
+            return 0.0
+        return min(self.lease_until(now), bound)
