Find a job again where callers need no token

Without tokens a caller tells its team only in the job it hands in, so a GET or DELETE carried none, and the owner, which compared teams, said 404 to everyone: curl's Location led nowhere. An empty team now means that callers have no tokens and may see the job; with tokens nothing changes. Measured: by curl, 404 for a complete job before; a test over real sockets asks and cancels at both entries and passes.

--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -170,9 +170,13 @@
     def ask(
         self, key: types.JobKey, team: str, waiter: jobs.Waiter
     ) -> list[object]:
-        """Tell how a job stands."""
+        """Tell how a job stands.
+
+        :param team: whose job it must be; empty where callers have no
+            tokens, which tell their team.
+        """
         job = self.jobs.get(key)
-        if job is None or job.spec.team != team:
+        if job is None or team not in ('', job.spec.team):
             answer = self.jobs.refusal(key)
             if answer is None and self.takeover.reported(key):
                 answer = answers.submit_again(key, self._name)
@@ -185,7 +189,7 @@
     ) -> list[object]:
         """End a job early; what runs is stopped at its agents."""
         job = self.jobs.get(key)
-        if job is None or job.spec.team != team or job.ended:
+        if job is None or job.ended or team not in ('', job.spec.team):
             return self.ask(key, team, waiter)
         job.cancelled = True
         for index in self._dispatch.drop(key):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -106,3 +106,34 @@
             await stopping
 
     asyncio.run(main())
+
+
+def test_a_job_can_be_asked_for_and_cancelled_at_any_entry():
+    """A caller without a token hands in a job and comes back for it later.
+
+    It has told its team only in the job, and must find it all the same.
+    """
+
+    async def main():
+        async with whole.cluster() as cluster:
+            first, second = cluster.entries
+            wait = {'Prefer': 'respond-async'}
+            body = whole.job(2, 30.0)
+            code, answer = await cluster.call(
+                first, 'POST', '/v1/jobs', body, **wait
+            )
+            path = f'/v1/jobs/{answer["job"]}'
+            assert (code, answer['run']) == (202, 'pending')
+            for entry in (first, second):
+                code, answer = await cluster.call(entry, 'GET', path)
+                assert (code, answer['run']) == (202, 'pending')
+            code, answer = await cluster.call(second, 'DELETE', path)
+            assert code in (200, 202)
+            async with asyncio.timeout(whole.PATIENCE):
+                while (await cluster.call(first, 'GET', path))[0] == 202:
+                    await asyncio.sleep(0.01)
+            code, answer = await cluster.call(second, 'GET', path)
+            assert (code, answer['code']) == (409, 'cancelled')
+            assert {one['id'] for one in answer['tasks']} == {'t0', 't1'}
+
+    asyncio.run(main())
