--- a/src/agatepick/configuration.py
+++ b/src/agatepick/configuration.py
@@ -11,13 +11,17 @@
 
 from agatepick import clockwatch
 from agatepick import cluster
+from agatepick import configstatus
 from agatepick import core
+from agatepick import dials
 from agatepick import exceptions
 from agatepick import headreader
 from agatepick import headrows
 from agatepick import history
+from agatepick import listing
 from agatepick import membership
 from agatepick import messages
+from agatepick import permits
 from agatepick import proposals
 from agatepick import readlease
 from agatepick import store
@@ -50,38 +54,6 @@
     leave: float = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationStatus:
-    """What an operator is shown.
-
-    :param version: the last version known; ``version_in_force`` is in
-        force.
-    :param lease_source: ``store``, ``peers`` or ``none``.
-    :param lease_seconds: seconds that the read lease has left.
-    :param uncertain: changes whose fate isn't settled.
-    :param lost: listed entries whose processes are gone or silent.
-    :param in_force: the whole document in force.
-    :param accepted: the last one known, which may be in force later.
-    """
-
-    version: int
-    version_in_force: int
-    in_force_at: float
-    preset: str
-    lease_source: str
-    lease_seconds: float
-    serving: bool
-    settled: bool
-    zones: tuple[cluster.Zone, ...]
-    quotas: tuple[cluster.Quota, ...]
-    leaving: tuple[str, ...]
-    entries: tuple[messages.Member, ...]
-    uncertain: tuple[cluster.ChangeRow, ...]
-    lost: tuple[str, ...]
-    in_force: cluster.ClusterConfig
-    accepted: cluster.ClusterConfig
-
-
 class Configuration:
     """The cluster configuration as one entry knows it."""
 
@@ -103,15 +75,21 @@
         self._last_call = 0
         self._last_write = 0
         self._renewing: cluster.Head | None = None
-        self._store_lease = 0.0
-        self._lease = 0.0
-        self._has_read = False
+        self._permits = permits.Permits(
+            me,
+            cfg.rules,
+            self._known,
+            self._members,
+            self._writer,
+            self._clocks,
+        )
         self._granted: dict[str, float] = {}
         self._due: dict[str, float] = {}
-        self._dialed: dict[str, str] = {}
-        self._dialed_version = 0
-        self._leave_by = math.inf
-        self._left = False
+        self._dials = dials.Dials()
+        self._followed = 0
+        self._listing = listing.Listing(
+            me, self._known, self._members, self._writer, rng, cfg.leave
+        )
 
     @classmethod
     def from_config(
@@ -138,7 +116,7 @@
     @property
     def left(self) -> bool:
         """Whether a graceful stop may go on: this entry is delisted."""
-        return self._left
+        return self._listing.left
 
     def in_force(self, now: float) -> cluster.ClusterConfig:
         """The document in force at ``now``."""
@@ -149,51 +127,35 @@
 
         0 if there is none.
         """
-        end = min(self._lease, self._known.removal(self._me, now))
-        holds = now < end and self.serving(now) and self._clocks.trusted
-        return end if holds else 0.0
+        return self._permits.lease_until(now)
 
     def serving(self, now: float) -> bool:
         """Whether the head was read and this entry is listed in force."""
-        return (
-            self._has_read
-            and self._known.knows(now)
-            and self._known.in_force(now).lists(self._me)
-        )
+        return self._permits.serving(now)
 
     def zone_open(self, zone: str, now: float) -> bool:
         """Whether tasks may start in ``zone`` at ``now``."""
-        if self._known.in_force(now).zone_out(zone):
-            return False
-        return now < readlease.zone_bound(zone, self._uncertain())
+        return now < self._permits.zone_bound(zone, now)
 
     def start_before(self, zone: str, now: float) -> float:
         """Instant before which a task sent now to ``zone`` must start.
 
-        A permit that reached past a pending departure would let a task wait
-        in a socket's buffer and start in a zone that is out.  0 if no task
-        may start.
+        0 if no task may start.
         """
-        if not self.zone_open(zone, now):
-            return 0.0
-        return min(
-            self.lease_until(now),
-            self._known.departure(zone, now),
-            readlease.zone_bound(zone, self._uncertain()),
-        )
+        return self._permits.start_before(zone, now)
 
     def settled(self, now: float) -> bool:
         """Whether nothing is pending, uncertain or being written."""
         return (
             self._writer.idle
             and not self._known.pending(now)
-            and not self._uncertain()
+            and not self._permits.uncertain()
         )
 
-    def status(self, now: float) -> ConfigurationStatus:
+    def status(self, now: float) -> configstatus.ConfigurationStatus:
         """What an operator is shown."""
         doc = self._known.in_force(now)
-        return ConfigurationStatus(
+        return configstatus.ConfigurationStatus(
             version=self.version,
             version_in_force=doc.version,
             in_force_at=doc.in_force_at,
@@ -206,7 +168,7 @@
             quotas=doc.quotas,
             leaving=doc.leaving,
             entries=doc.entries,
-            uncertain=tuple(one.row for one in self._uncertain()),
+            uncertain=tuple(one.row for one in self._permits.uncertain()),
             lost=tuple(one.name for one in self._members.lost(now)),
             in_force=doc,
             accepted=self._known.latest,
@@ -277,23 +239,22 @@
         self._members.down(event.peer, event.incarnation, event.dead, now)
         if event.peer not in self._members.connected:
             self._clocks.forget(event.peer)
-        return self._hang_up(event.peer) + self._after_evidence(now)
+        connected = self._members.connected
+        effects = self._dials.let_go(event.peer, self._wanted(), connected)
+        return effects + self._after_evidence(now)
 
     def on_tick(self, now: float) -> list[object]:
         """Do whatever is due."""
         effects = self._writer.expire(now)
-        self._extend(now)
+        self._permits.extend(now)
         if self._is_due('poll', self._cfg.poll, now):
             effects += self._read()
         if self._is_due('grant', self._cfg.grant, now):
             effects += self._grant(now)
         if self._is_due('listing', self._cfg.listing, now):
-            effects += self._keep_listed(now)
-            effects += self._remove_lost(now)
-            if self._leave_by < math.inf and not self._left:
-                effects += self._delist(now)
+            effects += self._keep_entries(now)
         effects += self._advance(now)
-        self._check_left(now)
+        self._listing.check_left(now)
         return [*effects, core.WakeAt(min(self._due.values()))]
 
     def propose(
@@ -310,11 +271,13 @@
         self._writer.submit(request_id, change, based_on)
         return self._advance(now)
 
-    def leave(self, now: float) -> list[object]:
-        """Delist this entry, for a graceful stop; see :attr:`left`."""
-        self._leave_by = min(self._leave_by, now + self._cfg.leave)
-        self._check_left(now)
-        return [] if self._left else self._delist(now)
+    def leave(self, stopped_at: float, now: float) -> list[object]:
+        """Delist this entry, for a graceful stop; see :attr:`left`.
+
+        :param stopped_at: since when this entry has let in no job.
+        """
+        self._listing.begin_to_leave(stopped_at, now)
+        return self._advance(now)
 
     # -- the store ---------------------------------------------------------
 
@@ -333,7 +296,7 @@
         outcome = self._reader.answered(answer, now)
         effects = self._versions_moved(now)
         if isinstance(outcome, headreader.HeadSeen):
-            self._has_read = True
+            self._permits.has_read = True
             return effects + self._on_head(outcome.head, now)
         if isinstance(outcome, headreader.ReadFailed):
             effects += self._writer.read_failed(outcome.reason)
@@ -342,9 +305,7 @@
 
     def _on_head(self, head: cluster.Head, now: float) -> list[object]:
         if head != headrows.NO_HEAD:
-            end = readlease.from_stamp(head.stamp, self._cfg.rules)
-            self._store_lease = max(self._store_lease, end)
-            self._lease = max(self._lease, end)
+            self._permits.read(head.stamp)
         effects = self._writer.settle()
         effects += self._writer.head_seen(self._peers(now), now)
         effects += self._advance(now)
@@ -389,7 +350,7 @@
             return []
         grant = readlease.PeerGrant(message.version, message.sent, doubt)
         self._members.granted(peer, grant, now)
-        self._extend(now)
+        self._permits.extend(now)
         if message.version > self.version:
             return [_wanted(peer, self.version)]
         return []
@@ -403,7 +364,9 @@
         if self._members.intends(peer, intent):
             ack = messages.IntentAck(message.version, intent.row.attempt)
             return [core.Send(peer, ack)]
-        return self._list_for(peer, intent.row.change, now)
+        if self.serving(now):
+            self._listing.list_for(peer, intent.row.change)
+        return self._advance(now)
 
     def _on_changes(
         self, message: messages.Changes, now: float
@@ -412,7 +375,7 @@
             self._known.take(cluster.decode(data, cluster.ChangeRow), now)
         effects = self._versions_moved(now)
         effects += self._writer.settle()
-        self._extend(now)
+        self._permits.extend(now)
         return effects
 
     def _on_wanted(
@@ -425,29 +388,9 @@
         return [core.Send(peer, messages.Changes(message.since, data))]
 
     def _after_evidence(self, now: float) -> list[object]:
-        self._extend(now)
+        self._permits.extend(now)
         return self._advance(now)
 
-    def _extend(self, now: float) -> None:
-        """Count the peers' grants; only a listed entry is told of writes."""
-        if not self.latest.lists(self._me):
-            return
-        self._lease = readlease.extend(
-            self._lease,
-            now,
-            self.version,
-            self._members.grants(),
-            self._uncertain(),
-            self._cfg.rules,
-        )
-
-    def _uncertain(self) -> tuple[cluster.Uncertain, ...]:
-        doubts = self._members.unsettled()
-        own = self._writer.uncertain()
-        if own is not None:
-            doubts.append(own)
-        return readlease.live(doubts, self._known.head)
-
     def _grant(self, now: float) -> list[object]:
         if not self.latest.lists(self._me):
             return []
@@ -464,44 +407,22 @@
 
     def _versions_moved(self, now: float) -> list[object]:
         """Follow the listed entries after new versions came to be known."""
-        if self._dialed_version == self.version:
+        if self._followed == self.version:
             return []
-        self._dialed_version = self.version
+        self._followed = self.version
         self._members.list_anew(self.latest, now)
-        wanted = {
+        connected = self._members.connected
+        return [
+            core.note('version_known', version=self.version),
+            *self._dials.follow(self._wanted(), connected),
+        ]
+
+    def _wanted(self) -> dict[str, str]:
+        return {
             one.name: one.address
             for one in self._members.others
             if one.name != self._me.name
         }
-        effects: list[object] = [
-            core.note('version_known', version=self.version)
-        ]
-        for name, address in wanted.items():
-            effects += self._dial(name, address)
-        for name in self._dialed.keys() - wanted.keys():
-            effects += self._hang_up(name)
-        return effects
-
-    def _dial(self, name: str, address: str) -> list[object]:
-        old = self._dialed.get(name)
-        if old == address:
-            return []
-        self._dialed[name] = address
-        dial = core.Dial(name, address)
-        return [dial] if old is None else [core.Hangup(name), dial]
-
-    def _hang_up(self, name: str) -> list[object]:
-        """Dial a removed entry no more, once it has disconnected itself.
-
-        A stopping entry is removed first and then finishes its jobs, whose
-        answers still come over the connection.
-        """
-        listed = {one.name for one in self._members.others}
-        keep = name in listed or name in self._members.connected
-        if keep or name not in self._dialed:
-            return []
-        del self._dialed[name]
-        return [core.Hangup(name)]
 
     # -- changes -----------------------------------------------------------
 
@@ -533,71 +454,10 @@
             return 'this entry is not listed in force yet'
         return ''
 
-    def _keep_listed(self, now: float) -> list[object]:
-        if self._leave_by < math.inf or not self._has_read:
-            return []
-        if self.latest.lists(self._me):
-            return []
-        change = cluster.EntryListed(
-            self._me.name,
-            self._me.incarnation,
-            self._me.address,
-            self._me.zone,
-        )
-        alive = sorted(self._members.alive() & self._members.connected.keys())
-        if self._members.alive():
-            return self._ask_listing(change, alive)
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _ask_listing(
-        self, change: cluster.EntryListed, alive: list[str]
-    ) -> list[object]:
-        if not alive:
-            return []
-        row = cluster.ChangeRow(
-            self.version + 1,
-            0.0,
-            change,
-            self._me.name,
-            self._me.incarnation,
-            0,
-        )
-        data = cluster.encode(cluster.Uncertain(row, 0.0))
-        intent = messages.Intent(self.version, data)
-        return [core.Send(self._rng.choice(alive), intent)]
-
-    def _list_for(
-        self, peer: str, change: cluster.Change, now: float
-    ) -> list[object]:
-        """Write the listing that an unlisted entry asks for."""
-        if not isinstance(change, cluster.EntryListed) or change.name != peer:
-            return []
-        if not self.serving(now):
-            return []
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _remove_lost(self, now: float) -> list[object]:
-        if not self.serving(now) or now >= self._store_lease:
-            return []
-        for one in self._members.lost(now):
-            change = cluster.EntryRemoved(one.name, one.incarnation)
-            self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _delist(self, now: float) -> list[object]:
-        if not self.latest.lists(self._me):
-            return []
-        change = cluster.EntryRemoved(self._me.name, self._me.incarnation)
-        self._writer.submit(proposals.INTERNAL, change, None)
-        return self._advance(now)
-
-    def _check_left(self, now: float) -> None:
-        if self._leave_by == math.inf or self._left:
-            return
-        listed = self.latest.lists(self._me) or self.serving(now)
-        self._left = not listed or now >= self._leave_by
+    def _keep_entries(self, now: float) -> list[object]:
+        if self.serving(now) and self._permits.reads_store(now):
+            self._listing.remove_lost(now)
+        return self._listing.keep() if self._permits.has_read else []
 
     def _is_due(self, name: str, seconds: float, now: float) -> bool:
         if now < self._due.get(name, 0.0):
@@ -609,7 +469,7 @@
     def _lease_source(self, now: float) -> str:
         if not self.lease_until(now):
             return 'none'
-        return 'store' if now < self._store_lease else 'peers'
+        return 'store' if self._permits.reads_store(now) else 'peers'
 
 
 def _doubt(data: bytes) -> cluster.Uncertain | None:
