Rank jobs by all of their own work

Twice fails two played tests: light teams wait 1.37 times as long as alone, and fewer jobs of a burst are let in. Kept once, with which all of them pass.

--- a/src/agatepick/queues.py
+++ b/src/agatepick/queues.py
@@ -13,9 +13,10 @@
 Teams below their fair share so keep the order of arrival, which is best for
 response, while a team with a backlog queues behind itself.  Deficit round
 robin is as fair, but interleaves the jobs of all teams, so that all of them
-end late.  :data:`SIZE_WEIGHT` of the job's own work is added to its rank: it
-lets short jobs pass long ones, but only until the virtual time has grown by
-the long one's work.
+end late.  A job's own work, times :data:`SIZE_WEIGHT`, is added to its rank:
+it lets short jobs pass long ones, but only until the virtual time has grown
+by the long one's work.  Twice that weight lets heavy teams' small jobs pass
+light teams' large ones.
 
 A job that was let in must not miss its deadline because later jobs of
 lighter teams were ranked before it.  Two things see to that.  What waits
@@ -36,7 +37,7 @@
 from agatepick import placement
 from agatepick import types
 
-SIZE_WEIGHT = 0.5
+SIZE_WEIGHT = 1.0
 EXACT_JOBS = 512
 """Waiting jobs up to which a new job's place among them is worked out."""
 
