Ask for 2,000 cores where the bench wants a task that fits nowhere

Change: 2,000, which no worker has. Conclusion: the refusal that is meant is the one that is measured.

--- a/src/agatepick/bench_arrivals.py
+++ b/src/agatepick/bench_arrivals.py
@@ -178,7 +178,7 @@
         dataclasses.replace(
             task,
             expected_seconds=task.seconds * rng.choice((0.1, 1.0, 10.0)),
-            cpu=0.0 if possible else 10000.0,
+            cpu=0.0 if possible else 2000.0,
         )
         for task in draw_tasks(rng)
     )
