--- a/src/agatepick/bench_run.py
+++ b/src/agatepick/bench_run.py
@@ -120,6 +120,7 @@
         'bytes': sent,
         **lag.figures(),
         'cpu_seconds_all_processes_and_bench': cpu,
+        'starts_per_cpu_second_of_all': len(book.runs) / cpu,
     }
     report = bench_report.summarize(evidence, ideal_of(evidence), extra)
     return Played(report, evidence)
@@ -164,11 +165,27 @@
         f'answers_{code}': count
         for code, count in sorted(answer_codes(evidence).items())
     }
+    figures |= outage_figures(evidence)
     if evidence.load.failing:
         figures |= failing_figures(evidence, site)
     return figures
 
 
+def outage_figures(evidence: bench_evidence.Evidence) -> Figures:
+    """How the jobs ended that came while the table service was down."""
+    steps = {step.action: step.at for step in evidence.load.steps}
+    down = steps.get(bench_plan.Action.STORE_DOWN)
+    if down is None:
+        return {}
+    until = steps[bench_plan.Action.STORE_UP]
+    came = {job.number for job in evidence.load.jobs if down <= job.at < until}
+    done = came & bench_measures.completed(evidence).keys()
+    return {
+        'jobs_during_outage': len(came),
+        'completed_during_outage_share': len(done) / max(1, len(came)),
+    }
+
+
 def answer_codes(evidence: bench_evidence.Evidence) -> dict[str, int]:
     """First answers by status and code."""
     counts: dict[str, int] = {}
--- a/src/agatepick/capacity.py
+++ b/src/agatepick/capacity.py
@@ -161,6 +161,11 @@
             number(plan.owners),
             'extrapolated',
         ),
+        (
+            'agents that one entry can hear within 4.1% of a core',
+            number(found.line('entry_idle_core').size_at(CORE_LIMIT)),
+            'extrapolated',
+        ),
     ]
     return list(table(('what', 'figure', 'kind'), rows))
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,13 +1,17 @@
+import pathlib
+
 import pytest
 
 from agatepick import capacity
 from agatepick import slopes
 
+DOCS = pathlib.Path(__file__).parents[1] / 'docs'
 LINES = {
     'entry_cpu_by_tasks': (100e-6, 400e-6),
     'entry_control_bytes': (64.0, 0.0),
     'job_messages': (1.0, 1.0),
     'job_bytes': (500.0, 0.0),
+    'entry_idle_core': (0.001, 0.0),
 }
 
 
@@ -39,3 +43,9 @@
     assert made.endswith('|\n<!-- end -->\nb\n')
     assert 'old' not in made and 'not measured' in made
     assert capacity.update(made, found) == made
+
+
+def test_the_page_says_what_the_measurement_beside_it_says():
+    page = (DOCS / 'CAPACITY.md').read_text(encoding='utf-8')
+    measured = slopes.load(DOCS / 'slopes.json')
+    assert capacity.update(page, measured) == page
