Bound what a message may claim by its own size

Cause: fuzzing the codec found 240 bytes that claim a list of 1,048,576 reports; reading it took 4.6 to 5.6 s, in which its receiver did nothing else and leases would lapse. Change: the reader's limit grows with the message rather than being 64 MB for all.

--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -19,8 +19,13 @@
 
 SCHEMA = pathlib.Path(__file__).with_name('messages.capnp')
 MAX_NESTING = 8
-MAX_WORDS = 8 * 1024 * 1024
-"""Words a reader may traverse: bounds the work a hostile message causes."""
+WORD_BYTES = 8
+TRAVERSALS = 2
+SPARE_WORDS = 128
+"""A reader may pass each word of a message twice, and a few more: whole
+messages need one pass.  A limit that doesn't grow with the message lets a
+few hundred bytes claim a list of a million empty items, and its receiver
+stands still for seconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -350,7 +355,9 @@
     try:
         with _schema().Envelope.from_bytes(
             data,
-            traversal_limit_in_words=MAX_WORDS,
+            traversal_limit_in_words=(
+                TRAVERSALS * len(data) // WORD_BYTES + SPARE_WORDS
+            ),
             nesting_limit=MAX_NESTING,
         ) as envelope:
             tag = str(envelope.which())
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,3 +1,8 @@
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from agatepick import exceptions
@@ -25,3 +30,84 @@
 def test_bytes_that_are_no_message_are_refused(data):
     with pytest.raises(exceptions.BadMessage):
         messages.decode(data)
+
+
+REPORT = messages.TaskReport('j', 1, 1, 'finished', b'{}', 'r', 0.1)
+SAMPLES = [
+    messages.Results(1, 2, (REPORT,) * 4),
+    messages.Orphans('e', 1, (REPORT,), True),
+    messages.Members(1, (messages.Member('e', 1, 'a', 'z', 0.0),) * 3),
+    messages.Changes(1, (b'a', b'b')),
+    messages.Settle(1, (messages.TaskRef('j', 1, 2),)),
+    messages.Offer(1, 2, 3, ('k', 'l'), types.Needs(), False),
+]
+
+
+@pytest.mark.parametrize('sample', SAMPLES)
+def test_large_messages_stay_within_the_reader_s_limit(sample):
+    """A lost owner's thousand tasks are reported in one message.
+
+    A limit meant for hostile messages must not cut off a whole one.
+    """
+    lists = [
+        name
+        for name in sample.__dataclass_fields__
+        if isinstance(getattr(sample, name), tuple)
+    ]
+    many = {name: getattr(sample, name) * 2000 for name in lists}
+    large = dataclasses.replace(sample, **many)
+    assert messages.decode(messages.encode(large)) == large
+
+
+# An ``Orphans`` with one report, altered to claim a list of empty items.
+CLAIMS_A_MILLION = bytes.fromhex(
+    '000000001a000000000000000200010009000000000000000000000000000000'
+    '0000000002000200010000000000000001000000000000000500000012000000'
+    '050000003f000000650000000000010000004000000000000400000002000500'
+    '01000000010000009a9999999999b93f110000002a0100002100000000000000'
+    '000000004a000000250000000a00000025000000120000002500000002000000'
+    '30316133313835632d353030302d373030302d3830303000000000000000002d'
+    '3030303030303030303030300000000066696e69736865640000000000000000'
+    '78000000000000007200000000000000'
+)
+
+
+def test_a_message_that_claims_a_million_items_is_refused():
+    """A peer sends 240 bytes that claim a list of a million.
+
+    Read as it claims, such a message stopped its receiver for seconds, and
+    every lease and task on it would have lapsed.
+    """
+    with pytest.raises(exceptions.BadMessage):
+        messages.decode(CLAIMS_A_MILLION)
+
+
+def damaged(seed):
+    rng = random.Random(seed)
+    data = bytearray(messages.encode(rng.choice(SAMPLES)))
+    for _ in range(rng.choice([1, 2, 5])):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    return bytes(data[: rng.choice([len(data), rng.randrange(len(data))])])
+
+
+def items(value):
+    """How many values a message holds, its lists included."""
+    if isinstance(value, tuple):
+        return len(value) + sum(map(items, value))
+    if dataclasses.is_dataclass(value):
+        names = value.__dataclass_fields__
+        return sum(items(getattr(value, name)) for name in names)
+    return 1
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=50)
+@hypothesis.given(st.integers(0, 2**32 - 1))
+def test_damaged_messages_are_refused_or_hold_no_more_than_they_are(seed):
+    """A peer of another version, or a broken one, sends any bytes."""
+    for number in range(100):
+        data = damaged(seed + number)
+        try:
+            found = messages.decode(data)
+        except exceptions.BadMessage:
+            continue
+        assert items(found) < 10 * len(data) + 1000
