--- a/src/agatepick/callers.py
+++ b/src/agatepick/callers.py
@@ -131,7 +131,13 @@
             if answer.status == types.JobStatus.PENDING:
                 after = answer.retry_after or PENDING_RETRY
                 self.set_header('Retry-After', str(math.ceil(after)))
-            reply = job_bodies.JobReply(answer.key, answer.status.value, tasks)
+            reply = job_bodies.JobReply(
+                answer.key,
+                answer.status.value,
+                tasks,
+                answer.code,
+                answer.reason,
+            )
             self.send_json(status, msgspec.json.encode(reply))
             return
         self.send_problem(
--- a/src/agatepick/job_bodies.py
+++ b/src/agatepick/job_bodies.py
@@ -67,12 +67,17 @@
     peer: str = ''
 
 
-class JobReply(msgspec.Struct, frozen=True):
-    """Answer that isn't a problem: a job complete or pending."""
+class JobReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer that isn't a problem: a job complete or pending.
+
+    :param code: why it is pending; ``detail`` says it to a person.
+    """
 
     job: str
     run: str
     tasks: tuple[TaskReply, ...]
+    code: str = ''
+    detail: str = ''
 
 
 def job_spec(
