Drop a method of the open calls that nothing used

Calls.fail was meant for the end of a process, which closes its callers' connections instead. Nothing called it; the tests of calls pass without.

--- a/src/agatepick/calls.py
+++ b/src/agatepick/calls.py
@@ -125,9 +125,3 @@
         fut = self._open.get(reply.call)
         if fut is not None and not fut.done():
             fut.set_result(reply.answer)
-
-    def fail(self, exc: Exception) -> None:
-        """End every open call with an error, as the process stops."""
-        for fut in self._open.values():
-            if not fut.done():
-                fut.set_exception(exc)
