Keep every 'not run' at the door true for a job sent again

A busy entry, a late body, a renewed token or a deadline in the body that has passed was refused as 'not run' before anyone looked whether the job ran under that key; the client would take a new key and the job run twice. Such a refusal now says pending if the request brought a key, and a deadline that has passed is judged by the owner. The client does not retry a wrong token.

--- a/src/agatepick/callers.py
+++ b/src/agatepick/callers.py
@@ -115,7 +115,7 @@
                 401,
                 'bad_token',
                 'no team has this bearer token',
-                run=self.run_if_refused,
+                run=self.run_if_not_taken(),
                 headers={'WWW-Authenticate': 'Bearer'},
             )
         return found[0]
@@ -161,6 +161,17 @@
 
     _wait: 'asyncio.Task[object] | None' = None
 
+    def run_if_not_taken(self) -> str:
+        """``pending`` for a key of the caller's own.
+
+        The job may run already, from the same request sent before.  Told
+        "not run", its caller would hand it in under another key, and it
+        would run twice.
+        """
+        if 'Idempotency-Key' in self.request.headers:
+            return types.JobStatus.PENDING.value
+        return super().run_if_not_taken()
+
     async def post(self) -> None:
         """Hand in a job."""
         self.body_is_whole()
--- a/src/agatepick/client.py
+++ b/src/agatepick/client.py
@@ -31,6 +31,8 @@
 FIRST_PAUSE = 0.05
 MAX_PAUSE = 2.0
 CONNECT_TIMEOUT = 2.0
+NO_RETRY = (401, 403, 404)
+"""Statuses that another try under the same key and token gets again."""
 HOLD_SLACK = 5.0
 """Seconds that an answer may come after the job's deadline: the entry tells
 of a missed deadline, and that answer still has to reach us."""
@@ -321,7 +323,9 @@
         return True
     if one.run == types.JobStatus.NOT_RUN:
         return one.retry_after > 0
-    return one.run == types.JobStatus.PENDING and one.http_status != 404
+    return (
+        one.run == types.JobStatus.PENDING and one.http_status not in NO_RETRY
+    )
 
 
 def _hint(found: Found) -> float:
--- a/src/agatepick/commands.py
+++ b/src/agatepick/commands.py
@@ -206,6 +206,8 @@
 def job_output(site: Site, found: client.JobResult) -> Output:
     """What is printed of a job."""
     status = STATUS_OF_RUN[found.run]
+    if found.http_status in (401, 403):
+        status = exceptions.Unauthorised.exit_status
     if site.as_json:
         return Output(msgspec.json.encode(found).decode(), status)
     lines = [f'job {found.job or "-"}: {found.run.value}']
--- a/src/agatepick/job_bodies.py
+++ b/src/agatepick/job_bodies.py
@@ -103,8 +103,8 @@
     deadline = parsed.deadline or now + (
         parsed.timeout_seconds or DEFAULT_TIMEOUT
     )
-    if deadline <= now:
-        raise _bad_field('$.deadline', 'lies in the past')
+    # A deadline that has passed is left to the owner: the job may have run,
+    # and refused here as "not run" its caller would hand it in anew.
     if deadline > now + MAX_TIMEOUT:
         raise _bad_field('$.deadline', f'is over {MAX_TIMEOUT:g} s ahead')
     return types.JobSpec(
--- a/src/agatepick/web.py
+++ b/src/agatepick/web.py
@@ -192,6 +192,10 @@
         """Stop the idle limit: the caller has sent all it will send."""
         self._stop_idle()
 
+    def run_if_not_taken(self) -> str:
+        """What to say of the work when a request isn't even looked at."""
+        return self.run_if_refused
+
     def refused(self, status: int, code: str, detail: str) -> Refused:
         """A refusal that says what this handler's refusals say of work."""
         return Refused(status, code, detail, run=self.run_if_refused)
@@ -224,7 +228,7 @@
                     title=title_of(503),
                     status=503,
                     detail=exc.message,
-                    run=self.run_if_refused,
+                    run=self.run_if_not_taken(),
                     code='busy',
                     step=exc.step,
                     retry_after=BUSY_RETRY,
@@ -299,11 +303,12 @@
             408,
             exc_info=(
                 Refused,
-                self.refused(
+                Refused(
                     408,
                     'body_late',
                     f'the body was not whole after '
                     f'{self.front.limits.idle_seconds:g} s',
+                    run=self.run_if_not_taken(),
                 ),
                 None,
             ),
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -96,6 +96,24 @@
     assert (found.code, found.tries) == ('never_fits', 1)
 
 
+def test_a_wrong_token_is_not_tried_again(serve):
+    """A team's token was renewed, and a caller still has the old one.
+
+    It learns so at once, instead of at its job's deadline.
+    """
+
+    async def scenario(site):
+        found = client.Client([site.url], token='x' * 16)
+        try:
+            return await found.submit(JOB)
+        finally:
+            found.close()
+
+    found = serve(pytest.fail, scenario, teams={'talca': 'y' * 16})
+    assert (found.code, found.tries) == ('bad_token', 1)
+    assert found.run == types.JobStatus.PENDING
+
+
 def test_no_entry_at_all_is_an_error_that_names_it():
     """No entry listens any more.
 
