--- a/src/agatepick/job_bodies.py
+++ b/src/agatepick/job_bodies.py
@@ -67,12 +67,17 @@
     peer: str = ''
 
 
-class JobReply(msgspec.Struct, frozen=True):
-    """Answer that isn't a problem: a job complete or pending."""
+class JobReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer that isn't a problem: a job complete or pending.
+
+    :param code: why it is pending; ``detail`` says it to a person.
+    """
 
     job: str
     run: str
     tasks: tuple[TaskReply, ...]
+    code: str = ''
+    detail: str = ''
 
 
 def job_spec(
@@ -98,8 +103,8 @@
     deadline = parsed.deadline or now + (
         parsed.timeout_seconds or DEFAULT_TIMEOUT
     )
-    if deadline <= now:
-        raise _bad_field('$.deadline', 'lies in the past')
+    # A deadline that has passed is left to the owner: the job may have run,
+    # and refused here as "not run" its caller would hand it in anew.
     if deadline > now + MAX_TIMEOUT:
         raise _bad_field('$.deadline', f'is over {MAX_TIMEOUT:g} s ahead')
     return types.JobSpec(
--- a/src/agatepick/listing.py
+++ b/src/agatepick/listing.py
@@ -34,6 +34,7 @@
         self._rng = rng
         self._leave = leave
         self._leave_by = math.inf
+        self._stopped_at = 0.0
         self.left = False
         """Whether this entry, asked to leave, is delisted in force."""
 
@@ -42,8 +43,12 @@
         """Whether this entry is listed in the last known version."""
         return self._known.latest.lists(self._me)
 
-    def begin_to_leave(self, now: float) -> None:
-        """Delist this entry as soon as the store takes it."""
+    def begin_to_leave(self, stopped_at: float, now: float) -> None:
+        """Delist this entry as soon as the store takes it.
+
+        :param stopped_at: since when this entry has let in no job.
+        """
+        self._stopped_at = stopped_at
         self._leave_by = min(self._leave_by, now + self._leave)
         self.check_left(now)
         self._delist()
@@ -103,7 +108,9 @@
     def _delist(self) -> None:
         if self.listed and not self.left:
             self._submit(
-                cluster.EntryRemoved(self._me.name, self._me.incarnation)
+                cluster.EntryRemoved(
+                    self._me.name, self._me.incarnation, self._stopped_at
+                )
             )
 
     def _submit(self, change: cluster.Change) -> None:
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -19,8 +19,13 @@
 
 SCHEMA = pathlib.Path(__file__).with_name('messages.capnp')
 MAX_NESTING = 8
-MAX_WORDS = 8 * 1024 * 1024
-"""Words a reader may traverse: bounds the work a hostile message causes."""
+WORD_BYTES = 8
+TRAVERSALS = 2
+SPARE_WORDS = 128
+"""A reader may pass each word of a message twice, and a few more: whole
+messages need one pass.  A limit that doesn't grow with the message lets a
+few hundred bytes claim a list of a million empty items, and its receiver
+stands still for seconds."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +177,8 @@
     """An entry in the cluster's configuration.
 
     :param removed_at: when it left; 0 while it is listed.
+    :param stopped_at: since when it had let in no job when it left; 0 if it
+        was lost rather than stopped.
     """
 
     name: str
@@ -180,6 +187,7 @@
     zone: str
     listed_at: float
     removed_at: float = 0.0
+    stopped_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -347,7 +355,9 @@
     try:
         with _schema().Envelope.from_bytes(
             data,
-            traversal_limit_in_words=MAX_WORDS,
+            traversal_limit_in_words=(
+                TRAVERSALS * len(data) // WORD_BYTES + SPARE_WORDS
+            ),
             nesting_limit=MAX_NESTING,
         ) as envelope:
             tag = str(envelope.which())
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -57,7 +57,9 @@
         config: configuration.Configuration,
         dispatcher: dispatch.Dispatch,
     ):
-        self.jobs = jobs.Jobs(cfg.retention_seconds)
+        # A key may be stamped ahead of our clock and is valid that much
+        # longer; forgotten earlier, its job would be taken for a new one.
+        self.jobs = jobs.Jobs(cfg.retention_seconds + cfg.key_skew_seconds)
         self.takeover = takeover.Takeover(
             name, cfg.retention_seconds, cfg.key_skew_seconds
         )
@@ -168,9 +170,13 @@
     def ask(
         self, key: types.JobKey, team: str, waiter: jobs.Waiter
     ) -> list[object]:
-        """Tell how a job stands."""
+        """Tell how a job stands.
+
+        :param team: whose job it must be; empty where callers have no
+            tokens, which tell their team.
+        """
         job = self.jobs.get(key)
-        if job is None or job.spec.team != team:
+        if job is None or team not in ('', job.spec.team):
             answer = self.jobs.refusal(key)
             if answer is None and self.takeover.reported(key):
                 answer = answers.submit_again(key, self._name)
@@ -183,7 +189,7 @@
     ) -> list[object]:
         """End a job early; what runs is stopped at its agents."""
         job = self.jobs.get(key)
-        if job is None or job.spec.team != team or job.ended:
+        if job is None or job.ended or team not in ('', job.spec.team):
             return self.ask(key, team, waiter)
         job.cancelled = True
         for index in self._dispatch.drop(key):
