--- a/src/agatepick/dispatch.py
+++ b/src/agatepick/dispatch.py
@@ -10,16 +10,6 @@
 start messages, so an entry asks only agents that it has neither sent to nor
 heard from for :data:`ASK_SECONDS`; without asks it would wait for ever,
 asking more often would cost more than 2% of all messages.
-
-Load pattern of :meth:`Dispatch.demand`: entries' queues come and go within
-a second, at different times.  If each queued task moved a slot from one
-entry to another, and soon back, a message in nine would only move slots.  A
-queue that an entry's own slots take within :data:`HOLD_SECONDS` moves none.
-Only an entry that has filled three tenths of all slots of late holds back
-so: with fewer, slots idle elsewhere, and a job would take twice its time.
-Twice as long halves the offers once more, but the mean response is then
-above 1.05 times the ideal at 80% load, as slots idle at one entry while
-tasks wait at the other.
 """
 
 import collections
@@ -30,6 +20,7 @@
 
 from agatepick import admission
 from agatepick import core
+from agatepick import demand
 from agatepick import estimates
 from agatepick import messages
 from agatepick import outliers
@@ -43,12 +34,6 @@
 from agatepick import workers
 
 ASK_SECONDS = 0.25
-HOLD_SECONDS = 0.5
-"""Queue, in time, that is left to the slots this entry holds already."""
-BUSY_SHARE = 0.3
-"""Part of all slots that one entry fills, on average, on busy days."""
-MEAN_WEIGHT = 0.02
-"""Weight of one run time in the moving mean over all kinds."""
 IDLE_SHARE = 0.5
 """Part of all slots that an idle entry counts on getting when it asks."""
 EXCLUDED_SECONDS = 0.1
@@ -133,10 +118,8 @@
         self._sequence = 0
         self._sized: sizing.SizedJob | None = None
         self._blocked: set[placement.Requirement] = set()
-        self._placed_at = 0.0
-        self._busy = workers.BusyShare()
+        self._demand = demand.Demand()
         self._notes: list[core.Note] = []
-        self._mean_seconds = estimates.DEFAULT_SECONDS
 
     def use_preset(self, preset: presets.Preset, now: float) -> None:
         """Decide by another preset from now on."""
@@ -237,17 +220,17 @@
         :param zone_share: part of each zone's slots in use, 0 to 1.
         """
         self._workers.prepare(zone_share, now)
-        self._busy.add(self._workers.running, self._workers.slots, now)
+        self._demand.add(self._workers.running, self._workers.slots, now)
         self._blocked.clear()
         if not self.waiting():
-            self._placed_at = now
+            self._demand.placed(now)
             return []
         chosen: dict[str, list[Pending]] = {}
         if self._retries:
             self._place_retries(chosen, now)
         self._place_queue(chosen, now)
         if chosen:
-            self._placed_at = now
+            self._demand.placed(now)
         return [self._placed(name, chosen[name], now) for name in chosen]
 
     def ended(
@@ -262,8 +245,7 @@
         """Take a task's outcome, which frees its slot."""
         if ok:
             self._run_times.observe(job.tasks[index], seconds)
-            change = max(seconds, estimates.LEAST) - self._mean_seconds
-            self._mean_seconds += MEAN_WEIGHT * change
+            self._demand.ended(seconds)
         self._return_needs(agent, job, index)
         self.refused(agent, job.team, now)
         if self._outliers.record(agent, ok, now):
@@ -289,16 +271,8 @@
         return len(self._queue) + len(self._retries)
 
     def demand(self, now: float) -> int:
-        """Waiting tasks that agents should move slots here for.
-
-        On busy days those that this entry's own slots will soon take don't
-        count, unless no slot took any for :data:`HOLD_SECONDS`.
-        """
-        calm = self._busy.share < BUSY_SHARE
-        if calm or now - self._placed_at >= HOLD_SECONDS:
-            return self.waiting()
-        soon = self._workers.running * HOLD_SECONDS / self._mean_seconds
-        return max(0, self.waiting() - int(soon))
+        """Waiting tasks that agents should move slots here for."""
+        return self._demand.told(self.waiting(), self._workers.running, now)
 
     def next_wake(self, now: float) -> float | None:
         """Instant at which something changes without an event."""
--- a/src/agatepick/workers.py
+++ b/src/agatepick/workers.py
@@ -16,8 +16,6 @@
 
 FORGET_SECONDS = 600.0
 """How long a worker that has gone still counts as one that may return."""
-BUSY_SECONDS = 10.0
-"""Time constant of the share of slots in use: several jobs long."""
 MAX_CLASSES = 2048
 """Classes of task kept; callers choose kinds, so memory needs a bound."""
 
@@ -35,22 +33,6 @@
     rack: str
 
 
-class BusyShare:
-    """Part of all slots that an entry fills, on average over time."""
-
-    def __init__(self) -> None:
-        self.share = 0.0
-        self._filled = 0.0
-        self._at = 0.0
-
-    def add(self, running: int, slots: int, now: float) -> None:
-        """Take what runs from ``now`` on."""
-        kept = math.exp(-max(0.0, now - self._at) / BUSY_SECONDS)
-        self.share = kept * self.share + (1.0 - kept) * self._filled
-        self._filled = running / max(1, slots)
-        self._at = now
-
-
 class Workers:
     """All known workers.
 
