Play the baselines by their own policy, and say what they show

Change: the policy reaches the entries; waste and refused starts of each baseline stand in the report.

--- a/src/agatepick/bench.py
+++ b/src/agatepick/bench.py
@@ -17,6 +17,7 @@
 
 PLOTTED_LOADS = (0.5, 0.8, 0.95)
 BASELINES = ('random-worker', 'least-known-load', 'two-probes')
+COMPARED = ('p99', 'wasted_messages_share', 'refused_starts_share')
 SLOPES = 'slopes'
 
 
@@ -33,7 +34,8 @@
         ).report
         mean = other.figures.get(name)
         figures[f'{policy}_{name}'] = mean
-        figures[f'{policy}_p99'] = other.figures.get('p99')
+        for copied in COMPARED:
+            figures[f'{policy}_{copied}'] = other.figures.get(copied)
         if isinstance(own, float) and isinstance(mean, float):
             figures[f'{policy}_over_ours'] = mean / own
     return bench_run.with_figures(played, figures)
--- a/src/agatepick/bench_cluster.py
+++ b/src/agatepick/bench_cluster.py
@@ -20,6 +20,7 @@
 from agatepick import cluster
 from agatepick import core
 from agatepick import messages
+from agatepick import placement
 from agatepick import processes
 from agatepick import settings
 from agatepick import standin_table
@@ -269,7 +270,8 @@
             tls=settings.Tls(enabled=False),
         )
         outside = self._outside(name, zone)
-        process = processes.EntryProcess.from_settings(cfg, outside)
+        policy = self._policy or placement.DEFAULT_POLICY
+        process = processes.EntryProcess.from_settings(cfg, outside, policy)
         await process.start()
         self._count(process)
         return EntrySite(process)
