Check in the property test that a refused change is not in the store

Cause: the test said that it checks refusals, and checked acceptances only. Change: each quota that it asks for is one of its own, and one that ended in conflict, unavailable or invalid must not be among the rows. Conclusion: what the docstring says is now checked.

--- a/tests/test_cluster_properties.py
+++ b/tests/test_cluster_properties.py
@@ -52,6 +52,10 @@
     """Carry out one action; those that make no sense now do nothing."""
     match action:
         case ('propose', name, change):
+            if isinstance(change, cluster.QuotaSet):
+                # Of its own, to be told from every other in the store.
+                slots = 100 + world.propose_count()
+                change = cluster.QuotaSet(change.team, slots)
             return world.propose(name, change), name, change
         case ('cut', one, other) if one != other:
             world.cut(one, other)
@@ -100,6 +104,8 @@
         if found.verdict == 'accepted':
             changed = [row.change for row in rows[: found.version]]
             assert change in changed or _was_so(change, rows, found.version)
+        elif isinstance(change, cluster.QuotaSet):
+            assert change not in [row.change for row in rows]
 
 
 def _was_so(change, rows, version):
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -74,7 +74,7 @@
         self._rows = None
         self._heap = []
         self._order = itertools.count()
-        self._request = itertools.count(1)
+        self._proposals = 0
         self._fifo = {}
         offsets = itertools.chain(offsets, itertools.repeat(0.0))
         self.nodes = {
@@ -97,13 +97,18 @@
 
     def propose(self, name, change, based_on=None):
         """Ask a node for a change; gives the number of the request."""
-        number = next(self._request)
+        self._proposals += 1
+        number = self._proposals
         self.feed(
             name,
             lambda conf, now: conf.propose(number, change, based_on, now),
         )
         return number
 
+    def propose_count(self):
+        """How many changes were asked for."""
+        return self._proposals
+
     def verdict(self, number):
         """How a request ended, or ``None``."""
         found = self.proposed.get(number)
