Stamp minted keys by the entry's own clock

An entry minted keys by the wall clock and judged them by its own, which never steps. Change: keys are minted by the entry's clock, with a test. Measured: the test fails on the former code's stamp; 29 tests of the callers' side pass. Conclusion: kept; callers' own keys still lean on their clocks.

--- a/src/agatepick/callers.py
+++ b/src/agatepick/callers.py
@@ -57,14 +57,18 @@
     ]
 
 
-def job_key(header: str | None) -> types.JobKey:
+def job_key(header: str | None, now: float) -> types.JobKey:
     """The key of an ``Idempotency-Key``; a new one if there is none.
 
     The owner of a job and the age of its key follow from the UUIDv7, so
     other forms are refused.
+
+    :param now: by the clock that keys are judged by.  The wall clock may be
+        set while a process runs, whose own clock never steps; a key stamped
+        by the one would be ahead of the other, and refused.
     """
     if header is None:
-        return str(uuid_utils.uuid7())
+        return str(uuid_utils.uuid7(nanoseconds=int(now * 1e9)))
     try:
         key = uuid.UUID(header.strip().strip('"'))
     except ValueError:
@@ -177,7 +181,10 @@
         self.body_is_whole()
         body = self.take_body()
         team = self.team()
-        key = job_key(self.request.headers.get('Idempotency-Key'))
+        key = job_key(
+            self.request.headers.get('Idempotency-Key'),
+            self.front.clock.now(),
+        )
         now = self.front.clock.now()
         job = job_bodies.job_spec(
             body, key, team, now, self.front.limits.max_tasks
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from agatepick import callers
+from agatepick import ownership
 from agatepick import types
 from tests import conftest
 
@@ -64,6 +65,20 @@
     assert uuid.UUID(response.data['job']).version == 7
 
 
+def test_a_minted_key_is_stamped_by_the_entry_s_own_clock(serve):
+    """The machine's clock is set forward while an entry runs.
+
+    The entry's own clock doesn't step.  Keys minted by the other one would be
+    ahead of it, and every job without a key be refused until a restart.
+    """
+
+    async def scenario(site):
+        return await site.fetch('POST', '/v1/jobs', JOB)
+
+    response = serve(answered, scenario)
+    assert ownership.stamp(response.data['job']) == conftest.NOW
+
+
 def test_a_job_that_takes_long_is_pending_and_can_be_asked_for(serve):
     """The work takes longer than an entry holds a request open.
 
@@ -329,4 +344,4 @@
 
     body = serve(answer, scenario).data['tasks'][0]['body']
     assert body.startswith('{"oh')
-    assert callers.job_key(f'"{KEY}"') == KEY
+    assert callers.job_key(f'"{KEY}"', conftest.NOW) == KEY
