Wait for a departing zone's last task, and tell its last start

Change: entries count their tasks by zone, an accepted change carries its instant, and the command polls all named entries until the zone is empty. Measured: the new test holds a 5 s task across a departure; the command returned after it with no task running.

--- a/src/agatepick/command_tree.py
+++ b/src/agatepick/command_tree.py
@@ -203,8 +203,15 @@
         wait: bool = False,
         json: bool = False,
     ) -> None:
-        """Take a zone out of service; --wait until nothing starts there."""
-        self._zone(zone, 'out', entry, based_on, wait, json)
+        """Take a zone out of service; --wait until its last task ended."""
+        if not wait:
+            self._zone(zone, 'out', entry, based_on, wait, json)
+            return
+        self._ask(
+            entry,
+            json,
+            lambda site: commands.drain_zone(site, zone, based_on),
+        )
 
     @_text
     def zone_in(
--- a/src/agatepick/commands.py
+++ b/src/agatepick/commands.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from agatepick import client
+from agatepick import draining
 from agatepick import exceptions
 from agatepick import operator_client
 from agatepick import timeline
@@ -151,18 +152,52 @@
     """
     operator = site.operator()
     try:
-        if based_on is None:
-            based_on = (await operator.get('/v1/config')).version
-        answer = await operator.change(method, path, body, based_on)
-        version = int(answer.data['version'])
-        if wait:
-            await _until_in_force(operator, version)
+        data = await _propose(operator, method, path, body, based_on, wait)
     finally:
         operator.close()
     if site.as_json:
-        return Output(json.dumps(answer.data))
+        return Output(json.dumps(data))
     state = 'in force' if wait else 'accepted'
-    return Output(f'{state}: version {version}')
+    return Output(f'{state}: version {data["version"]}')
+
+
+async def _propose(
+    operator: operator_client.OperatorClient,
+    method: str,
+    path: str,
+    body: object,
+    based_on: int | None,
+    wait: bool,
+) -> dict[str, typing.Any]:
+    if based_on is None:
+        based_on = (await operator.get('/v1/config')).version
+    answer = await operator.change(method, path, body, based_on)
+    if wait:
+        await _until_in_force(operator, int(answer.data['version']))
+    return typing.cast(dict[str, typing.Any], answer.data)
+
+
+async def drain_zone(site: Site, zone: str, based_on: int | None) -> Output:
+    """Take a zone out of service and wait until its last task has ended."""
+    clients = [site.operator(url) for url in site.entries]
+    path, body = f'/v1/zones/{zone}', {'state': 'out'}
+    try:
+        data = await _propose(
+            clients[0], 'PUT', path, body, based_on, wait=True
+        )
+        drained = await draining.until_empty(
+            clients,
+            zone,
+            int(data['version']),
+            float(data['accepted_at']),
+            MAX_WAIT_SECONDS,
+        )
+    finally:
+        for one in clients:
+            one.close()
+    if site.as_json:
+        return Output(json.dumps(dataclasses.asdict(drained)))
+    return Output(drained.show())
 
 
 async def _until_in_force(
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -27,6 +27,7 @@
 from agatepick import presets
 from agatepick import store
 from agatepick import types
+from agatepick import zonework
 
 AGENT = 'agent'
 ENTRY = 'entry'
@@ -61,6 +62,7 @@
     forwarded: int
     agents: tuple[str, ...]
     zones: tuple[str, ...]
+    zone_work: tuple[zonework.ZoneWork, ...]
     configuration: configstatus.ConfigurationStatus
     dispatch: dispatch.DispatchStatus
 
@@ -124,6 +126,7 @@
             zones=tuple(
                 sorted({one.zone for one in self.owner.agents.values()})
             ),
+            zone_work=self.owner.zone_work.show(),
             configuration=self.configuration.status(now),
             dispatch=self.dispatch.status(now),
         )
--- a/src/agatepick/operators.py
+++ b/src/agatepick/operators.py
@@ -74,11 +74,15 @@
 
 
 class VerdictReply(msgspec.Struct, frozen=True):
-    """How a change ended that is not a problem."""
+    """How a change ended that is not a problem.
+
+    :param accepted_at: when this entry knew of its acceptance.
+    """
 
     verdict: str
     version: int
     in_force_at: float
+    accepted_at: float
 
 
 class Health(msgspec.Struct, frozen=True):
@@ -177,7 +181,10 @@
         status = STATUS_OF_VERDICT[proposed.verdict]
         if status == 200:
             reply = VerdictReply(
-                proposed.verdict, proposed.version, proposed.in_force_at
+                proposed.verdict,
+                proposed.version,
+                proposed.in_force_at,
+                self.front.clock.now(),
             )
             self.send_json(200, msgspec.json.encode(reply))
             return
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -20,6 +20,7 @@
 from agatepick import takeover
 from agatepick import types
 from agatepick import zones
+from agatepick import zonework
 
 STOP = 'stop'
 LEASE_GRACE_SECONDS = 1.0
@@ -84,6 +85,7 @@
         self._lost_agents: dict[types.PeerName, float] = {}
         self._deadlines: list[tuple[float, types.JobKey]] = []
         self._lapsed_at = math.inf
+        self.zone_work = zonework.ZoneCounter()
 
     # Requests.
 
@@ -327,6 +329,7 @@
         self._dispatch.refused(agent, job.spec.team, now)
         record = job.tasks[report.index]
         record.agent = ''
+        self.zone_work.ended(agent)
         if record.answer is not None:
             return []
         task = dispatch.Pending(job.spec, report.index, record.attempt)
@@ -360,6 +363,7 @@
         )
         # Tells a second copy of the report that the slot is free already.
         job.tasks[report.index].agent = ''
+        self.zone_work.ended(agent)
         return self._settle(job, now)
 
     # Time.
@@ -461,6 +465,7 @@
     def _starts(self, placement: dispatch.Placement, now: float) -> core.Send:
         zone = self.agents[placement.agent].zone
         tasks = [self._start(placement, one) for one in placement.tasks]
+        self.zone_work.started(placement.agent, zone, len(tasks), now)
         starts = messages.Starts(
             owner=self._name,
             owner_incarnation=self._incarnation,
@@ -494,6 +499,7 @@
         )
 
     def _agent_lost(self, name: types.PeerName, now: float) -> list[object]:
+        self.zone_work.lost(name)
         effects: list[object] = [core.note('agent_lost', agent=name)]
         for job, ref, _ in self.jobs.outstanding(name):
             effects += self._unknown(job, ref.index, name, now)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import uuid_utils
 
+from agatepick import commands
 from tests import whole
 
 
@@ -158,3 +159,30 @@
             assert {one['id'] for one in answer['tasks']} == {'t0', 't1'}
 
     asyncio.run(main())
+
+
+def test_a_departed_zone_is_reported_empty_once_its_last_task_ended():
+    """An operator takes a zone out while a long task runs there.
+
+    Told too soon that the zone is empty, he would power it off and cut the
+    task; the wait ends with the task.
+    """
+
+    async def main():
+        async with whole.cluster(entries=1, zones=('z1', 'z2')) as cluster:
+            (entry,) = cluster.entries
+            site = commands.Site((f'http://{entry.http_address}',), 'x' * 16)
+            body = whole.job(1, 5.0, zones=['z1'])
+            sent = asyncio.create_task(
+                cluster.call(entry, 'POST', '/v1/jobs', body)
+            )
+            async with asyncio.timeout(whole.PATIENCE):
+                while not cluster.starts():
+                    await asyncio.sleep(0.01)
+            output = await commands.drain_zone(site, 'z1', None)
+            assert cluster.workers[0].running == 0
+            assert 'the last task in z1 has ended' in output.text
+            assert 'none started after acceptance' in output.text
+            assert (await sent)[0] == 200
+
+    asyncio.run(main())
