Keep a peer's clock sample for as long as the links take to renew it

Cause: since heartbeats go out only to silent peers, clock samples were renewed every 30 s, while the clock watch dropped them after 10 s; entries then ignored one another's lease grants, and in an outage of the store all leases lapsed. Change: the watch keeps samples for three renewals, renewals come every 15 s, and a late answer is asked again at once.

--- a/src/agatepick/clockwatch.py
+++ b/src/agatepick/clockwatch.py
@@ -1,11 +1,15 @@
 """Which peers' clocks agree with ours, and whether ours can be trusted."""
 
 from agatepick import clocks
+from agatepick import links
 from agatepick import messages
 
+FRESH_SECONDS = 3 * links.SAMPLE_SECONDS
+"""A peer without a sample for so long has gone; its clock has no vote.
 
-FRESH_SECONDS = 10.0
-"""A peer not heard for so long has gone; its clock has no vote."""
+Its lease grants don't count from then on, so this must be longer than the
+links take to renew a sample, whatever is lost.
+"""
 
 
 class ClockWatch:
--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -37,9 +37,11 @@
 SILENCE_SECONDS = 5.0
 """Five missed heartbeats: longer than a garbage collection or a busy loop,
 shorter than what a caller waits."""
-SAMPLE_SECONDS = 30.0
+SAMPLE_SECONDS = 15.0
 """Age at which a clock sample is renewed where messages flow anyway.  Two
-clocks that drift apart by 200 parts in a million differ by 6 ms more then."""
+clocks that drift apart by 500 parts in a million differ by 8 ms more then."""
+SAMPLE_TRIP_SECONDS = 0.1
+"""A sample with a longer round trip is too wide to be kept that long."""
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
 YIELD_SECONDS = 0.25
@@ -102,7 +104,7 @@
         self.stream = stream
         self.hello: messages.Hello | None = None
         self.heard_at = 0.0
-        self._pinged_at = 0.0
+        self._sampled_at = 0.0
         self._traffic = traffic
         self._stamps = stamps
 
@@ -125,13 +127,22 @@
 
     def ping(self, now: float) -> None:
         """Ask for a sign of life and a clock sample."""
-        self._pinged_at = now
         self.send(messages.Ping(now))
 
     def needs_ping(self, now: float) -> bool:
         """Whether the peer has been silent, or its clock sample is old."""
         silent = now - self.heard_at >= HEARTBEAT_SECONDS
-        return silent or now - self._pinged_at >= SAMPLE_SECONDS
+        return silent or now - self._sampled_at >= SAMPLE_SECONDS
+
+    def sampled(self, pong: messages.Pong, now: float) -> None:
+        """Take note of an answer; a late one doesn't count as a sample.
+
+        A peer whose first answer came late, in the rush of a start, would
+        have an unknown clock until the next sample: its lease grants would
+        not count, and agents would refuse its starts.
+        """
+        if now - pong.sent <= SAMPLE_TRIP_SECONDS:
+            self._sampled_at = now
 
     async def receive(self) -> messages.Message:
         """The next message.
@@ -323,8 +334,10 @@
         conn.heard_at = now
         if isinstance(message, messages.Ping):
             conn.send(messages.Pong(message.sent, now, self._clock.now()))
-        else:
-            self._feed(core.Received(peer, message))
+            return
+        if isinstance(message, messages.Pong):
+            conn.sampled(message, now)
+        self._feed(core.Received(peer, message))
 
     async def _keep(self, peer: types.PeerName, address: str) -> None:
         pause = REDIAL_FIRST_SECONDS
