--- /dev/null
+++ b/src/agatepick/agentlist.py
@@ -0,0 +1,75 @@
+"""The agents that an entry is connected to, and what they offer."""
+
+from agatepick import dispatch
+from agatepick import messages
+from agatepick import types
+
+
+class AgentList:
+    """Connected agents, those that operators drain, and those waited for.
+
+    :param patience: seconds that a disconnected agent is waited for.
+    """
+
+    def __init__(self, dispatcher: dispatch.Dispatch, patience: float):
+        self.connected: dict[types.PeerName, messages.Hello] = {}
+        self._dispatch = dispatcher
+        self._patience = patience
+        self._offers: dict[types.PeerName, messages.Offer] = {}
+        self._leaving: frozenset[types.PeerName] = frozenset()
+        self._awaited: dict[types.PeerName, float] = {}
+
+    def up(self, hello: messages.Hello) -> None:
+        """An agent connected."""
+        self.connected[hello.name] = hello
+        self._awaited.pop(hello.name, None)
+
+    def down(self, name: types.PeerName, now: float) -> None:
+        """Place nothing at an agent whose connection ended; wait for it."""
+        del self.connected[name]
+        self._offers.pop(name, None)
+        self._dispatch.agent_gone(name)
+        self._awaited[name] = now + self._patience
+
+    def given_up(self, now: float) -> list[types.PeerName]:
+        """Agents that stayed away for too long, each told once."""
+        late = [name for name, at in self._awaited.items() if at <= now]
+        for name in late:
+            del self._awaited[name]
+        return late
+
+    def speaks(self, name: types.PeerName, incarnation: int) -> bool:
+        """Whether a message is from the life of an agent that is connected.
+
+        What an earlier life said about its slots and tasks is void.
+        """
+        hello = self.connected.get(name)
+        return hello is not None and hello.incarnation == incarnation
+
+    def offered(
+        self, name: types.PeerName, offer: messages.Offer, now: float
+    ) -> None:
+        """Take an agent's offer of slots."""
+        self._offers[name] = offer
+        self._pass_offer(name, now)
+
+    def set_leaving(
+        self, leaving: frozenset[types.PeerName], now: float
+    ) -> None:
+        """Place nothing at agents that operators have marked as leaving."""
+        for name in sorted(leaving - self._leaving):
+            self._dispatch.agent_gone(name)
+        cleared = self._leaving - leaving
+        self._leaving = leaving
+        for name in sorted(cleared):
+            self._pass_offer(name, now)
+
+    def _pass_offer(self, name: types.PeerName, now: float) -> None:
+        hello = self.connected.get(name)
+        offer = self._offers.get(name)
+        if hello is None or offer is None or name in self._leaving:
+            return
+        info = dispatch.AgentInfo(
+            name, hello.incarnation, hello.zone, hello.rack
+        )
+        self._dispatch.agent_offers(info, offer, now)
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owner.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 
+from agatepick import agentlist
 from agatepick import answers
 from agatepick import configuration
 from agatepick import core
@@ -18,6 +19,7 @@
 from agatepick import messages
 from agatepick import ownership
 from agatepick import permits
+from agatepick import starting
 from agatepick import takeover
 from agatepick import types
 from agatepick import zones
@@ -75,19 +77,21 @@
         self.takeover = takeover.Takeover(
             name, cfg.retention_seconds, cfg.key_skew_seconds
         )
-        self.agents: dict[types.PeerName, messages.Hello] = {}
+        self._agents = agentlist.AgentList(dispatcher, cfg.agent_lost_seconds)
         self._name = name
         self._incarnation = incarnation
         self._cfg = cfg
         self._config = config
         self._dispatch = dispatcher
-        self._offers: dict[types.PeerName, messages.Offer] = {}
-        self._leaving: frozenset[types.PeerName] = frozenset()
-        self._lost_agents: dict[types.PeerName, float] = {}
         self._deadlines: list[tuple[float, types.JobKey]] = []
         self._lapsed_at = math.inf
         self.zone_work = zonework.ZoneCounter()
 
+    @property
+    def agents(self) -> dict[types.PeerName, messages.Hello]:
+        """The connected agents."""
+        return self._agents.connected
+
     # Requests.
 
     def known(
@@ -235,8 +239,7 @@
     def agent_up(self, hello: messages.Hello, now: float) -> list[object]:
         """Settle what is open with an agent that has connected."""
         name = hello.name
-        self.agents[name] = hello
-        self._lost_agents.pop(name, None)
+        self._agents.up(hello)
         effects: list[object] = []
         refs = []
         for job, ref, incarnation in self.jobs.outstanding(name):
@@ -251,49 +254,27 @@
 
     def agent_down(self, name: types.PeerName, now: float) -> None:
         """Place nothing at an agent whose connection ended; wait for it."""
-        del self.agents[name]
-        self._offers.pop(name, None)
-        self._dispatch.agent_gone(name)
-        self._lost_agents[name] = now + self._cfg.agent_lost_seconds
+        self._agents.down(name, now)
 
     def on_offer(
         self, peer: types.PeerName, message: messages.Offer, now: float
     ) -> list[object]:
         """Take an agent's offer of slots."""
-        hello = self.agents.get(peer)
-        if hello is None or hello.incarnation != message.agent_incarnation:
-            return []
-        self._offers[peer] = message
-        self._take_offer(peer, now)
+        if self._agents.speaks(peer, message.agent_incarnation):
+            self._agents.offered(peer, message, now)
         return []
 
     def set_leaving(
         self, leaving: frozenset[types.PeerName], now: float
     ) -> None:
         """Place nothing at agents that operators have marked as leaving."""
-        for name in sorted(leaving - self._leaving):
-            self._dispatch.agent_gone(name)
-        cleared = self._leaving - leaving
-        self._leaving = leaving
-        for name in sorted(cleared):
-            self._take_offer(name, now)
-
-    def _take_offer(self, name: types.PeerName, now: float) -> None:
-        hello = self.agents.get(name)
-        offer = self._offers.get(name)
-        if hello is None or offer is None or name in self._leaving:
-            return
-        info = dispatch.AgentInfo(
-            name, hello.incarnation, hello.zone, hello.rack
-        )
-        self._dispatch.agent_offers(info, offer, now)
+        self._agents.set_leaving(leaving, now)
 
     def on_results(
         self, peer: types.PeerName, message: messages.Results, now: float
     ) -> list[object]:
         """Take an agent's reports and the slots it grants."""
-        hello = self.agents.get(peer)
-        if hello is None or hello.incarnation != message.agent_incarnation:
+        if not self._agents.speaks(peer, message.agent_incarnation):
             return []
         effects: list[object] = []
         for report in message.reports:
@@ -374,10 +355,8 @@
         self.jobs.forget(now)
         self.takeover.forget(now)
         effects: list[object] = []
-        for name, until in list(self._lost_agents.items()):
-            if until <= now:
-                del self._lost_agents[name]
-                effects += self._agent_lost(name, now)
+        for name in self._agents.given_up(now):
+            effects += self._agent_lost(name, now)
         return effects
 
     def advance(self, now: float) -> list[object]:
@@ -468,40 +447,21 @@
         may: permits.Snapshot,
         now: float,
     ) -> core.Send:
-        zone = self.agents[placement.agent].zone
-        tasks = [self._start(placement, one) for one in placement.tasks]
-        self.zone_work.started(placement.agent, zone, len(tasks), now)
-        starts = messages.Starts(
-            owner=self._name,
-            owner_incarnation=self._incarnation,
-            agent_incarnation=placement.incarnation,
-            version=self._config.version,
-            start_before=may.start_before(zone),
-            waiting=self._dispatch.demand(now),
-            tasks=tuple(tasks),
+        agent = placement.agent
+        zone = self.agents[agent].zone
+        count = len(placement.tasks)
+        self.zone_work.started(agent, zone, count, now)
+        sender = starting.Sender(
+            self._name, self._incarnation, self._config.version
         )
-        return core.Send(placement.agent, starts)
-
-    def _start(
-        self, placement: dispatch.Placement, one: dispatch.Pending
-    ) -> messages.StartTask:
-        job = self.jobs.get(one.job.key)
-        assert job is not None
-        record = job.tasks[one.index]
-        record.agent = placement.agent
-        record.incarnation = placement.incarnation
-        record.attempt = one.attempt
-        task = one.job.tasks[one.index]
-        return messages.StartTask(
-            one.job.key,
-            one.index,
-            one.attempt,
-            task.kind,
-            one.job.team,
-            task.payload,
-            task.needs,
-            one.job.deadline,
+        message = starting.starts(
+            sender,
+            placement,
+            self.jobs,
+            may.start_before(zone),
+            self._dispatch.demand(now),
         )
+        return core.Send(agent, message)
 
     def _agent_lost(self, name: types.PeerName, now: float) -> list[object]:
         self.zone_work.lost(name)
--- /dev/null
+++ b/src/agatepick/starting.py
@@ -0,0 +1,66 @@
+"""Start messages: which tasks an agent is asked to start, and until when."""
+
+import dataclasses
+
+from agatepick import dispatch
+from agatepick import jobs
+from agatepick import messages
+from agatepick import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """The entry that asks for a start.
+
+    :param version: version of the configuration that it knows.
+    """
+
+    name: types.PeerName
+    incarnation: int
+    version: int
+
+
+def starts(
+    sender: Sender,
+    placement: dispatch.Placement,
+    owned: jobs.Jobs,
+    start_before: float,
+    waiting: int,
+) -> messages.Starts:
+    """The message for one placement; its tasks count as started from now.
+
+    :param start_before: instant before which the tasks must start.
+    :param waiting: demand for slots that is left.
+    """
+    tasks = [_start(placement, one, owned) for one in placement.tasks]
+    return messages.Starts(
+        owner=sender.name,
+        owner_incarnation=sender.incarnation,
+        agent_incarnation=placement.incarnation,
+        version=sender.version,
+        start_before=start_before,
+        waiting=waiting,
+        tasks=tuple(tasks),
+    )
+
+
+def _start(
+    placement: dispatch.Placement, one: dispatch.Pending, owned: jobs.Jobs
+) -> messages.StartTask:
+    job = owned.get(one.job.key)
+    assert job is not None
+    record = job.tasks[one.index]
+    record.agent = placement.agent
+    record.incarnation = placement.incarnation
+    record.attempt = one.attempt
+    task = one.job.tasks[one.index]
+    return messages.StartTask(
+        one.job.key,
+        one.index,
+        one.attempt,
+        task.kind,
+        one.job.team,
+        task.payload,
+        task.needs,
+        one.job.deadline,
+    )
