Ask the same members who owns a key and from whom it is taken over

Cause: reading the code of deaths: a dead entry still listed was left out when a key's owner was picked, but not when asking which lost entry may have had the key. If the one that served such a key was removed first, its successor took the key for new and would have started its tasks a second time. Change: both questions go to the members without those that died before the key was minted; the dating of removals, which said the same for removed ones, is gone.

--- a/src/agatepick/deaths.py
+++ b/src/agatepick/deaths.py
@@ -13,8 +13,6 @@
 The proof is one that each entry makes for itself; it is not passed on.
 """
 
-import dataclasses
-
 from agatepick import messages
 from agatepick import ownership
 from agatepick import types
@@ -41,23 +39,17 @@
     def may_own(
         self, key: types.JobKey, members: tuple[messages.Member, ...]
     ) -> tuple[messages.Member, ...]:
-        """The members without those that died before a key was minted."""
-        if not self._died:
-            return members
-        latest = ownership.stamp(key) - self._skew - DEATH_MARGIN
-        return tuple([one for one in members if self._death_of(one) > latest])
-
-    def dated(
-        self, members: tuple[messages.Member, ...]
-    ) -> tuple[messages.Member, ...]:
-        """The members, each removed no later than it died.
+        """The members without those that died before a key was minted.
 
-        Keys minted between an entry's death and its removal were never its
-        own: they need not be taken over from it.
+        They neither own the key nor need it be taken over from them, removed
+        or not.  Both questions must be asked of the same members: else an
+        entry that served a dead one's keys, and is then lost itself, would
+        not be found to have had them, and its jobs would run again.
         """
         if not self._died:
             return members
-        return tuple([self._dated(one) for one in members])
+        latest = ownership.stamp(key) - self._skew - DEATH_MARGIN
+        return tuple([one for one in members if self._death_of(one) > latest])
 
     def forget(self, members: tuple[messages.Member, ...]) -> None:
         """Drop what is known of entries that aren't remembered any more."""
@@ -66,12 +58,6 @@
             who: at for who, at in self._died.items() if who in known
         }
 
-    def _dated(self, member: messages.Member) -> messages.Member:
-        died_at = self._death_of(member) + DEATH_MARGIN
-        if member.removed_at <= died_at:
-            return member
-        return dataclasses.replace(member, removed_at=died_at)
-
     def _death_of(self, member: messages.Member) -> float:
         who = (member.name, member.incarnation)
         return self._died.get(who, float('inf'))
--- a/src/agatepick/entry.py
+++ b/src/agatepick/entry.py
@@ -246,10 +246,7 @@
     def _adopt(
         self, spec: types.JobSpec, waiter: jobs.Waiter, now: float
     ) -> _Effects | None:
-        members = self.configuration.in_force(now).entries
-        suspects = self._deaths.dated(members)
-        if not self.owner.takeover.concerns(spec.key, suspects):
-            return None
+        members = self._may_own(spec.key, now)
         return self.owner.adopt(spec, waiter, members, now)
 
     def _hand_over(
--- a/tests/test_deaths.py
+++ b/tests/test_deaths.py
@@ -81,9 +81,31 @@
         if ownership.taken_over(key_at(NOW + 5, seed), members, SKEW)
     ]
     assert seeds
-    dated = known.dated(members)
     for seed in seeds:
-        assert not ownership.taken_over(key_at(NOW + 5, seed), dated, SKEW)
-        assert ownership.taken_over(key_at(NOW - 1, seed), dated, SKEW) == (
-            ownership.taken_over(key_at(NOW - 1, seed), members, SKEW)
-        )
+        key = key_at(NOW + 5, seed)
+        suspects = known.may_own(key, members)
+        assert not ownership.taken_over(key, suspects, SKEW)
+    early = key_at(NOW - 1, seeds[0])
+    assert known.may_own(early, members) == members
+
+
+def test_an_heir_of_a_dead_entry_that_is_lost_too_is_taken_over_from():
+    """One entry is killed, another serves its new keys and is lost as well.
+
+    The second is removed while the first is still listed.  Unless the third
+    asks for reports of the second's tasks, it runs them a second time.
+    """
+    known = deaths.Deaths(SKEW)
+    known.proved(MEMBERS[0], NOW)
+    removed = messages.Member('b', 1, '', 'z', NOW - 100, NOW + 20)
+    members = (MEMBERS[0], removed, MEMBERS[2])
+    served_by_b = [
+        key
+        for key in (key_at(NOW + 10, seed) for seed in range(50))
+        if owner(key, known).name == 'b'
+    ]
+    assert served_by_b
+    for key in served_by_b:
+        suspects = known.may_own(key, members)
+        assert ownership.owner(key, suspects, SKEW).name == 'c'
+        assert ownership.taken_over(key, suspects, SKEW)
