Wake the entry for no instant that has passed

Cause: next_wake gave the first deadline of the queue, which nothing removed once its job had ended, as the owner ends jobs at their deadlines by itself and does not call expire; it gave the end of an ejection too, which only a round of placements moves on. Both came back at once after they had passed, so an entry ticked without a pause while anything waited, or, after an ejection, while it had nothing to do. Found by reading the whole change again. Change: deadlines of jobs that no longer wait are skipped, and a trial that is due wakes only where work waits, not sooner than a retry would.

--- a/src/agatepick/dispatch.py
+++ b/src/agatepick/dispatch.py
@@ -277,7 +277,8 @@
     def next_wake(self, now: float) -> float | None:
         """Instant at which something changes without an event."""
         wakes = []
-        if self._deadlines and self.waiting():
+        self._skip_deadlines()
+        if self._deadlines:
             wakes.append(self._deadlines[0][0])
         due = self._retries.next_due()
         if due is not None:
@@ -285,8 +286,10 @@
         if self._blocked:
             wakes.append(now + ASK_SECONDS)
         trial = self._outliers.next_wake()
-        if trial is not None:
-            wakes.append(trial)
+        if trial is not None and self.waiting():
+            # Only a round of placements begins a trial, and without a lease
+            # there is none: an instant that passed would come back at once.
+            wakes.append(max(trial, now + retries.BASE_SECONDS))
         return min(wakes, default=None)
 
     def status(self, now: float) -> DispatchStatus:
@@ -449,6 +452,17 @@
             return _UNLIMITED
         return self.quotas.room(team, now)
 
+    def _skip_deadlines(self) -> None:
+        """Drop the first deadlines of jobs that no longer wait.
+
+        A deadline of a job that ended before it would stay first after it
+        has passed, and wake the entry again and again without a pause.
+        """
+        while self._deadlines:
+            if self._queue.get(self._deadlines[0][2]) is not None:
+                return
+            heapq.heappop(self._deadlines)
+
     def _trim_deadlines(self) -> None:
         """Forget deadlines of jobs that no longer wait."""
         if len(self._deadlines) < SPARE_DEADLINES:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -276,6 +276,45 @@
     assert made.waiting() == 0
 
 
+def test_a_deadline_of_a_job_that_ended_wakes_nobody(make_dispatch, make_job):
+    """A job has long ended when its deadline passes, and another one waits.
+
+    Woken for an instant that has passed, an entry ticks without a pause and
+    has no time left for its callers.
+    """
+    made = make_dispatch(agents=1, slots=1)
+    made.enqueue(make_job(tasks=1, deadline=4.0), 0.0)
+    made.place(_share, 0.0)
+    made.enqueue(make_job(tasks=2, deadline=9.0), 1.0)
+    made.place(_share, 1.0)
+    assert made.waiting() == 2
+    assert made.next_wake(5.0) > 5.0
+
+
+def test_a_trial_that_is_due_wakes_nobody_without_work(
+    make_dispatch, make_job
+):
+    """A worker was ejected, and no job comes for a long time.
+
+    Its trial waits for work; an entry woken for it at once, again and again,
+    would burn a core while it has nothing to do.
+    """
+    made = make_dispatch(agents=2, slots=8)
+    now = 0.0
+    while not made.status(now).ejected:
+        now += 0.01
+        assert now < 5.0
+        job = make_job(tasks=16, deadline=99.0)
+        made.enqueue(job, now)
+        for placed in made.place(_share, now):
+            for task in placed.tasks:
+                ok = placed.agent != 'a0'
+                made.ended(placed.agent, job, task.index, ok, 0.1, now)
+    assert made.waiting() == 0
+    later = now + 600.0
+    assert (made.next_wake(later) or later + 1) > later
+
+
 def test_an_entry_without_slots_asks_once_in_a_while(make_dispatch, make_job):
     """Work comes to an entry that has lent out all its slots.
 
