--- a/src/agatepick/core.py
+++ b/src/agatepick/core.py
@@ -93,6 +93,10 @@
     """The graceful stop is done; the process may end."""
 
 
+Handler = typing.Callable[[typing.Any, float], list[object]]
+"""What a reducer does with one class of event, given the instant."""
+
+
 class Reducer(typing.Protocol):
     """One role: its state, changed only by events."""
 
--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -49,6 +49,20 @@
 first; else both would connect at once and each end the other's connection."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How soon a silent peer is noticed, in seconds.
+
+    :param heartbeat: pause between looks at all connections.
+    :param silence: a peer that says nothing for so long is cut off.
+    :param dial: how long a connection may take to come about.
+    """
+
+    heartbeat: float = HEARTBEAT_SECONDS
+    silence: float = SILENCE_SECONDS
+    dial: float = HELLO_SECONDS
+
+
 class Delay(typing.Protocol):
     """Extra one-way latency towards a peer; used by the bench."""
 
@@ -182,6 +196,7 @@
         client_tls: ssl.SSLContext | None = None,
         delay: Delay | None = None,
         stamps: Stamps | None = None,
+        pace: Pace = Pace(),
     ):
         super().__init__(
             ssl_options=server_tls, max_buffer_size=MAX_FRAME_BYTES * 2
@@ -194,6 +209,7 @@
         self._client_tls = client_tls
         self._delay = delay
         self._stamps = stamps
+        self._pace = pace
         self._peers: dict[types.PeerName, Connection] = {}
         self._open: set[Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
@@ -274,7 +290,7 @@
 
     async def _greet(self, conn: Connection, address: str) -> bool:
         try:
-            hello = await asyncio.wait_for(conn.receive(), HELLO_SECONDS)
+            hello = await asyncio.wait_for(conn.receive(), self._pace.dial)
         except (
             iostream.StreamClosedError,
             exceptions.BadMessage,
@@ -388,7 +404,7 @@
                 port,
                 ssl_options=self._client_tls,
                 max_buffer_size=MAX_FRAME_BYTES * 2,
-                timeout=HELLO_SECONDS,
+                timeout=self._pace.dial,
             )
         except (OSError, TimeoutError) as exc:
             cause = getattr(exc, 'real_error', None) or exc
@@ -401,10 +417,10 @@
 
     async def _beat(self) -> None:
         while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(self._pace.heartbeat)
             now = self._clock.now()
             for conn in list(self._peers.values()):
-                if now - conn.heard_at > SILENCE_SECONDS:
+                if now - conn.heard_at > self._pace.silence:
                     conn.stream.close()
                 elif conn.needs_ping(now):
                     conn.ping(now)
--- a/src/agatepick/logs.py
+++ b/src/agatepick/logs.py
@@ -75,3 +75,18 @@
     if value and _PLAIN.issuperset(value):
         return value
     return json.dumps(value)
+
+
+def logger(name: str) -> logging.Logger:
+    """The logger of a module."""
+    return logging.getLogger(name)
+
+
+def info(log: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event of the ordinary course."""
+    event(log, logging.INFO, name, **fields)
+
+
+def warning(log: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event that an operator may have to look into."""
+    event(log, logging.WARNING, name, **fields)
--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -25,6 +25,13 @@
     quotaGrant @18 :QuotaGrant;
     goodbye @19 :Goodbye;
     changesWanted @20 :ChangesWanted;
+    room @22 :Room;
+    want @23 :Want;
+    startRuns @24 :StartRuns;
+    stopRuns @25 :StopRuns;
+    runReports @26 :RunReports;
+    renewal @27 :Renewal;
+    renewed @28 :Renewed;
   }
   stamp @21 :UInt64;
 }
@@ -215,3 +222,68 @@
 struct Goodbye {
   reason @0 :Text;
 }
+
+struct Room {
+  agentIncarnation @0 :UInt64;
+  open @1 :Bool;
+  pool @2 :Text;
+  labels @3 :List(Text);
+  capacity @4 :Needs;
+  free @5 :Needs;
+  grant @6 :UInt64;
+  taken @7 :UInt64;
+  entries @8 :UInt32;
+}
+
+struct Want {
+  count @0 :UInt32;
+  least @1 :Needs;
+  slack @2 :Float64;
+}
+
+struct RunSpec {
+  job @0 :Text;
+  index @1 :UInt32;
+  run @2 :UInt32;
+  name @3 :Text;
+  payload @4 :Data;
+  needs @5 :Needs;
+}
+
+struct StartRuns {
+  number @0 :UInt64;
+  grant @1 :UInt64;
+  runs @2 :List(RunSpec);
+}
+
+struct RunRef {
+  job @0 :Text;
+  index @1 :UInt32;
+  run @2 :UInt32;
+}
+
+struct StopRuns {
+  runs @0 :List(RunRef);
+}
+
+struct RunReport {
+  job @0 :Text;
+  index @1 :UInt32;
+  run @2 :UInt32;
+  state @3 :Text;
+  reason @4 :Text;
+  seconds @5 :Float64;
+}
+
+struct RunReports {
+  reports @0 :List(RunReport);
+  whole @1 :Bool;
+}
+
+struct Renewal {
+  sent @0 :Float64;
+}
+
+struct Renewed {
+  sent @0 :Float64;
+}
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -296,6 +296,128 @@
     reason: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """What an agent's worker is and has room for.
+
+    :param open: whether runs may be started there.
+    :param pool: name of the workers that it belongs to.
+    :param free: room that nobody holds; with a grant, room that is kept for
+        the receiver alone.
+    :param grant: number that the next :class:`StartRuns` gives back, used or
+        not; 0 for room that any entry may try for.
+    :param taken: number of the receiver's last :class:`StartRuns` that
+        ``free`` counts.
+    :param entries: entries connected to the agent.
+    """
+
+    agent_incarnation: int
+    open: bool
+    pool: str
+    labels: tuple[str, ...]
+    capacity: types.Needs
+    free: types.Needs
+    grant: int = 0
+    taken: int = 0
+    entries: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """Tasks that an entry can't place anywhere; ``count`` 0 takes it back.
+
+    :param least: needs of the smallest of them.
+    :param slack: seconds until the most urgent should have started.
+    """
+
+    count: int
+    least: types.Needs
+    slack: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunSpec:
+    """One run of a task of a repeatable job.
+
+    :param run: number of the run, from 1; a later one is higher.
+    :param name: the task's name at the worker.
+    """
+
+    job: str
+    index: int
+    run: int
+    name: str
+    payload: bytes
+    needs: types.Needs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRuns:
+    """Runs to start now.
+
+    :param number: counts these messages on one connection, from 1.
+    :param grant: number of the :class:`Room` that it answers, or 0.
+    """
+
+    number: int
+    grant: int
+    runs: tuple[RunSpec, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunRef:
+    """Names one run."""
+
+    job: str
+    index: int
+    run: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRuns:
+    """Runs to stop; each is reported once it is over."""
+
+    runs: tuple[RunRef, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunReport:
+    """How a run stands; ``state`` is a ``RunState``."""
+
+    job: str
+    index: int
+    run: int
+    state: str
+    reason: str = ''
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunReports:
+    """Reports of an agent to the entry that owns the runs.
+
+    :param whole: these are all runs of the receiver that the agent knows;
+        any other is over.
+    """
+
+    reports: tuple[RunReport, ...]
+    whole: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """An agent asks an entry to renew the lease on its runs."""
+
+    sent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewed:
+    """The lease holds, counted from when its :class:`Renewal` was sent."""
+
+    sent: float
+
+
 Message = (
     Hello
     | Ping
@@ -315,6 +437,13 @@
     | IntentAck
     | Changes
     | ChangesWanted
+    | Room
+    | Want
+    | StartRuns
+    | StopRuns
+    | RunReports
+    | Renewal
+    | Renewed
     | QuotaAsk
     | QuotaGrant
     | Goodbye
--- /dev/null
+++ b/src/agatepick/platform/ingress.py
@@ -0,0 +1,267 @@
+"""Callers' HTTP requests, turned into jobs and their answers."""
+
+import asyncio
+import itertools
+import math
+import re
+import typing
+
+import msgspec
+from tornado import web
+
+from agatepick import logs
+from agatepick.repeatable import entry
+from agatepick.repeatable import events
+from agatepick.repeatable import jobs
+from agatepick.repeatable import routes
+from agatepick import types
+
+LOG = logs.logger(__name__)
+
+MILLICORES = 1000.0
+DEADLINE_HEADER = 'X-Deadline-Ms'
+DEFAULT_DEADLINE_SECONDS = 30.0
+"""For callers that don't say how long they wait."""
+
+_KEY = re.compile(r'[0-9a-f]{16}', re.IGNORECASE)
+
+OVERLOAD_REASONS = frozenset({'overloaded', 'waited_too_long'})
+
+
+class _Step(msgspec.Struct, frozen=True):
+    """Tasks of one step; fields at zero or empty are left out by callers.
+
+    :param cpu: in thousandths of a core.
+    :param estimated_ms: a rough guess, off by a factor either way.
+    """
+
+    count: int
+    cpu: float = 0.0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0.0
+    after: tuple[int, ...] = ()
+    required_labels: str | tuple[str, ...] = ''
+    gang: bool = False
+
+
+class _Body(msgspec.Struct, frozen=True):
+    """A job as callers hand it in."""
+
+    spec: str
+    steps: tuple[_Step, ...]
+    best_effort: bool = False
+    long_running: bool = False
+    repeat_count: int = 0
+
+
+class Front:
+    """What all requests share: the entry and the callers that wait."""
+
+    def __init__(
+        self,
+        reducer: entry.Entry,
+        feed: typing.Callable[[object], None],
+        clock: types.Clock,
+    ):
+        self.entry = reducer
+        self.feed = feed
+        self.clock = clock
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, 'Queue'] = {}
+
+    def submit(self, handler: 'Queue', job: jobs.Job) -> int:
+        """Hand a job to the entry; the answer comes by :meth:`reply`."""
+        call = next(self._numbers)
+        self._waiting[call] = handler
+        self.feed(events.JobArrived(call, job))
+        return call
+
+    def left(self, call: int) -> None:
+        """A caller closed its connection before its answer."""
+        if self._waiting.pop(call, None) is not None:
+            self.feed(events.CallerLeft(call))
+
+    def reply(self, effect: events.Reply) -> None:
+        """Carry out the entry's answer to a caller."""
+        handler = self._waiting.pop(effect.call, None)
+        if handler is not None:
+            handler.answer(effect.answer)
+
+
+class Ready(web.RequestHandler):
+    """The balancer's question."""
+
+    def initialize(self, front: Front) -> None:
+        self._front = front
+
+    def get(self) -> None:
+        """200 while callers may be sent here."""
+        self.set_status(200 if self._front.entry.ready() else 503)
+        self.finish({})
+
+
+class Queue(web.RequestHandler):
+    """All paths of all queues."""
+
+    def initialize(self, front: Front) -> None:
+        self._front = front
+        self._call = 0
+
+    async def post(self) -> None:
+        """Take a job and answer at its end."""
+        found = self._find()
+        if found is None:
+            return
+        route, key = found
+        if not _KEY.fullmatch(key):
+            self._refuse(404, 'no_such_path', 0.0)
+            return
+        job = self._parse(route, key)
+        if job is None:
+            return
+        self._done = asyncio.get_running_loop().create_future()
+        self._call = self._front.submit(self, job)
+        await self._done
+
+    def get(self) -> None:
+        """How many jobs of a queue wait; single jobs aren't kept."""
+        found = self._find()
+        if found is None:
+            return
+        route, key = found
+        if key:
+            self._refuse(410, 'not_kept', 0.0)
+            return
+        self.finish({'pending': self._front.entry.pending(route.name)})
+
+    def delete(self) -> None:
+        """End a job early."""
+        found = self._find()
+        if found is None:
+            return
+        _, key = found
+        self._front.feed(events.JobCancelled(key))
+        self.finish({})
+
+    def on_connection_close(self) -> None:
+        """The caller left."""
+        self._front.left(self._call)
+        self._end()
+
+    def answer(self, answer: jobs.Answer) -> None:
+        """Send the entry's answer."""
+        if answer.verdict is jobs.Verdict.NOT_RUN:
+            status = 429 if answer.reason in OVERLOAD_REASONS else 503
+            self._refuse(status, answer.reason, answer.retry_after)
+        elif answer.verdict is jobs.Verdict.GIVEN_UP:
+            # The caller hands it in again; its runs are over by then.
+            self._refuse(504, answer.reason, 0.0)
+        else:
+            self._close_if_stopping()
+            self.finish({'state': answer.verdict.value})
+        self._end()
+
+    def _end(self) -> None:
+        done = getattr(self, '_done', None)
+        if done is not None and not done.done():
+            done.set_result(None)
+
+    def _find(self) -> tuple[routes.Route, str] | None:
+        table = self._front.entry.routes
+        if table is None:
+            self._refuse(503, 'no_desired_state', 1.0)
+            return None
+        host = self.request.host_name
+        route = table.match(host, self.request.path)
+        if route is None:
+            self._refuse(404, 'no_such_queue', 0.0)
+            return None
+        return route, self.request.path.removeprefix(route.prefix)
+
+    def _parse(self, route: routes.Route, key: str) -> jobs.Job | None:
+        try:
+            body = msgspec.json.decode(self.request.body, type=_Body)
+            return _job(route, key, body, self._deadline())
+        except (msgspec.MsgspecError, ValueError) as exc:
+            logs.info(LOG, 'job_bad', job=key, reason=exc)
+            self._refuse(400, str(exc), 0.0)
+            return None
+
+    def _deadline(self) -> float:
+        """When the caller stops waiting."""
+        text = self.request.headers.get(DEADLINE_HEADER, '')
+        seconds = DEFAULT_DEADLINE_SECONDS
+        if text:
+            seconds = float(text) / 1000.0
+        return self._front.clock.now() + seconds
+
+    def _refuse(self, status: int, reason: str, after: float) -> None:
+        self._close_if_stopping()
+        self.set_status(status)
+        if after > 0.0:
+            self.set_header('Retry-After', str(math.ceil(after)))
+        self.finish({'reason': reason})
+
+    def _close_if_stopping(self) -> None:
+        if self._front.entry.stopping:
+            # The caller's next request goes to a process that stays.
+            self.set_header('Connection', 'close')
+
+
+def application(front: Front) -> web.Application:
+    """The HTTP side towards callers."""
+    return web.Application(
+        [(r'.*', Queue, {'front': front})],
+        log_function=lambda handler: None,
+    )
+
+
+def ready_application(front: Front) -> web.Application:
+    """The HTTP side towards the balancer."""
+    return web.Application(
+        [(r'/v1/ready', Ready, {'front': front})],
+        log_function=lambda handler: None,
+    )
+
+
+def _job(
+    route: routes.Route, key: str, body: _Body, deadline: float
+) -> jobs.Job:
+    if not body.best_effort or body.long_running or body.repeat_count:
+        raise ValueError("best_effort: only jobs that needn't be kept")
+    tasks: list[jobs.Task] = []
+    for number, step in enumerate(body.steps):
+        if step.gang:
+            raise ValueError('gang: tasks that only work together')
+        if any(not 0 <= one < number for one in step.after):
+            raise ValueError("after: names a step that isn't an earlier one")
+        tasks += _tasks(key, number, step)
+    if not tasks:
+        raise ValueError('steps: no task')
+    return jobs.Job(
+        key=key,
+        route=route,
+        payload=body.spec.encode(),
+        tasks=tuple(tasks),
+        after=tuple(frozenset(step.after) for step in body.steps),
+        deadline=deadline,
+    )
+
+
+def _tasks(key: str, number: int, step: _Step) -> list[jobs.Task]:
+    needs = types.Needs(step.cpu / MILLICORES, step.mem_mb, step.gpu)
+    label = step.required_labels
+    if not isinstance(label, str):
+        label = label[0] if label else ''
+    # The worker's names: job, occurrence (always the first), step, task.
+    return [
+        jobs.Task(
+            name=f'{key}.0.{number}.{index}',
+            step=number,
+            needs=needs,
+            expected_seconds=step.estimated_ms / 1000.0,
+            label=label,
+        )
+        for index in range(step.count)
+    ]
--- /dev/null
+++ b/src/agatepick/platform/members.py
@@ -0,0 +1,51 @@
+"""The entries that there are, listed in the platform's store."""
+
+import asyncio
+import random
+
+import msgspec
+
+from agatepick import exceptions
+from agatepick import logs
+from agatepick.platform import following
+from agatepick.platform import rows
+from agatepick.repeatable import events
+
+LOG = logs.logger(__name__)
+
+TABLE = 'agatepick-entries'
+RETRY_SECONDS = 0.5
+"""Pause before an entry tries again to list itself."""
+
+
+class _Member(msgspec.Struct, frozen=True):
+    address: str
+
+
+def listed(found: following.Snapshot) -> events.EntriesListed:
+    """The entries in the rows; a row that can't be read names none."""
+    entries = []
+    for name, value in sorted(found.items()):
+        try:
+            member = msgspec.json.decode(value, type=_Member)
+        except msgspec.MsgspecError as exc:
+            logs.warning(LOG, 'member_unreadable', key=name, reason=exc)
+            continue
+        entries.append(events.Listed(name, member.address))
+    return events.EntriesListed(tuple(entries))
+
+
+async def enlist(
+    store: rows.RowStore, name: str, address: str, rng: random.Random
+) -> None:
+    """List an entry, however long the store is away."""
+    value = msgspec.json.encode(_Member(address))
+    while True:
+        try:
+            await store.write(TABLE, name, value)
+        except exceptions.StoreError as exc:
+            logs.warning(LOG, 'enlist_failed', reason=exc.show())
+            await asyncio.sleep(RETRY_SECONDS * rng.uniform(0.5, 1.5))
+            continue
+        logs.info(LOG, 'enlisted', address=address)
+        return
--- /dev/null
+++ b/src/agatepick/platform/rows.py
@@ -0,0 +1,160 @@
+"""Client of the platform's store: rows in tables, and a feed of changes."""
+
+import asyncio
+import base64
+import binascii
+import typing
+
+import aiohttp
+import msgspec
+
+from agatepick import exceptions
+
+READ_SECONDS = 1.0
+"""The store answers in 4 ms; when it is slow, in 0.2 s."""
+
+FEED_SPARE_SECONDS = 0.4
+"""Beyond the time that a feed may wait: a connection that has gone silent is
+noticed then, and a change is still in force within the platform's 2 s."""
+
+MAX_CONNECTIONS = 4
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One row; ``value`` is empty for a dropped one."""
+
+    table: str
+    key: str
+    value: bytes = b''
+    row_version: int = 0
+    deleted: bool = False
+
+
+class Rows(msgspec.Struct, frozen=True):
+    """An answer about rows, as of ``row_version``."""
+
+    rows: tuple[Row, ...]
+    row_version: int
+    has_more: bool = False
+
+
+class HistoryGone(exceptions.StoreError):
+    """The changes after a version are no longer told; read all again."""
+
+
+class RowStore:
+    """Calls of the store at one address."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self, table: str) -> Rows:
+        """All rows of a table's empty part.
+
+        :raises agatepick.exceptions.StoreError: if they can't be had.
+        """
+        found: list[Row] = []
+        params: dict[str, str | int] = {'table': table, 'part': ''}
+        while True:
+            page = await self._get('/v1/rows-get', params, READ_SECONDS)
+            found += page.rows
+            if not page.has_more or not page.rows:
+                return Rows(tuple(found), page.row_version)
+            # The range begins with ``from`` itself.
+            params['from'] = page.rows[-1].key + '\0'
+
+    async def changes(self, table: str, after: int, wait: float) -> Rows:
+        """Rows changed after a version, as soon as there are any.
+
+        :param wait: seconds after which none is an answer too.
+        :raises HistoryGone: if the store has dropped what changed.
+        :raises agatepick.exceptions.StoreError: if they can't be had.
+        """
+        params: dict[str, str | int] = {
+            'table': table,
+            'after': after,
+            'wait_ms': int(wait * 1000),
+        }
+        return await self._get(
+            '/v1/rows-feed', params, wait + FEED_SPARE_SECONDS
+        )
+
+    async def write(self, table: str, key: str, value: bytes) -> None:
+        """Set a row, whatever it was; done again it changes nothing more.
+
+        :raises agatepick.exceptions.StoreError: if it may not be done.
+        """
+        row = {
+            'table': table,
+            'part': '',
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+        }
+        await self._transact({'expected': [], 'set_keys': [row]})
+
+    async def remove(self, table: str, key: str) -> None:
+        """Remove a row.
+
+        :raises agatepick.exceptions.StoreError: if it may not be done.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        await self._transact({'expected': [], 'remove': [row]})
+
+    async def _transact(self, body: dict[str, typing.Any]) -> None:
+        data = msgspec.json.encode({'set_keys': [], 'remove': [], **body})
+        status, _ = await self._call(
+            'POST', '/v1/rows-tx', READ_SECONDS, data=data
+        )
+        if status != 200:
+            raise self._error(f'answered {status}', 'rows-tx')
+
+    async def _get(
+        self, path: str, params: dict[str, str | int], seconds: float
+    ) -> Rows:
+        status, body = await self._call('GET', path, seconds, params=params)
+        if status == 410:
+            raise HistoryGone('history gone', step=path, peer=self.address)
+        if status != 200:
+            raise self._error(f'answered {status}', path)
+        try:
+            return msgspec.json.decode(body, type=Rows)
+        except (msgspec.MsgspecError, binascii.Error) as exc:
+            raise self._error(f'bad body: {exc}', path) from exc
+
+    async def _call(
+        self, method: str, path: str, seconds: float, **more: typing.Any
+    ) -> tuple[int, bytes]:
+        if self._session is None:
+            self._session = new_session(MAX_CONNECTIONS)
+        timeout = aiohttp.ClientTimeout(total=seconds)
+        url = f'http://{self.address}{path}'
+        try:
+            async with self._session.request(
+                method, url, timeout=timeout, headers=JSON, **more
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+            raise self._error(repr(exc), path) from exc
+
+    def _error(self, what: str, step: str) -> exceptions.StoreUnavailable:
+        return exceptions.StoreUnavailable(what, step=step, peer=self.address)
+
+
+JSON = {'Content-Type': 'application/json'}
+
+
+def new_session(connections: int) -> aiohttp.ClientSession:
+    """A client that keeps up to so many connections open a peer."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=connections, keepalive_timeout=60.0
+        ),
+        auto_decompress=False,
+    )
--- /dev/null
+++ b/src/agatepick/repeatable/entry.py
@@ -0,0 +1,811 @@
+"""The entry's reducer for repeatable jobs.
+
+It owns the jobs that its callers hand in, places their tasks on workers with
+room, keeps the lease on each run through the agents, tries again what is
+known to be over, and answers when the last task has ended.
+"""
+
+import dataclasses
+import random
+import typing
+
+from agatepick import core
+from agatepick import messages
+from agatepick import outliers
+from agatepick.repeatable import admitting
+from agatepick.repeatable import estimating
+from agatepick.repeatable import events
+from agatepick.repeatable import jobs
+from agatepick.repeatable import owned
+from agatepick.repeatable import pool
+from agatepick.repeatable import routes
+from agatepick import types
+
+ROLE_AGENT = 'agent'
+
+WANT_SECONDS = 0.1
+"""How often an entry repeats what it waits for; agents forget a want after
+four times that."""
+
+WATCH_SECONDS = 0.05
+"""How often runs are looked at that take too long, and jobs that wait."""
+
+STRAGGLER_RATIO = 2.2
+"""Times its expected seconds after which a run counts as stuck.  A sound
+worker of the slow kind takes 1.3 times as long, tasks of a job differ by
+15%; beyond this the objective (1.6 times) is missed anyway, and the rest of
+a caller's time is better spent at another worker."""
+
+STRAGGLER_SPARE_SECONDS = 0.12
+"""Added for the way to the worker and back, and a busy agent."""
+
+UNSURE_RATIO = 2.0
+"""Factor on that limit while no task of the job has ended: guesses and what
+was learnt of the queue are off by up to that."""
+
+MAX_MOVES = 2
+"""Times a task is moved away from workers that are slow with it."""
+
+STALE_RUN_STEP = 64
+"""A worker that has seen this run number or a higher one belongs to an
+earlier owner of the job; numbers go on well above what it can have used."""
+
+GONE_SECONDS = 10.0
+"""An agent away for so long is forgotten."""
+
+STOP_TAKE_SECONDS = 3.0
+"""A stopping entry takes jobs that can end within this: callers keep using
+open connections, and what is taken must be answered before the process is
+killed after 6 s."""
+
+STOP_MIN_SECONDS = 2.5
+"""How long a stopping entry serves on: the balancer asks once a second and
+takes it out of rotation after two misses."""
+
+STOP_GIVE_UP_SECONDS = 5.2
+"""When a stopping entry answers what hasn't ended: may be tried again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryConfig:
+    """What an entry needs of its settings."""
+
+    name: types.PeerName
+    zone: str
+
+
+_Take = typing.Callable[[pool.Worker, typing.Any, float], list[object]]
+
+
+class Entry:
+    """Reducer of one entry process."""
+
+    def __init__(self, cfg: EntryConfig, rng: random.Random):
+        self._cfg = cfg
+        self._rng = rng
+        self._pool = pool.Pool(rng)
+        self._estimator = estimating.Estimator()
+        self._started = admitting.StartRate()
+        self._waiting = owned.Waiting()
+        self._calls: dict[int, owned.OwnedJob] = {}
+        self._jobs: dict[types.JobKey, owned.OwnedJob] = {}
+        self._sends: dict[types.PeerName, list[messages.RunSpec]] = {}
+        self._granted: dict[types.PeerName, messages.Room] = {}
+        self._wanted_at = 0.0
+        self._wanted = False
+        self._watched_at = 0.0
+        self._gone_at: dict[types.PeerName, float] = {}
+        self._past: list[pool.Worker] = []
+        self._stopping_at: float | None = None
+        self._done = False
+        self.routes: routes.RouteTable | None = None
+        self._handlers: dict[type, core.Handler] = {
+            core.Received: self._on_received,
+            core.PeerUp: self._on_peer_up,
+            core.PeerDown: self._on_peer_down,
+            core.Tick: self._on_tick,
+            core.StopRequested: self._on_stop,
+            events.JobArrived: self._on_job,
+            events.JobCancelled: self._on_cancel,
+            events.CallerLeft: self._on_caller_left,
+            events.RoutesRead: self._on_routes,
+        }
+        self._takes: dict[type, _Take] = {
+            messages.Room: self._take_room,
+            messages.RunReports: self._take_reports,
+            messages.Renewal: self._take_renewal,
+        }
+
+    @classmethod
+    def from_config(cls, cfg: EntryConfig, rng: random.Random) -> 'Entry':
+        """An entry that knows no worker and no queue yet."""
+        return cls(cfg, rng)
+
+    def reduce(self, event: object, now: float) -> list[object]:
+        """Take one event; the effects to carry out, in order."""
+        handler = self._handlers.get(type(event))
+        if handler is None:
+            return [core.note('unexpected_event', kind=type(event).__name__)]
+        effects: list[object] = handler(event, now)
+        effects += self._watch(now)
+        effects += self._place(now)
+        effects += self._finish(now)
+        if self._calls:
+            effects.append(core.WakeAt(now + WATCH_SECONDS))
+        return effects
+
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.routes is not None and self._stopping_at is None
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self._stopping_at is not None
+
+    def pending(self, route: str) -> int:
+        """Jobs of a queue of which no task has started."""
+        return sum(
+            job.spec.route.name == route and not job.begun
+            for job in self._calls.values()
+        )
+
+    # Callers
+
+    def _on_job(self, event: events.JobArrived, now: float) -> list[object]:
+        spec = event.job
+        known = self._jobs.get(spec.key)
+        if known is not None and not known.answered:
+            # The same caller again, whose first connection may have broken:
+            # the job goes on and this request gets its answer.
+            effects = self._detach(known, now)
+            self._calls.pop(known.call, None)
+            known.call = event.call
+            self._calls[event.call] = known
+            self._waiting.add(known)
+            return effects
+        if known is not None:
+            return self._refuse_call(event.call, spec, 'ending', 1.0)
+        refusal = self._refusal(spec, now)
+        if refusal is not None:
+            reason, after = refusal
+            return self._refuse_call(event.call, spec, reason, after)
+        longest = self._estimator.longest(spec)
+        job = owned.OwnedJob(event.call, spec, now, self._latest(spec, now))
+        self._calls[event.call] = job
+        self._jobs[spec.key] = job
+        job.release()
+        self._waiting.add(job)
+        return [
+            core.note(
+                'job_admitted',
+                job=spec.key,
+                queue=spec.route.name,
+                tasks=len(spec.tasks),
+                expected=f'{longest:.3f}',
+                slack=f'{job.latest - now:.3f}',
+            )
+        ]
+
+    def _detach(self, job: owned.OwnedJob, now: float) -> list[object]:
+        return [
+            core.note('job_rejoined', job=job.spec.key, queue=''),
+            events.Reply(
+                job.call, jobs.Answer(jobs.Verdict.GIVEN_UP, 'rejoined')
+            ),
+        ]
+
+    def _latest(self, spec: jobs.Job, now: float) -> float:
+        longest = self._estimator.longest(spec)
+        slack = (spec.route.stretch - 1.0) * longest
+        return now + slack + spec.route.target_seconds
+
+    def _refusal(self, spec: jobs.Job, now: float) -> tuple[str, float] | None:
+        """Why a job isn't let in, and when to come back."""
+        longest = self._estimator.longest(spec)
+        if self._stopping_at is not None:
+            left = self._stopping_at + STOP_TAKE_SECONDS - now
+            if longest > left:
+                return 'stopping', 1.0
+        if not self._fits_anywhere(spec):
+            return 'no_worker', self._spread_retry()
+        load = self._load(self._latest(spec, now), now)
+        slack = self._latest(spec, now) - now
+        if not admitting.in_time(load, slack):
+            after = admitting.retry_after(load, slack, self._rng)
+            return 'overloaded', after
+        return None
+
+    def _spread_retry(self) -> float:
+        return 1.0 + self._rng.uniform(0.0, admitting.RETRY_SPREAD_SECONDS)
+
+    def _fits_anywhere(self, spec: jobs.Job) -> bool:
+        rooms = [
+            worker.room
+            for worker in self._pool
+            if worker.room is not None and worker.room.pool == spec.route.pool
+        ]
+        return all(
+            any(
+                task.needs.fits(room.capacity)
+                and (not task.label or task.label in room.labels)
+                for room in rooms
+            )
+            for task in spec.tasks
+        )
+
+    def _load(self, latest: float, now: float) -> admitting.Load:
+        before = 0.0
+        for job in self._waiting.in_order():
+            if job.latest > latest:
+                break
+            before += sum(self._work(job, index) for index in job.waiting)
+        return admitting.Load(before, self._rate(now))
+
+    def _rate(self, now: float) -> float:
+        share = sum(
+            worker.room.capacity.cpu / max(1, worker.room.entries)
+            for worker in self._pool
+            if worker.usable(now) and worker.room is not None
+        )
+        return max(share, self._started.a_second(now))
+
+    def _work(self, job: owned.OwnedJob, index: int) -> float:
+        task = job.spec.tasks[index]
+        return self._estimator.mean(job.spec, task) * task.needs.cpu
+
+    def _refuse_call(
+        self, call: int, spec: jobs.Job, reason: str, after: float
+    ) -> list[object]:
+        answer = jobs.Answer(jobs.Verdict.NOT_RUN, reason, after)
+        return [
+            core.note(
+                'job_refused',
+                job=spec.key,
+                queue=spec.route.name,
+                reason=reason,
+                retry_after=f'{after:.1f}',
+            ),
+            events.Reply(call, answer),
+        ]
+
+    def _on_caller_left(
+        self, event: events.CallerLeft, now: float
+    ) -> list[object]:
+        job = self._calls.get(event.call)
+        if job is None:
+            return []
+        return self._end_job(
+            job, jobs.Answer(jobs.Verdict.CANCELLED, 'caller_left'), now
+        )
+
+    def _on_cancel(
+        self, event: events.JobCancelled, now: float
+    ) -> list[object]:
+        job = self._jobs.get(event.key)
+        if job is None or job.answered:
+            return []
+        return self._end_job(
+            job, jobs.Answer(jobs.Verdict.CANCELLED, 'cancelled'), now
+        )
+
+    def _on_routes(self, event: events.RoutesRead, now: float) -> list[object]:
+        before = self.routes
+        if before is not None and event.table.version <= before.version:
+            return []
+        self.routes = event.table
+        return [
+            core.note(
+                'routes_in_force',
+                version=event.table.version,
+                queues=len(event.table.routes),
+            )
+        ]
+
+    def _end_job(
+        self, job: owned.OwnedJob, answer: jobs.Answer, now: float
+    ) -> list[object]:
+        """Answer a job's caller; runs that go on are stopped."""
+        job.answered = True
+        job.waiting.clear()
+        self._calls.pop(job.call, None)
+        effects: list[object] = [
+            core.note(
+                'job_ended',
+                job=job.spec.key,
+                queue=job.spec.route.name,
+                verdict=answer.verdict.value,
+                reason=answer.reason or 'done',
+                seconds=f'{now - job.arrived_at:.3f}',
+                late=f'{now - job.latest:.3f}',
+            ),
+            events.Reply(job.call, answer),
+        ]
+        effects += self._stop_runs(job, job.placed())
+        self._forget(job)
+        return effects
+
+    def _forget(self, job: owned.OwnedJob) -> None:
+        if job.answered and not job.placed():
+            if self._jobs.get(job.spec.key) is job:
+                del self._jobs[job.spec.key]
+
+    def _stop_runs(
+        self, job: owned.OwnedJob, indexes: list[int]
+    ) -> list[object]:
+        by_agent: dict[types.PeerName, list[messages.RunRef]] = {}
+        for index in indexes:
+            record = job.records[index]
+            record.stopping = True
+            by_agent.setdefault(record.agent, []).append(job.ref(index))
+        return [
+            core.Send(agent, messages.StopRuns(tuple(refs)))
+            for agent, refs in by_agent.items()
+        ]
+
+    # Agents
+
+    def _on_peer_up(self, event: core.PeerUp, now: float) -> list[object]:
+        hello = event.hello
+        if hello.role != ROLE_AGENT:
+            return []
+        self._gone_at.pop(hello.name, None)
+        worker = self._pool.get(hello.name)
+        if worker is None or worker.incarnation != hello.incarnation:
+            # Runs that its earlier life started go on until the worker's
+            # lease ends, and the new life knows nothing of them.
+            if worker is not None:
+                self._past.append(worker)
+            worker = pool.Worker(
+                hello.name, hello.incarnation, hello.zone, hello.rack
+            )
+            self._pool.add(worker)
+        worker.connected = True
+        worker.room = None
+        worker.number = 0
+        worker.sent.clear()
+        self._granted.pop(hello.name, None)
+        return [core.note('agent_up', peer=hello.name)]
+
+    def _on_peer_down(self, event: core.PeerDown, now: float) -> list[object]:
+        worker = self._pool.get(event.peer)
+        if worker is None or not worker.connected:
+            return []
+        worker.connected = False
+        self._granted.pop(event.peer, None)
+        self._gone_at[event.peer] = now
+        return [core.note('agent_down', peer=event.peer)]
+
+    def _on_received(self, event: core.Received, now: float) -> list[object]:
+        worker = self._pool.get(event.peer)
+        take = self._takes.get(type(event.message))
+        if worker is None or take is None:
+            return []
+        return take(worker, event.message, now)
+
+    def _take_renewal(
+        self, worker: pool.Worker, message: messages.Renewal, now: float
+    ) -> list[object]:
+        if worker.over(now) and worker.placed:
+            # Its lease may have run out: what was there is settled first,
+            # and only then may new runs be covered.
+            effects = self._all_over(worker, 'lease_over', now)
+        else:
+            effects = []
+        worker.renewed_at = now
+        return [
+            *effects,
+            core.Send(worker.name, messages.Renewed(message.sent)),
+        ]
+
+    def _take_room(
+        self, worker: pool.Worker, room: messages.Room, now: float
+    ) -> list[object]:
+        if room.grant:
+            self._granted[worker.name] = room
+        worker.take_room(room)
+        return []
+
+    def _take_reports(
+        self, worker: pool.Worker, message: messages.RunReports, now: float
+    ) -> list[object]:
+        effects: list[object] = []
+        known: set[pool.Key] = set()
+        for report in message.reports:
+            known.add((report.job, report.index))
+            effects += self._take_report(worker, report, now)
+        if not message.whole:
+            return effects
+        for key in list(worker.placed):
+            if key not in known:
+                effects += self._run_over(worker, key, 'unknown_there', now)
+        return effects
+
+    def _take_report(
+        self, worker: pool.Worker, report: messages.RunReport, now: float
+    ) -> list[object]:
+        key = (report.job, report.index)
+        job = self._jobs.get(report.job)
+        if job is None or report.index >= len(job.records):
+            return []
+        record = job.records[report.index]
+        if record.agent != worker.name or record.run != report.run:
+            return []
+        if record.state is not owned.TaskState.PLACED:
+            return []
+        if report.state == types.RunState.RUNNING:
+            if record.stopping:
+                return self._stop_runs(job, [report.index])
+            return []
+        worker.placed.pop(key, None)
+        if report.state == types.RunState.FINISHED:
+            return self._run_finished(worker, job, report, now)
+        if report.state == types.RunState.FAILED:
+            return self._run_failed(worker, job, report, now)
+        if report.state == types.RunState.REFUSED:
+            return self._run_refused(worker, job, report, now)
+        return self._again(job, report.index, report.reason, now)
+
+    def _run_finished(
+        self,
+        worker: pool.Worker,
+        job: owned.OwnedJob,
+        report: messages.RunReport,
+        now: float,
+    ) -> list[object]:
+        task = job.spec.tasks[report.index]
+        expected = self._expected(job, report.index)
+        worker.took(report.seconds / max(expected, 0.01), now)
+        self._pool.ended(worker, True, now)
+        self._estimator.observe(job.spec, task, report.seconds)
+        job.end(report.index, report.seconds)
+        if job.answered:
+            self._forget(job)
+            return []
+        if not job.open:
+            return self._end_job(job, jobs.Answer(jobs.Verdict.COMPLETE), now)
+        if job.release():
+            self._waiting.add(job)
+        return []
+
+    def _run_failed(
+        self,
+        worker: pool.Worker,
+        job: owned.OwnedJob,
+        report: messages.RunReport,
+        now: float,
+    ) -> list[object]:
+        record = job.records[report.index]
+        record.failures += 1
+        record.avoid = record.avoid | {worker.name}
+        effects: list[object] = []
+        if self._pool.ended(worker, False, now):
+            standing = self._pool.standing(worker)
+            if standing is outliers.Standing.EJECTED:
+                effects.append(core.note('worker_ejected', peer=worker.name))
+        if record.failures >= job.spec.route.max_attempts:
+            record.state = owned.TaskState.ENDED
+            if not job.answered:
+                answer = jobs.Answer(jobs.Verdict.FAILED, 'task_failed')
+                effects += self._end_job(job, answer, now)
+            return effects
+        return effects + self._again(job, report.index, 'failed', now)
+
+    def _run_refused(
+        self,
+        worker: pool.Worker,
+        job: owned.OwnedJob,
+        report: messages.RunReport,
+        now: float,
+    ) -> list[object]:
+        record = job.records[report.index]
+        if report.reason == 'stale_run':
+            record.run += STALE_RUN_STEP
+        elif report.reason == 'unwell':
+            self._pool.ended(worker, False, now)
+            record.avoid = record.avoid | {worker.name}
+        elif worker.room is not None:
+            # It is fuller than was known; the next news tells how full.
+            nothing = types.Needs()
+            worker.room = dataclasses.replace(worker.room, free=nothing)
+        return self._again(job, report.index, report.reason, now)
+
+    def _again(
+        self, job: owned.OwnedJob, index: int, reason: str, now: float
+    ) -> list[object]:
+        """A run is over without an end that counts: the task waits again."""
+        if job.answered:
+            job.records[index].state = owned.TaskState.ENDED
+            self._forget(job)
+            return []
+        job.wait_again(index)
+        self._waiting.add(job)
+        return [
+            core.note(
+                'task_waits_again',
+                job=job.spec.key,
+                index=index,
+                run=job.records[index].run,
+                reason=reason,
+            )
+        ]
+
+    def _run_over(
+        self, worker: pool.Worker, key: pool.Key, reason: str, now: float
+    ) -> list[object]:
+        worker.placed.pop(key, None)
+        job = self._jobs.get(key[0])
+        if job is None:
+            return []
+        record = job.records[key[1]]
+        if record.agent != worker.name:
+            return []
+        if record.state is not owned.TaskState.PLACED:
+            return []
+        return self._again(job, key[1], reason, now)
+
+    def _all_over(
+        self, worker: pool.Worker, reason: str, now: float
+    ) -> list[object]:
+        effects: list[object] = []
+        for key in list(worker.placed):
+            effects += self._run_over(worker, key, reason, now)
+        return effects
+
+    # Placing
+
+    def _place(self, now: float) -> list[object]:
+        waiting = self._waiting.in_order() if self._waiting else []
+        if waiting:
+            self._pool.advance(now)
+            blocked = self._place_jobs(waiting, now)
+        else:
+            blocked = []
+        answered = list(self._granted)
+        effects = self._send_starts()
+        effects += self._tell_wants(blocked, answered, now)
+        return effects
+
+    def _place_jobs(
+        self, waiting: list[owned.OwnedJob], now: float
+    ) -> list[owned.OwnedJob]:
+        """Place what fits; the jobs of which something doesn't."""
+        blocked: list[owned.OwnedJob] = []
+        candidates: dict[tuple[str, str], list[pool.Worker]] = {}
+        least: dict[tuple[str, str], float] = {}
+        for job in waiting:
+            left: list[int] = []
+            while job.waiting:
+                index = job.waiting.popleft()
+                task = job.spec.tasks[index]
+                kind = (job.spec.route.pool, task.label)
+                if kind not in candidates:
+                    candidates[kind] = self._pool.usable(*kind, now)
+                # What found no room for fewer cores finds none for more.
+                if task.needs.cpu >= least.get(kind, float('inf')):
+                    left.append(index)
+                    continue
+                worker = self._choose(job, index, candidates[kind], now)
+                if worker is None:
+                    if not job.records[index].avoid:
+                        least[kind] = task.needs.cpu
+                    left.append(index)
+                    continue
+                self._bind(job, index, worker, now)
+            job.waiting.extend(left)
+            if left:
+                blocked.append(job)
+        return blocked
+
+    def _choose(
+        self,
+        job: owned.OwnedJob,
+        index: int,
+        candidates: list[pool.Worker],
+        now: float,
+    ) -> pool.Worker | None:
+        record = job.records[index]
+        task = job.spec.tasks[index]
+        avoid = record.avoid
+        if all(worker.name in avoid for worker in candidates):
+            avoid = frozenset()
+        return self._pool.pick(candidates, task.needs, avoid, now)
+
+    def _bind(
+        self,
+        job: owned.OwnedJob,
+        index: int,
+        worker: pool.Worker,
+        now: float,
+    ) -> None:
+        task = job.spec.tasks[index]
+        record = job.records[index]
+        record.state = owned.TaskState.PLACED
+        record.agent = worker.name
+        record.run += 1
+        record.placed_at = now
+        record.stopping = False
+        job.begun = True
+        worker.placed[job.spec.key, index] = task.needs
+        worker.sent.append((worker.number + 1, task.needs))
+        self._started.add(self._work(job, index), now)
+        self._sends.setdefault(worker.name, []).append(
+            messages.RunSpec(
+                job.spec.key,
+                index,
+                record.run,
+                task.name,
+                job.spec.payload,
+                task.needs,
+            )
+        )
+
+    def _send_starts(self) -> list[object]:
+        effects: list[object] = []
+        for name in {*self._sends, *self._granted}:
+            worker = self._pool.get(name)
+            if worker is None:
+                continue
+            worker.number += 1
+            grant = self._granted.pop(name, None)
+            effects.append(
+                core.Send(
+                    name,
+                    messages.StartRuns(
+                        worker.number,
+                        grant.grant if grant else 0,
+                        tuple(self._sends.get(name, ())),
+                    ),
+                )
+            )
+            if grant is not None and worker.room is not None:
+                # What wasn't used goes to others.
+                worker.room = dataclasses.replace(
+                    worker.room, free=types.Needs()
+                )
+        self._sends.clear()
+        return effects
+
+    def _tell_wants(
+        self,
+        blocked: list[owned.OwnedJob],
+        answered: list[types.PeerName],
+        now: float,
+    ) -> list[object]:
+        """Tell agents of tasks that found no room.
+
+        :param answered: agents whose grants were answered just now: they
+            have taken this entry's want for met.
+        """
+        if not blocked:
+            if not self._wanted:
+                return []
+            self._wanted = False
+            return self._to_agents(messages.Want(0, types.Needs(), 0.0), None)
+        want = _want(blocked, now)
+        if self._wanted and now < self._wanted_at + WANT_SECONDS:
+            return [core.Send(name, want) for name in answered]
+        self._wanted = True
+        self._wanted_at = now
+        return self._to_agents(want, blocked[0].spec.route.pool)
+
+    def _to_agents(
+        self, want: messages.Want, name: str | None
+    ) -> list[object]:
+        return [
+            core.Send(worker.name, want)
+            for worker in self._pool
+            if worker.connected
+            and worker.room is not None
+            and name in (None, worker.room.pool)
+        ]
+
+    # Time
+
+    def _expected(self, job: owned.OwnedJob, index: int) -> float:
+        task = job.spec.tasks[index]
+        siblings = job.seconds.get(task.step, [])
+        return self._estimator.of_run(job.spec, task, siblings)
+
+    def _on_tick(self, event: core.Tick, now: float) -> list[object]:
+        for name, at in list(self._gone_at.items()):
+            worker = self._pool.get(name)
+            if worker is None or worker.connected:
+                del self._gone_at[name]
+            elif now > at + GONE_SECONDS and not worker.placed:
+                del self._gone_at[name]
+                self._pool.remove(name)
+        return []
+
+    def _watch(self, now: float) -> list[object]:
+        if now < self._watched_at + WATCH_SECONDS:
+            return []
+        self._watched_at = now
+        effects: list[object] = []
+        for worker in [*self._pool, *self._past]:
+            if worker.placed and worker.over(now):
+                effects += self._all_over(worker, 'agent_silent', now)
+        self._past = [one for one in self._past if one.placed]
+        for job in list(self._calls.values()):
+            effects += self._watch_job(job, now)
+        return effects
+
+    def _watch_job(self, job: owned.OwnedJob, now: float) -> list[object]:
+        if now >= job.spec.deadline:
+            answer = jobs.Answer(jobs.Verdict.GIVEN_UP, 'deadline')
+            if not job.begun:
+                answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
+            return self._end_job(job, answer, now)
+        if not job.begun and now >= job.latest:
+            after = self._spread_retry()
+            answer = jobs.Answer(
+                jobs.Verdict.NOT_RUN, 'waited_too_long', after
+            )
+            return self._end_job(job, answer, now)
+        return self._move_stragglers(job, now)
+
+    def _move_stragglers(
+        self, job: owned.OwnedJob, now: float
+    ) -> list[object]:
+        stuck: list[int] = []
+        effects: list[object] = []
+        for index in job.placed():
+            record = job.records[index]
+            worker = self._pool.get(record.agent)
+            if worker is None or record.stopping:
+                continue
+            expected = max(self._expected(job, index), 0.02)
+            elapsed = now - record.placed_at - STRAGGLER_SPARE_SECONDS
+            ratio = elapsed / expected
+            step = job.spec.tasks[index].step
+            limit = STRAGGLER_RATIO
+            if not job.seconds.get(step):
+                limit *= UNSURE_RATIO
+            if ratio < limit:
+                continue
+            worker.takes(ratio, now)
+            if record.moves < MAX_MOVES:
+                record.moves += 1
+                record.avoid = record.avoid | {worker.name}
+                stuck.append(index)
+                effects.append(
+                    core.note(
+                        'run_stuck',
+                        job=job.spec.key,
+                        index=index,
+                        peer=worker.name,
+                        elapsed=f'{elapsed:.3f}',
+                        expected=f'{expected:.3f}',
+                    )
+                )
+        return effects + self._stop_runs(job, stuck)
+
+    def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
+        if self._stopping_at is None:
+            self._stopping_at = now
+        return [core.note('stopping', jobs=len(self._calls))]
+
+    def _finish(self, now: float) -> list[object]:
+        if self._stopping_at is None or self._done:
+            return []
+        stopped = now - self._stopping_at
+        effects: list[object] = []
+        if stopped >= STOP_GIVE_UP_SECONDS:
+            for job in list(self._calls.values()):
+                verdict = jobs.Verdict.GIVEN_UP
+                if not job.begun:
+                    verdict = jobs.Verdict.NOT_RUN
+                answer = jobs.Answer(verdict, 'stopping', 1.0)
+                effects += self._end_job(job, answer, now)
+        if self._calls or stopped < STOP_MIN_SECONDS:
+            return effects
+        self._done = True
+        return [*effects, core.Exit()]
+
+
+def _want(blocked: list[owned.OwnedJob], now: float) -> messages.Want:
+    needs = [
+        job.spec.tasks[index].needs for job in blocked for index in job.waiting
+    ]
+    least = min(needs, key=lambda one: one.cpu)
+    return messages.Want(len(needs), least, blocked[0].latest - now)
--- /dev/null
+++ b/src/agatepick/repeatable/owned.py
@@ -0,0 +1,146 @@
+"""The jobs that an entry owns: each task's runs, and the order of waiting.
+
+Jobs wait by their latest start, the instant at which a job must begin to end
+within its objective: short urgent tasks pass long ones that can still wait,
+and a long one passes as its time comes.  A job that has begun keeps its
+place, as only its last task's end answers it.
+"""
+
+import collections
+import dataclasses
+import enum
+import heapq
+
+from agatepick import messages
+from agatepick.repeatable import jobs
+from agatepick import types
+
+
+class TaskState(enum.Enum):
+    """Where one task stands."""
+
+    BLOCKED = 'blocked'
+    WAITING = 'waiting'
+    PLACED = 'placed'
+    ENDED = 'ended'
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRecord:
+    """One task of an owned job.
+
+    :ivar run: number of its last run.
+    :ivar failures: runs that ended as failed.
+    :ivar avoid: agents at which it failed or was late.
+    :ivar stopping: its run was told to end.
+    """
+
+    state: TaskState = TaskState.BLOCKED
+    agent: types.PeerName = ''
+    run: int = 0
+    failures: int = 0
+    placed_at: float = 0.0
+    stopping: bool = False
+    moves: int = 0
+    avoid: frozenset[types.PeerName] = frozenset()
+
+
+class OwnedJob:
+    """One job until its answer is given, and until its runs are over."""
+
+    def __init__(
+        self, call: int, spec: jobs.Job, now: float, latest: float
+    ) -> None:
+        self.call = call
+        self.spec = spec
+        self.arrived_at = now
+        self.latest = latest
+        self.records = [TaskRecord() for _ in spec.tasks]
+        self.waiting: collections.deque[int] = collections.deque()
+        self.begun = False
+        self.answered = False
+        self.open = len(spec.tasks)
+        self.seconds: dict[int, list[float]] = {}
+        self._left = [0] * len(spec.after)
+        for task in spec.tasks:
+            self._left[task.step] += 1
+
+    def ref(self, index: int) -> messages.RunRef:
+        """Names the last run of a task."""
+        return messages.RunRef(self.spec.key, index, self.records[index].run)
+
+    def release(self) -> bool:
+        """Let tasks wait whose earlier steps have ended; whether any did."""
+        released = False
+        for index, record in enumerate(self.records):
+            if record.state is not TaskState.BLOCKED:
+                continue
+            step = self.spec.tasks[index].step
+            if any(self._left[one] for one in self.spec.after[step]):
+                continue
+            record.state = TaskState.WAITING
+            self.waiting.append(index)
+            released = True
+        return released
+
+    def wait_again(self, index: int) -> None:
+        """A task whose run is over waits once more, before its siblings."""
+        record = self.records[index]
+        record.state = TaskState.WAITING
+        record.agent = ''
+        record.stopping = False
+        self.waiting.appendleft(index)
+
+    def end(self, index: int, seconds: float) -> None:
+        """A task has ended well."""
+        self.records[index].state = TaskState.ENDED
+        self.records[index].agent = ''
+        step = self.spec.tasks[index].step
+        self.seconds.setdefault(step, []).append(seconds)
+        self._left[step] -= 1
+        self.open -= 1
+
+    def placed(self) -> list[int]:
+        """Tasks with a run that isn't known to be over."""
+        return [
+            index
+            for index, record in enumerate(self.records)
+            if record.state is TaskState.PLACED
+        ]
+
+
+class Waiting:
+    """Jobs with waiting tasks, by latest start."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, OwnedJob]] = []
+        self._queued: set[int] = set()
+        self._sequence = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._queued)
+
+    def add(self, job: OwnedJob) -> None:
+        """Queue a job, unless it is queued already."""
+        if job.call in self._queued:
+            return
+        self._queued.add(job.call)
+        self._sequence += 1
+        heapq.heappush(self._heap, (job.latest, self._sequence, job))
+
+    def in_order(self) -> list[OwnedJob]:
+        """All jobs with waiting tasks, the most urgent first."""
+        kept = [
+            entry
+            for entry in self._heap
+            if entry[2].waiting and not entry[2].answered
+        ]
+        if len(kept) != len(self._heap):
+            self._queued = {entry[2].call for entry in kept}
+            heapq.heapify(kept)
+            self._heap = kept
+        return [entry[2] for entry in sorted(kept, key=_order)]
+
+
+def _order(entry: tuple[float, int, OwnedJob]) -> tuple[float, int]:
+    return entry[:2]
--- a/src/agatepick/types.py
+++ b/src/agatepick/types.py
@@ -33,6 +33,20 @@
     LOST = 'lost'
 
 
+class RunState(enum.StrEnum):
+    """What an agent knows of one run of a repeatable task.
+
+    ``OVER`` ended without a result that counts: stopped, lapsed or lost
+    with its worker.  ``REFUSED`` never started and never will.
+    """
+
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+    OVER = 'over'
+    REFUSED = 'refused'
+
+
 class JobStatus(enum.StrEnum):
     """State of a job as its caller is told."""
 
@@ -55,6 +69,20 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def __add__(self, other: 'Needs') -> 'Needs':
+        return Needs(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: 'Needs') -> 'Needs':
+        return Needs(
+            max(0.0, self.cpu - other.cpu),
+            max(0, self.memory_mb - other.memory_mb),
+            max(0, self.accelerators - other.accelerators),
+        )
+
     def fits(self, other: 'Needs') -> bool:
         """Whether these needs fit into ``other``."""
         return (
