--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -25,6 +25,12 @@
 
 _KEY = re.compile(r'[0-9a-f]{16}', re.IGNORECASE)
 
+_STATES = {
+    jobs.Verdict.COMPLETE: 'completed',
+    jobs.Verdict.FAILED: 'failed',
+    jobs.Verdict.CANCELLED: 'cancelled',
+}
+
 OVERLOAD_REASONS = frozenset({'overloaded', 'waited_too_long'})
 
 
@@ -159,7 +165,7 @@
             self._refuse(504, answer.reason, 0.0)
         else:
             self._close_if_stopping()
-            self.finish({'state': answer.verdict.value})
+            self.finish({'state': _STATES[answer.verdict]})
         self._end()
 
     def _end(self) -> None:
