Let an agent judge its worker for all entries, count cores in admission

Cause: each entry alone needed a dozen runs to notice a slow worker; two lost orders in a row counted as a silent worker and let 81 runs lapse; just after a restart jobs were refused though workers came within half a second.

Change: agents keep a cost (slowness over success) and tell it with their room; only watches without answer close a worker; jobs wait for agents after a start; admission counts cores that come free.

--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -233,6 +233,7 @@
   grant @6 :UInt64;
   taken @7 :UInt64;
   entries @8 :UInt32;
+  cost @9 :Float64;
 }
 
 struct Want {
@@ -248,6 +249,7 @@
   name @3 :Text;
   payload @4 :Data;
   needs @5 :Needs;
+  expected @6 :Float64;
 }
 
 struct StartRuns {
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -309,6 +309,7 @@
     :param taken: number of the receiver's last :class:`StartRuns` that
         ``free`` counts.
     :param entries: entries connected to the agent.
+    :param cost: expected time until a result, over that at a sound worker.
     """
 
     agent_incarnation: int
@@ -320,6 +321,7 @@
     grant: int = 0
     taken: int = 0
     entries: int = 1
+    cost: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -341,6 +343,7 @@
 
     :param run: number of the run, from 1; a later one is higher.
     :param name: the task's name at the worker.
+    :param expected: seconds that it is expected to take.
     """
 
     job: str
@@ -349,6 +352,7 @@
     name: str
     payload: bytes
     needs: types.Needs
+    expected: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -103,7 +103,8 @@
 
     def get(self) -> None:
         """200 while callers may be sent here."""
-        self.set_status(200 if self._front.entry.ready() else 503)
+        now = self._front.clock.now()
+        self.set_status(200 if self._front.entry.ready(now) else 503)
         self.finish({})
 
 
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -17,11 +17,12 @@
 
 LOG = logs.logger(__name__)
 
-ORDER_SECONDS = 0.3
-"""The worker is on this machine and answers within a few milliseconds; one
-order in twenty may get no answer at all."""
+ORDER_SECONDS = 0.12
+"""The worker is on this machine and answers within a few milliseconds, but
+one order in twenty may get no answer at all.  A task that waits for longer
+than this can't be in time any more at another worker."""
 
-WATCH_SPARE_SECONDS = 0.1
+WATCH_SPARE_SECONDS = 0.08
 """Beyond the time that the worker may wait with its list."""
 
 MAX_CONNECTIONS = 16
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -12,6 +12,7 @@
 from agatepick import core
 from agatepick import messages
 from agatepick.repeatable import events
+from agatepick.repeatable import health
 from agatepick.repeatable import leases
 from agatepick.repeatable import sharing
 from agatepick.repeatable import workerapi
@@ -19,9 +20,13 @@
 
 ROLE_ENTRY = 'entry'
 
-TELL_SECONDS = 0.01
+TELL_SECONDS = 0.03
 """Least pause between two broadcasts of free room.  A worker of 10 places
-with 0.3 s a task frees one every 30 ms, so nearly each is told at once."""
+with 0.3 s a task frees one every 30 ms; telling each at once took a third of
+all messages and changed nothing in what callers got."""
+
+COST_STEP = 0.2
+"""Change of a worker's cost that is worth a message."""
 
 STOP_RETRY_SECONDS = 0.1
 """Pause before a stop is sent again.  One order in twenty may stay without
@@ -30,9 +35,14 @@
 STRANGER_SECONDS = 0.2
 """Pause before a run that no entry owns is told to stop once more."""
 
-WORKER_FAILURES = 2
-"""Calls without an answer after which the worker's lease is left to run out
-and nothing more is started: one may be lost, two in a row hardly are."""
+CLOSING_FAILURES = 2
+"""Watches without an answer after which nothing more is started: one order
+in twenty may stay without one, two in a row hardly do."""
+
+WORKER_FAILURES = 3
+"""Watches without an answer after which the worker's lease is left to run
+out.  Three take 0.7 s, as long as the lease: were it given up after two, one
+pair of lost answers a minute would end all that runs there."""
 
 BEAT_SECONDS = 6.0
 """Silence after which a worker is taken for gone: three announcements and
@@ -41,6 +51,10 @@
 PROBE_SECONDS = 0.5
 """Pause between questions to a worker that doesn't answer."""
 
+LEAST_EXPECTED_SECONDS = 0.05
+"""Shorter runs are as long as the way to the worker and back on a busy
+machine, which says nothing of the worker."""
+
 KEPT_SECONDS = 5.0
 """How long reports are kept for an entry whose connection broke."""
 
@@ -85,10 +99,12 @@
     needs: types.Needs
     owner: _Owner
     asked_at: float
+    expected: float
     confirmed_at: float = 0.0
     stopping: bool = False
     stop_sent_at: float = 0.0
     stopped_at: float = 0.0
+    overdue_at: float = health.OVERDUE_RATIO
 
 
 _Take = typing.Callable[[_Owner, typing.Any, float], list[object]]
@@ -103,6 +119,8 @@
         self._worker: workerapi.WorkerSeen | None = None
         self._seen_at = 0.0
         self._room = sharing.Sharing()
+        self._health = health.Health()
+        self._told_cost = 1.0
         self._owners: dict[types.PeerName, _Owner] = {}
         self._runs: dict[str, _Run] = {}
         self._kept: dict[
@@ -168,6 +186,7 @@
         effects += handler(event, now)
         effects += self._watch(now)
         effects += self._flush_reports(now)
+        self._look_at_health(now)
         effects += self._share(now)
         effects += self._finish(now)
         wake = self._next_wake(now)
@@ -275,7 +294,9 @@
             return self._refuse(owner, ref, reason)
         worker = self._worker
         assert worker is not None
-        self._runs[spec.name] = _Run(ref, spec.name, spec.needs, owner, now)
+        self._runs[spec.name] = _Run(
+            ref, spec.name, spec.needs, owner, now, spec.expected
+        )
         self._extend_lease(now)
         return [
             workerapi.StartRun(
@@ -347,7 +368,7 @@
             and not worker.draining
             and self._stopping_at is None
             and self._cfg.zone not in self._closed
-            and self._failures < WORKER_FAILURES
+            and self._failures < CLOSING_FAILURES
         )
 
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
@@ -435,13 +456,11 @@
         if run is None:
             return []
         if event.result is workerapi.StartResult.UNKNOWN:
-            self._failures += 1
             run.confirmed_at = now
             return [
                 _run_note('start_unanswered', run, event.reason),
                 *self._stop_run(run, now),
             ]
-        self._failures = 0
         if event.result is workerapi.StartResult.STARTED:
             run.confirmed_at = now
             return []
@@ -555,11 +574,24 @@
         self._runs.pop(run.name)
         self._room.give_back(run.needs)
         seconds = now - run.asked_at
+        if state in _RESULTS:
+            ratio = seconds / max(run.expected, LEAST_EXPECTED_SECONDS)
+            self._health.ended(state is types.RunState.FINISHED, ratio, now)
         self._report(run.owner, run.ref, state, reason, seconds)
         if state is types.RunState.FINISHED:
             return []
         return [_run_note('run_' + state.value, run, reason)]
 
+    def _look_at_health(self, now: float) -> None:
+        for run in self._runs.values():
+            if run.stopping or not run.expected:
+                continue
+            expected = max(run.expected, LEAST_EXPECTED_SECONDS)
+            ratio = (now - run.asked_at) / expected
+            if ratio >= run.overdue_at:
+                run.overdue_at *= 2.0
+                self._health.overdue(ratio, now)
+
     def _find(self, life: str, ref: messages.RunRef) -> _Run | None:
         if self._worker is None or self._worker.life != life:
             return None
@@ -721,10 +753,14 @@
             grant,
             owner.taken,
             entries,
+            self._told_cost,
         )
 
     def _share(self, now: float) -> list[object]:
         effects: list[object] = []
+        cost = self._health.cost(now)
+        if abs(cost - self._told_cost) >= COST_STEP:
+            self._told_cost = cost
         if self._open:
             for grant in self._room.grants(now):
                 owner = self._owners[grant.entry]
@@ -748,6 +784,8 @@
 
 _NOBODY = _Owner('', 0)
 
+_RESULTS = (types.RunState.FINISHED, types.RunState.FAILED)
+
 
 def _run_note(name: str, run: _Run, reason: str) -> core.Note:
     return core.note(
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -6,12 +6,12 @@
 """
 
 import dataclasses
+import math
 import random
 import typing
 
 from agatepick import core
 from agatepick import messages
-from agatepick import outliers
 from agatepick.repeatable import admitting
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
@@ -50,6 +50,14 @@
 """A worker that has seen this run number or a higher one belongs to an
 earlier owner of the job; numbers go on well above what it can have used."""
 
+CUT_OFF_SECONDS = 0.8
+"""Time without any agent after which jobs are refused at once: a broken
+connection is replaced within 0.1 s, a silent one within 1.2 s."""
+
+START_SECONDS = 2.0
+"""Time given to agents to come after the start of this process: they find it
+in the store within 0.3 s, and a worker announces itself every 1.5 s."""
+
 GONE_SECONDS = 10.0
 """An agent away for so long is forgotten."""
 
@@ -85,7 +93,7 @@
         self._rng = rng
         self._pool = pool.Pool(rng)
         self._estimator = estimating.Estimator()
-        self._started = admitting.StartRate()
+        self._freed = admitting.FreedRate()
         self._waiting = owned.Waiting()
         self._calls: dict[int, owned.OwnedJob] = {}
         self._jobs: dict[types.JobKey, owned.OwnedJob] = {}
@@ -96,6 +104,7 @@
         self._watched_at = 0.0
         self._gone_at: dict[types.PeerName, float] = {}
         self._past: list[pool.Worker] = []
+        self._reached_at = math.inf
         self._stopping_at: float | None = None
         self._done = False
         self.routes: routes.RouteTable | None = None
@@ -134,9 +143,15 @@
             effects.append(core.WakeAt(now + WATCH_SECONDS))
         return effects
 
-    def ready(self) -> bool:
-        """Whether the balancer should send callers here."""
-        return self.routes is not None and self._stopping_at is None
+    def ready(self, now: float) -> bool:
+        """Whether the balancer should send callers here.
+
+        An entry that is cut off from all workers can serve nobody, and its
+        callers would be better off at another.
+        """
+        if self.routes is None or self._stopping_at is not None:
+            return False
+        return any(worker.usable(now) for worker in self._pool)
 
     @property
     def stopping(self) -> bool:
@@ -207,11 +222,13 @@
             left = self._stopping_at + STOP_TAKE_SECONDS - now
             if longest > left:
                 return 'stopping', 1.0
-        if not self._fits_anywhere(spec):
+        if not self._fits_anywhere(spec, now):
             return 'no_worker', self._spread_retry()
-        load = self._load(self._latest(spec, now), now)
+        if now > self._reached_at + CUT_OFF_SECONDS:
+            return 'cut_off', self._spread_retry()
         slack = self._latest(spec, now) - now
-        if not admitting.in_time(load, slack):
+        load = self._load(spec, now + slack, now)
+        if load.rate and not admitting.in_time(load, slack):
             after = admitting.retry_after(load, slack, self._rng)
             return 'overloaded', after
         return None
@@ -219,12 +236,19 @@
     def _spread_retry(self) -> float:
         return 1.0 + self._rng.uniform(0.0, admitting.RETRY_SPREAD_SECONDS)
 
-    def _fits_anywhere(self, spec: jobs.Job) -> bool:
+    def _fits_anywhere(self, spec: jobs.Job, now: float) -> bool:
+        """Whether any known worker is large enough for each task.
+
+        Just after the start, and while a cut heals, agents come one by one:
+        a job waits for them as long as it would for room.
+        """
         rooms = [
             worker.room
             for worker in self._pool
             if worker.room is not None and worker.room.pool == spec.route.pool
         ]
+        if not rooms:
+            return True
         return all(
             any(
                 task.needs.fits(room.capacity)
@@ -234,25 +258,27 @@
             for task in spec.tasks
         )
 
-    def _load(self, latest: float, now: float) -> admitting.Load:
-        before = 0.0
+    def _load(
+        self, spec: jobs.Job, latest: float, now: float
+    ) -> admitting.Load:
+        needed = 0.0
         for job in self._waiting.in_order():
             if job.latest > latest:
                 break
-            before += sum(self._work(job, index) for index in job.waiting)
-        return admitting.Load(before, self._rate(now))
-
-    def _rate(self, now: float) -> float:
-        share = sum(
-            worker.room.capacity.cpu / max(1, worker.room.entries)
-            for worker in self._pool
-            if worker.usable(now) and worker.room is not None
-        )
-        return max(share, self._started.a_second(now))
-
-    def _work(self, job: owned.OwnedJob, index: int) -> float:
-        task = job.spec.tasks[index]
-        return self._estimator.mean(job.spec, task) * task.needs.cpu
+            needed += sum(
+                job.spec.tasks[index].needs.cpu for index in job.waiting
+            )
+        workers = self._pool.usable(spec.route.pool, '', now)
+        usual = self._pool.usual_cost(workers)
+        free, share = 0.0, 0.0
+        for worker in workers:
+            if worker.room is None or not pool.sound(worker, usual):
+                continue
+            free += worker.free().cpu
+            share += worker.room.capacity.cpu / max(1, worker.room.entries)
+        steady = admitting.USED_SHARE * share / self._freed.usual_seconds()
+        rate = max(steady, self._freed.a_second(now)) if workers else 0.0
+        return admitting.Load(needed, free, rate)
 
     def _refuse_call(
         self, call: int, spec: jobs.Job, reason: str, after: float
@@ -454,9 +480,7 @@
         now: float,
     ) -> list[object]:
         task = job.spec.tasks[report.index]
-        expected = self._expected(job, report.index)
-        worker.took(report.seconds / max(expected, 0.01), now)
-        self._pool.ended(worker, True, now)
+        self._freed.add(task.needs.cpu, report.seconds, now)
         self._estimator.observe(job.spec, task, report.seconds)
         job.end(report.index, report.seconds)
         if job.answered:
@@ -479,10 +503,6 @@
         record.failures += 1
         record.avoid = record.avoid | {worker.name}
         effects: list[object] = []
-        if self._pool.ended(worker, False, now):
-            standing = self._pool.standing(worker)
-            if standing is outliers.Standing.EJECTED:
-                effects.append(core.note('worker_ejected', peer=worker.name))
         if record.failures >= job.spec.route.max_attempts:
             record.state = owned.TaskState.ENDED
             if not job.answered:
@@ -502,7 +522,6 @@
         if report.reason == 'stale_run':
             record.run += STALE_RUN_STEP
         elif report.reason == 'unwell':
-            self._pool.ended(worker, False, now)
             record.avoid = record.avoid | {worker.name}
         elif worker.room is not None:
             # It is fuller than was known; the next news tells how full.
@@ -557,7 +576,6 @@
     def _place(self, now: float) -> list[object]:
         waiting = self._waiting.in_order() if self._waiting else []
         if waiting:
-            self._pool.advance(now)
             blocked = self._place_jobs(waiting, now)
         else:
             blocked = []
@@ -585,7 +603,7 @@
                 if task.needs.cpu >= least.get(kind, float('inf')):
                     left.append(index)
                     continue
-                worker = self._choose(job, index, candidates[kind], now)
+                worker = self._choose(job, index, candidates[kind])
                 if worker is None:
                     if not job.records[index].avoid:
                         least[kind] = task.needs.cpu
@@ -602,14 +620,13 @@
         job: owned.OwnedJob,
         index: int,
         candidates: list[pool.Worker],
-        now: float,
     ) -> pool.Worker | None:
         record = job.records[index]
         task = job.spec.tasks[index]
         avoid = record.avoid
         if all(worker.name in avoid for worker in candidates):
             avoid = frozenset()
-        return self._pool.pick(candidates, task.needs, avoid, now)
+        return self._pool.pick(candidates, task.needs, avoid)
 
     def _bind(
         self,
@@ -628,7 +645,6 @@
         job.begun = True
         worker.placed[job.spec.key, index] = task.needs
         worker.sent.append((worker.number + 1, task.needs))
-        self._started.add(self._work(job, index), now)
         self._sends.setdefault(worker.name, []).append(
             messages.RunSpec(
                 job.spec.key,
@@ -637,6 +653,7 @@
                 task.name,
                 job.spec.payload,
                 task.needs,
+                self._expected(job, index),
             )
         )
 
@@ -722,6 +739,10 @@
             return []
         self._watched_at = now
         effects: list[object] = []
+        if any(worker.usable(now) for worker in self._pool):
+            self._reached_at = now
+        elif self._reached_at > now:
+            self._reached_at = now + START_SECONDS
         for worker in [*self._pool, *self._past]:
             if worker.placed and worker.over(now):
                 effects += self._all_over(worker, 'agent_silent', now)
@@ -763,7 +784,6 @@
                 limit *= UNSURE_RATIO
             if ratio < limit:
                 continue
-            worker.takes(ratio, now)
             if record.moves < MAX_MOVES:
                 record.moves += 1
                 record.avoid = record.avoid | {worker.name}
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -1,25 +1,21 @@
 """What an entry knows of each worker, and which one a task goes to.
 
 Load pattern: workers differ in size and speed, some turn slow or fail what
-they are given, and several entries fill the same ones.  Without a memory of
-how workers did, a slow one is always free and gets the most work.
+they are given, and several entries fill the same ones.
 
 An entry counts on the room that an agent told last, less what it has sent
-there since.  A worker's slowness is a moving average of run times over
-expected ones; a run that goes on for longer than expected counts at once, as
-a worker that stands still ends nothing that could be counted.  Slow and
-failing workers come last, and get a task now and then to show that they have
-recovered.
+there since.  A worker's cost, told by its agent, is compared with that of
+the others: what is slow or fails everywhere is the jobs' own doing.  Costly
+workers get nothing, or one task at a time to show that they have recovered.
 """
 
 import collections
 import dataclasses
-import math
 import random
+import statistics
 import typing
 
 from agatepick import messages
-from agatepick import outliers
 from agatepick.repeatable import leases
 from agatepick import types
 
@@ -27,23 +23,14 @@
 """Silence after which nothing is placed at an agent: two renewals missed.
 A frozen or lost machine then gets nothing, long before its connection ends."""
 
-SLOWNESS_WEIGHT = 0.15
-"""Weight of one run time in the moving average: of 10 runs at once, seven
-ends in a row move it two thirds of the way."""
+AVOIDED_COST = 2.3
+"""Cost, over the others' median, from which a worker gets nothing: a job may
+take 1.6 times its work, so a task there is late wherever it stands."""
 
-RECOVERY_SECONDS = 4.0
-"""Time constant with which a slow worker's record fades: one that is tried
-again in vain costs one task then, one that has recovered is of use soon."""
-
-SLOW = 1.9
-"""Slowness from which a worker is a last resort: a job may take 1.6 times
-its work, so a task there is late wherever it stands in its job."""
-
-MAX_EJECTED_SHARE = 0.34
-"""Most workers that are avoided for failures at a time; the rest carries
-the load.  A rack or a zone of four may fail together."""
-
-MAX_SLOWNESS = 12.0
+TRIED_COST = 1.8
+"""Cost from which it gets one task at a time.  The slower kind of sound
+workers takes 1.3 times as long, and guesses blur that by 0.15; at 1.45 sound
+workers were left idle and a fifth more jobs were late on a calm minute."""
 
 Key = tuple[types.JobKey, int]
 
@@ -69,10 +56,7 @@
     )
     number: int = 0
     renewed_at: float = 0.0
-    slowness: float = 1.0
-    slowness_at: float = 0.0
     placed: dict[Key, types.Needs] = dataclasses.field(default_factory=dict)
-    probing: Key | None = None
 
     def free(self) -> types.Needs:
         """Room for more of this entry's runs."""
@@ -102,24 +86,10 @@
         while self.sent and self.sent[0][0] <= room.taken:
             self.sent.popleft()
 
-    def slow_now(self, now: float) -> float:
-        """Slowness, faded by the time since it was last seen."""
-        faded = max(0.0, now - self.slowness_at) / RECOVERY_SECONDS
-        if self.placed:
-            faded = 0.0
-        return 1.0 + (self.slowness - 1.0) * math.exp(-faded)
-
-    def took(self, ratio: float, now: float) -> None:
-        """A run took ``ratio`` times the expected time."""
-        slow = self.slow_now(now)
-        slow += SLOWNESS_WEIGHT * (min(ratio, MAX_SLOWNESS) - slow)
-        self.slowness, self.slowness_at = slow, now
-
-    def takes(self, ratio: float, now: float) -> None:
-        """A run goes on for ``ratio`` times the expected time so far."""
-        if ratio > self.slow_now(now):
-            self.slowness = min(ratio, MAX_SLOWNESS)
-            self.slowness_at = now
+    @property
+    def cost(self) -> float:
+        """Expected time until a result, over that at a sound worker."""
+        return self.room.cost if self.room is not None else 1.0
 
 
 class Pool:
@@ -127,7 +97,6 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self._outliers = outliers.Outliers(MAX_EJECTED_SHARE)
         self.workers: dict[types.PeerName, Worker] = {}
 
     def __iter__(self) -> typing.Iterator[Worker]:
@@ -140,24 +109,10 @@
     def add(self, worker: Worker) -> None:
         """An agent connected for the first time in its life."""
         self.workers[worker.name] = worker
-        self._outliers.add(worker.name)
 
     def remove(self, name: types.PeerName) -> None:
         """An agent is gone for good."""
         del self.workers[name]
-        self._outliers.forget(name)
-
-    def ended(self, worker: Worker, ok: bool, now: float) -> bool:
-        """A run ended; whether the worker's standing changed by it."""
-        return self._outliers.record(worker.name, ok, now)
-
-    def standing(self, worker: Worker) -> outliers.Standing:
-        """Whether a worker is avoided for its failures."""
-        return self._outliers.standing(worker.name)
-
-    def advance(self, now: float) -> None:
-        """Try ejected workers again whose time has run out."""
-        self._outliers.advance(now)
 
     def usable(self, pool: str, label: str, now: float) -> list[Worker]:
         """Workers to which a task of a pool may go now."""
@@ -175,39 +130,45 @@
         candidates: list[Worker],
         needs: types.Needs,
         avoid: frozenset[types.PeerName],
-        now: float,
     ) -> Worker | None:
         """The worker that a task goes to, or ``None`` if none has room."""
-        fitting = [
-            worker
-            for worker in candidates
-            if worker.name not in avoid and needs.fits(worker.free())
-        ]
+        usual = self.usual_cost(candidates)
         best: Worker | None = None
         best_rank: tuple[int, float] | None = None
-        for worker in fitting:
-            if not self._takes_work(worker, now):
+        for worker in candidates:
+            if worker.name in avoid or not needs.fits(worker.free()):
+                continue
+            if not _takes_work(worker, usual):
                 continue
-            rank = self._rank(worker, now)
+            rank = self._rank(worker)
             if best_rank is None or rank < best_rank:
                 best, best_rank = worker, rank
         return best
 
-    def _takes_work(self, worker: Worker, now: float) -> bool:
-        standing = self.standing(worker)
-        if standing is outliers.Standing.EJECTED:
-            return False
-        slow = worker.slow_now(now) >= SLOW
-        if slow or standing is outliers.Standing.TRIAL:
-            # One task shows whether it has recovered.
-            return not worker.placed
-        return True
+    def usual_cost(self, workers: list[Worker]) -> float:
+        """The median cost, which all are compared with."""
+        if not workers:
+            return 1.0
+        return statistics.median(worker.cost for worker in workers)
 
-    def _rank(self, worker: Worker, now: float) -> tuple[int, float]:
+    def _rank(self, worker: Worker) -> tuple[int, float]:
         """Fast workers first; of alike ones, mostly the emptier."""
         assert worker.room is not None
         capacity = worker.room.capacity.cpu or 1.0
         emptiness = worker.free().cpu / capacity
         # Entries that all picked the emptiest would meet there.
         jitter = self._rng.random() * 0.3
-        return int(worker.slow_now(now) * 4.0), jitter - emptiness
+        return int(worker.cost * 4.0), jitter - emptiness
+
+
+def sound(worker: Worker, usual: float) -> bool:
+    """Whether a worker does about as well as the others."""
+    return worker.cost < TRIED_COST * max(usual, 1.0)
+
+
+def _takes_work(worker: Worker, usual: float) -> bool:
+    if sound(worker, usual):
+        return True
+    if worker.cost >= AVOIDED_COST * max(usual, 1.0):
+        return False
+    return not worker.placed
