--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -4,13 +4,13 @@
 Without this every job waits until most end after their objective: callers
 wait in vain, and the workers are busy with answers that come too late.
 
-What a job waits for is cores.  The wait is predicted from the cores that
-all before it need beyond those that are free, and from the cores that come
-free a second: this entry's share of the workers over the usual run time, or what
-its own runs freed of late if that is more.  A job that would start too late
-is refused at once; where nothing waits before it, it never is.  One that was
-let in and sees its latest start pass before any task began is refused too:
-the prediction was wrong, and an answer now lets its caller go elsewhere.
+What a job waits for is cores.  The wait is predicted from the cores that all
+before it need beyond those that are free, and from the cores that come free a
+second: this entry's share of the workers over the usual run time, or what its
+own runs freed of late if that is more.  A job that would start too late is
+refused at once; where nothing waits before it, it never is.  One that was let
+in and sees its latest start pass before any task began is refused too: the
+prediction was wrong, and an answer now lets its caller go elsewhere.
 """
 
 import dataclasses
