Play entries and agents of repeatable jobs in virtual time

Cause: the argument that no task has two runs at a time stood on paper and in the runs of the whole system alone.

Change: a small world of real reducers and fake links, workers and callers; tests by kind of failure, and 40 random histories of kills, freezes, cuts, lost orders and crashes.

--- /dev/null
+++ b/tests/repeatable_world.py
@@ -0,0 +1,484 @@
+"""Entries, agents, workers and callers of repeatable jobs in virtual time.
+
+The reducers are the real ones; links, workers and callers are small fakes.
+``World`` notes every task that has two runs at a time and every refused job
+that was run all the same.
+"""
+
+import heapq
+import itertools
+import random
+
+from agatepick import core
+from agatepick import messages
+from agatepick import types
+from agatepick.repeatable import agent
+from agatepick.repeatable import entry
+from agatepick.repeatable import events
+from agatepick.repeatable import jobs
+from agatepick.repeatable import leases
+from agatepick.repeatable import routes
+from agatepick.repeatable import workerapi
+
+START = 1_000_000.0
+DELAY = 0.001
+TICK = 0.05
+RESEND_SECONDS = 1.3
+SILENCE_SECONDS = 1.2
+REDIAL_SECONDS = 0.1
+ROUTE = routes.Route('q', 'host', '/q/', 'pool')
+CAPACITY = types.Needs(64.0, 1024, 0)
+NEEDS = types.Needs(6.0, 64, 0)
+
+
+def a_job(key, tasks=2, deadline=START + 60.0, expected=0.2):
+    """A job of one step."""
+    return jobs.Job(
+        key=key,
+        route=ROUTE,
+        payload=b'{}',
+        tasks=tuple(
+            jobs.Task(f'{key}.{index}', 0, NEEDS, expected)
+            for index in range(tasks)
+        ),
+        after=(frozenset(),),
+        deadline=deadline,
+    )
+
+
+class Worker:
+    """A worker with capacity, leases and a clock that is 2% slow."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.born = 1
+        self.up = True
+        self.runs = {}
+        self.highest = {}
+        self.ended = []
+        self.slowness = 1.0
+        self.fails = False
+
+    @property
+    def life(self):
+        return f'{self.name}@{self.born}'
+
+    def restart(self):
+        """Crash and come back under the same name."""
+        self.runs.clear()
+        self.highest.clear()
+        self.ended.clear()
+        self.born += 1
+
+    def expire(self):
+        """End what has run its time or whose lease has run out."""
+        now = self.world.now
+        for name, (run, end_at, until) in list(self.runs.items()):
+            if until <= now and until < end_at:
+                self._end(name, run, workerapi.EndKind.OTHER, 'lapsed')
+            elif end_at <= now:
+                kind = workerapi.EndKind.DONE
+                if self.fails:
+                    kind = workerapi.EndKind.FAILED
+                self._end(name, run, kind, kind.value)
+
+    def start(self, name, run, until):
+        self.expire()
+        result = workerapi.StartResult
+        if until <= self.world.now:
+            return result.LATE
+        self.extend(until)
+        if self.highest.get(name, 0) >= run:
+            return result.STALE_RUN
+        if (len(self.runs) + 1) * NEEDS.cpu > CAPACITY.cpu:
+            return result.NO_ROOM
+        self.world.check_start(self, name)
+        self.highest[name] = run
+        seconds = self.world.seconds(name) * self.slowness
+        self.runs[name] = (run, self.world.now + seconds, until)
+        return result.STARTED
+
+    def stop(self, name, run):
+        self.expire()
+        self.highest[name] = max(self.highest.get(name, 0), run)
+        found = self.runs.get(name)
+        if found and found[0] <= run:
+            self._end(name, found[0], workerapi.EndKind.OTHER, 'stopped')
+
+    def extend(self, until):
+        for name, (run, end_at, before) in self.runs.items():
+            self.runs[name] = (run, end_at, max(before, until))
+
+    def lists(self, seen):
+        self.expire()
+        running = tuple(
+            workerapi.RunningAt(name, one[0])
+            for name, one in self.runs.items()
+        )
+        ended = tuple(one for one in self.ended if one.number > seen)
+        return running, ended
+
+    def _end(self, name, run, kind, reason):
+        del self.runs[name]
+        number = len(self.ended) + 1
+        self.ended.append(
+            workerapi.EndedAt(number, name, run, kind, reason)
+        )
+
+
+class Node:
+    """One process: its reducer, and whether it runs."""
+
+    def __init__(self, name, make):
+        self.name = name
+        self.make = make
+        self.life = 0
+        self.alive = False
+        self.frozen_until = 0.0
+        self.reducer = None
+        self.held = []
+        self.wake_at = 0.0
+
+
+class World:
+    """All of them; faults are methods."""
+
+    def __init__(self, entries=2, agents=3, seed=0):
+        self.rng = random.Random(seed)
+        self.now = START
+        self._heap = []
+        self._order = itertools.count()
+        self.double = []
+        self.untrue = []
+        self.answers = {}
+        self.ever_started = set()
+        self.not_refused = set()
+        self.calls = itertools.count(1)
+        self.waiting = {}
+        self.lose_orders = 0.0
+        self.cuts = set()
+        self.connected = {}
+        self.nodes = {}
+        self.workers = {}
+        for index in range(entries):
+            self._add(f'entry-{index}', self._make_entry)
+        for index in range(agents):
+            name = f'agent-{index}'
+            self.workers[name] = Worker(self, f'w-{index}')
+            self._add(name, self._make_agent)
+        for node in list(self.nodes.values()):
+            self.start(node.name)
+
+    # Set-up
+
+    def _add(self, name, make):
+        self.nodes[name] = Node(name, make)
+
+    def _make_entry(self, name):
+        cfg = entry.EntryConfig(name, 'z')
+        return entry.Entry.from_config(cfg, random.Random(name))
+
+    def _make_agent(self, name):
+        return agent.Agent.from_config(agent.AgentConfig(name, 'z'), 1)
+
+    def entries(self):
+        return [one for one in self.nodes.values() if 'entry' in one.name]
+
+    def agents(self):
+        return [one for one in self.nodes.values() if 'agent' in one.name]
+
+    def start(self, name):
+        """Start a process, or start it again."""
+        node = self.nodes[name]
+        node.life += 1
+        node.alive = True
+        node.frozen_until = 0.0
+        node.held = []
+        node.wake_at = 0.0
+        node.reducer = node.make(name)
+        if name in self.workers:
+            node.reducer._incarnation = node.life
+        else:
+            table = routes.RouteTable(1, (ROUTE,))
+            self.feed(name, events.RoutesRead(table))
+        self._tick(name, node.life)
+        self._beat(name, node.life)
+        for other in self.nodes.values():
+            if other.alive and (name in self.workers) != (
+                other.name in self.workers
+            ):
+                self.later(REDIAL_SECONDS, self._connect, name, other.name)
+
+    def kill(self, name, back_after=0.5):
+        """Kill a process; its callers and peers see broken connections."""
+        node = self.nodes[name]
+        node.alive = False
+        for pair in [one for one in self.connected if name in one]:
+            self._break(pair)
+        for call, (owner, spec) in list(self.waiting.items()):
+            if owner == name:
+                del self.waiting[call]
+                self.not_refused.add(spec.key)
+                self.later(RESEND_SECONDS, self.submit, spec)
+        self.later(back_after, self.start, name)
+
+    def freeze(self, name, seconds):
+        """A process stands still; what comes meanwhile waits for it."""
+        self.nodes[name].frozen_until = self.now + seconds
+        self.later(seconds, self._thaw, name, self.nodes[name].life)
+
+    def cut(self, one, other, seconds):
+        """Nothing passes between two processes, and neither is told."""
+        pair = frozenset((one, other))
+        self.cuts.add(pair)
+        self.later(SILENCE_SECONDS, self._break_if_cut, pair)
+        self.later(seconds, self.cuts.discard, pair)
+
+    # Callers
+
+    def submit(self, spec, to=None):
+        """Hand a job in at some live entry, again later if none lives."""
+        live = [one.name for one in self.entries() if one.alive]
+        if not live:
+            self.later(RESEND_SECONDS, self.submit, spec)
+            return
+        name = to or self.rng.choice(live)
+        call = next(self.calls)
+        self.waiting[call] = (name, spec)
+        self.feed(name, events.JobArrived(call, spec))
+
+    def leave(self, key):
+        """The caller of a job closes its connection."""
+        for call, (name, spec) in list(self.waiting.items()):
+            if spec.key == key:
+                del self.waiting[call]
+                self.feed(name, events.CallerLeft(call))
+
+    def seconds(self, task):
+        """True run time of a task."""
+        return 0.05 + (sum(task.encode()) % 40) / 100.0
+
+    def check_start(self, worker, name):
+        key = name.rpartition('.')[0]
+        self.ever_started.add(key)
+        for other in self.workers.values():
+            other.expire()
+            if name in other.runs:
+                self.double.append((self.now, name, other.name, worker.name))
+
+    # Time
+
+    def later(self, seconds, action, *args):
+        item = (self.now + seconds, next(self._order), action, args)
+        heapq.heappush(self._heap, item)
+
+    def run(self, seconds):
+        """Play for some seconds."""
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, action, args = heapq.heappop(self._heap)
+            action(*args)
+        self.now = end
+
+    def feed(self, name, event):
+        node = self.nodes[name]
+        if not node.alive:
+            return
+        if self.now < node.frozen_until:
+            node.held.append(event)
+            return
+        for effect in node.reducer.reduce(event, self.now):
+            self._carry(node, effect)
+
+    def _thaw(self, name, life):
+        node = self.nodes[name]
+        if node.alive and node.life == life:
+            held, node.held = node.held, []
+            for event in held:
+                self.feed(name, event)
+
+    def _tick(self, name, life):
+        node = self.nodes[name]
+        if node.alive and node.life == life:
+            if self.now >= node.frozen_until:
+                self.feed(name, core.Tick())
+            self.later(TICK, self._tick, name, life)
+
+    def _beat(self, name, life):
+        node = self.nodes[name]
+        worker = self.workers.get(name)
+        if worker is None or not node.alive or node.life != life:
+            return
+        seen = workerapi.WorkerSeen(
+            worker.life,
+            worker.born,
+            next(self._order),
+            'pool',
+            CAPACITY,
+            (),
+            False,
+            '',
+        )
+        self.feed(name, seen)
+        self.later(1.5, self._beat, name, life)
+
+    # Links
+
+    def _connect(self, one, other):
+        pair = frozenset((one, other))
+        ends = [self.nodes[name] for name in sorted(pair)]
+        if pair in self.connected or not all(end.alive for end in ends):
+            return
+        if pair in self.cuts:
+            self.later(REDIAL_SECONDS, self._connect, one, other)
+            return
+        self.connected[pair] = next(self._order)
+        for end, peer in (ends, ends[::-1]):
+            role = 'agent' if peer.name in self.workers else 'entry'
+            hello = messages.Hello(
+                peer.name, role, peer.life, 'z', '', '', 0
+            )
+            self.feed(end.name, core.PeerUp(hello))
+
+    def _break(self, pair):
+        if self.connected.pop(pair, None) is None:
+            return
+        ends = [self.nodes[name] for name in pair]
+        for end, peer in (ends, ends[::-1]):
+            if end.alive:
+                self.feed(end.name, core.PeerDown(peer.name, peer.life))
+        self.later(REDIAL_SECONDS, self._connect, *pair)
+
+    def _break_if_cut(self, pair):
+        if pair in self.cuts:
+            self._break(pair)
+
+    def _deliver(self, pair, connection, to, sender, message):
+        if self.connected.get(pair) == connection and pair not in self.cuts:
+            self.feed(to, core.Received(sender, message))
+
+    # Effects
+
+    def _carry(self, node, effect):
+        match effect:
+            case core.Send():
+                pair = frozenset((node.name, effect.peer))
+                connection = self.connected.get(pair)
+                if connection is not None and pair not in self.cuts:
+                    self.later(
+                        DELAY,
+                        self._deliver,
+                        pair,
+                        connection,
+                        effect.peer,
+                        node.name,
+                        effect.message,
+                    )
+            case core.WakeAt():
+                self._wake_later(node, effect.at)
+            case events.Reply():
+                self._reply(node, effect)
+            case workerapi.StartRun():
+                until = self.now + effect.lease_seconds * leases.CLOCK_DRIFT
+                self._order_start(node, effect, until)
+            case workerapi.StopRun():
+                self._order_stop(node, effect)
+            case workerapi.Watch():
+                self._order_watch(node, effect)
+
+    def _wake_later(self, node, at):
+        # One timer a process, as in the shell.
+        if self.now < node.wake_at <= at:
+            return
+        node.wake_at = max(at, self.now + 0.001)
+        seconds = node.wake_at - self.now
+        self.later(seconds, self._wake, node, node.life, node.wake_at)
+
+    def _wake(self, node, life, at):
+        if node.life == life and node.wake_at == at:
+            node.wake_at = 0.0
+            if self.now >= node.frozen_until:
+                self.feed(node.name, core.Tick())
+
+    def _reply(self, node, effect):
+        found = self.waiting.pop(effect.call, None)
+        if found is None:
+            return
+        spec = found[1]
+        verdict = effect.answer.verdict
+        if verdict is not jobs.Verdict.NOT_RUN:
+            self.not_refused.add(spec.key)
+        if verdict is jobs.Verdict.GIVEN_UP:
+            self.later(RESEND_SECONDS, self.submit, spec)
+            return
+        started = spec.key in self.ever_started
+        if started and spec.key not in self.not_refused:
+            self.untrue.append(spec.key)
+        self.answers[spec.key] = effect.answer
+
+    def _answer(self, node, life, event):
+        if node.alive and node.life == life:
+            self.later(0.0005, self._feed_life, node.name, life, event)
+
+    def _feed_life(self, name, life, event):
+        if self.nodes[name].life == life:
+            self.feed(name, event)
+
+    def _lost(self):
+        return self.rng.random() < self.lose_orders
+
+    def _order_start(self, node, effect, until):
+        worker = self.workers[node.name]
+        args = (effect.name, effect.ref.run, until)
+        if self._lost() or not worker.up:
+            late = self.rng.uniform(2.0, 12.0)
+            self.later(late, self._late_start, worker, effect.life, args)
+            event = workerapi.StartAnswered(
+                effect.life, effect.ref, workerapi.StartResult.UNKNOWN
+            )
+            self.later(0.12, self._feed_life, node.name, node.life, event)
+            return
+        result = workerapi.StartResult.OTHER_LIFE
+        if worker.life == effect.life:
+            result = worker.start(*args)
+        event = workerapi.StartAnswered(effect.life, effect.ref, result)
+        self._answer(node, node.life, event)
+
+    def _late_start(self, worker, life, args):
+        if worker.up and worker.life == life:
+            worker.start(*args)
+
+    def _order_stop(self, node, effect):
+        worker = self.workers[node.name]
+        ok = not self._lost() and worker.up
+        if ok and worker.life == effect.life:
+            worker.stop(effect.name, effect.run)
+        event = workerapi.StopAnswered(
+            effect.life, effect.name, effect.run, ok
+        )
+        self._answer(node, node.life, event)
+
+    def _order_watch(self, node, effect):
+        worker = self.workers[node.name]
+        if self._lost() or not worker.up or worker.life != effect.life:
+            event = workerapi.WatchFailed(
+                effect.life, other_life=worker.life != effect.life
+            )
+            self.later(0.23, self._feed_life, node.name, node.life, event)
+            return
+        if effect.lease_seconds:
+            worker.expire()
+            worker.extend(
+                self.now + effect.lease_seconds * leases.CLOCK_DRIFT
+            )
+        asked = self.now
+        wait = 0.02 if effect.wait_seconds else 0.001
+        self.later(wait, self._watch_answer, node, node.life, effect, asked)
+
+    def _watch_answer(self, node, life, effect, asked):
+        worker = self.workers[node.name]
+        running, ended = worker.lists(effect.seen)
+        event = workerapi.Watched(worker.life, asked, running, ended)
+        if worker.life == effect.life:
+            self._feed_life(node.name, life, event)
--- /dev/null
+++ b/tests/test_repeatable.py
@@ -0,0 +1,237 @@
+"""Entries and agents of repeatable jobs together, under failure."""
+
+import random
+
+import pytest
+
+from agatepick import core
+from agatepick.repeatable import jobs
+from agatepick.repeatable import leases
+from tests import repeatable_world
+
+COMPLETE = jobs.Verdict.COMPLETE
+
+
+def played(seed=0, **parts):
+    """A world whose agents and entries have met."""
+    world = repeatable_world.World(seed=seed, **parts)
+    world.run(2.0)
+    return world
+
+
+def test_a_job_is_answered_when_its_last_task_has_ended():
+    world = played()
+    world.submit(repeatable_world.a_job('j', tasks=5))
+    world.run(1.5)
+    assert world.answers['j'].verdict is COMPLETE
+    assert not world.double
+
+
+def test_the_longest_chain_of_leases_ends_before_callers_come_back():
+    """An entry dies just after it renewed, and the agent just after that.
+
+    A caller hands its job in again 1.3 s later; were the old runs still
+    going on then, its quote would be filed twice.
+    """
+    assert leases.OVER_SECONDS < repeatable_world.RESEND_SECONDS
+
+
+def test_a_killed_entry_s_job_is_done_once_at_another():
+    """The entry is killed in the middle of a job; its caller asks another.
+
+    The caller notices a broken connection and 1.3 s of waiting.
+    """
+    world = played()
+    world.submit(repeatable_world.a_job('j', 6, expected=0.4), to='entry-0')
+    world.run(0.03)
+    world.kill('entry-0', back_after=5.0)
+    world.run(4.0)
+    assert world.answers['j'].verdict is COMPLETE
+    assert not world.double
+
+
+def test_entry_and_agent_dying_together_never_leave_two_runs():
+    """Both ends of a lease die at once, and only the worker can end a run.
+
+    The worker's own lease has to run out before the caller is back.
+    """
+    world = played(agents=2)
+    for worker in world.workers.values():
+        worker.slowness = 20.0
+    world.submit(repeatable_world.a_job('j', 4, expected=3.0), to='entry-0')
+    world.run(0.5)
+    for name in ('entry-0', 'agent-0', 'agent-1'):
+        world.kill(name, back_after=0.3)
+    world.run(3.0)
+    assert not world.double
+
+
+def test_a_frozen_agent_s_tasks_run_again_elsewhere():
+    """An agent stands still for three seconds with runs at its worker.
+
+    Its worker's lease runs out, and the entry starts the tasks elsewhere;
+    when the agent thaws, what waited for it must not start any more.
+    """
+    world = played()
+    spec = repeatable_world.a_job('j', 9, expected=0.4)
+    world.submit(spec, to='entry-0')
+    world.run(0.01)
+    world.freeze('agent-0', 3.0)
+    world.run(2.5)
+    assert world.answers['j'].verdict is COMPLETE
+    world.run(3.0)
+    assert not world.double
+
+
+def test_a_frozen_entry_lets_no_run_go_on_twice():
+    """An entry stands still for two seconds with a job's runs going on.
+
+    The agents end the runs as nobody renews them; the caller, whose
+    connection is open, gets its answer once the entry goes on.
+    """
+    world = played()
+    world.submit(repeatable_world.a_job('j', 6, expected=0.4), to='entry-0')
+    world.run(0.02)
+    world.freeze('entry-0', 2.0)
+    world.run(5.0)
+    assert world.answers['j'].verdict is COMPLETE
+    assert not world.double
+
+
+def test_a_cut_between_entry_and_agent_costs_time_but_no_second_run():
+    """Nothing passes between an entry and one agent, and neither is told."""
+    world = played(entries=1, agents=2)
+    world.submit(repeatable_world.a_job('j', 6, expected=0.4))
+    world.run(0.02)
+    world.cut('entry-0', 'agent-0', 4.0)
+    world.run(4.0)
+    assert world.answers['j'].verdict is COMPLETE
+    assert not world.double
+
+
+def test_a_caller_who_leaves_frees_the_room():
+    """A caller gives up; going on with its tasks would keep others waiting."""
+    world = played(entries=1, agents=1)
+    world.workers['agent-0'].slowness = 10.0
+    world.submit(repeatable_world.a_job('j', 8, expected=3.0))
+    world.run(0.1)
+    assert world.workers['agent-0'].runs
+    world.leave('j')
+    world.run(0.2)
+    assert not world.workers['agent-0'].runs
+
+
+def test_a_lost_order_is_not_carried_out_late_beside_its_retry():
+    """A worker leaves an order unanswered and carries it out seconds later.
+
+    The task has long run elsewhere by then, perhaps still does.
+    """
+    world = played(agents=2)
+    world.lose_orders = 0.4
+    for number in range(20):
+        world.submit(repeatable_world.a_job(f'j{number}', 3, expected=0.3))
+        world.run(0.3)
+    world.lose_orders = 0.0
+    world.run(15.0)
+    assert not world.double
+
+
+def test_a_worker_that_fails_all_gets_little_work():
+    """A worker fails what it starts, and is always free by doing so.
+
+    Its tasks run again elsewhere, up to the job's attempts; without a
+    memory of how it did, most jobs of all callers would fail with it.
+    """
+    world = played()
+    world.workers['agent-0'].fails = True
+    for number in range(60):
+        world.submit(repeatable_world.a_job(f'j{number}', 2, expected=0.2))
+        world.run(0.1)
+    world.run(3.0)
+    verdicts = [answer.verdict for answer in world.answers.values()]
+    assert verdicts.count(jobs.Verdict.FAILED) <= 2
+    assert verdicts.count(COMPLETE) >= 55
+
+
+def test_overload_is_refused_at_once_and_truly():
+    """Four times more work comes than one worker can do.
+
+    What can't be in time is refused with a time to come back, and what is
+    let in is answered in time mostly.
+    """
+    world = played(entries=1, agents=1)
+    for number in range(100):
+        world.submit(repeatable_world.a_job(f'j{number}', 8, expected=0.25))
+        world.run(0.05)
+    world.run(5.0)
+    refused = [
+        answer
+        for answer in world.answers.values()
+        if answer.verdict is jobs.Verdict.NOT_RUN
+    ]
+    assert len(refused) >= 50
+    assert all(answer.retry_after >= 1.0 for answer in refused)
+    assert not world.untrue
+    served = len(world.answers) - len(refused)
+    assert served >= 15
+
+
+def test_a_stopping_entry_answers_all_that_it_took():
+    """An entry is asked to stop while callers still use its connections."""
+    world = played()
+    world.submit(repeatable_world.a_job('a', 3), to='entry-0')
+    world.feed('entry-0', core.StopRequested())
+    world.submit(repeatable_world.a_job('b', 3), to='entry-0')
+    world.run(4.0)
+    assert world.answers['a'].verdict is COMPLETE
+    assert world.answers['b'].verdict is COMPLETE
+
+
+FAULTS = ('kill', 'freeze', 'cut', 'orders', 'crash', 'slow', 'leave')
+
+
+def a_fault(world, rng, number):
+    """Bring some trouble about."""
+    names = list(world.nodes)
+    kind = rng.choice(FAULTS)
+    if kind == 'kill':
+        world.kill(rng.choice(names), back_after=rng.uniform(0.2, 2.0))
+    elif kind == 'freeze':
+        world.freeze(rng.choice(names), rng.uniform(0.1, 3.0))
+    elif kind == 'cut':
+        one = rng.choice(world.entries()).name
+        other = rng.choice(world.agents()).name
+        world.cut(one, other, rng.uniform(0.2, 3.0))
+    elif kind == 'orders':
+        world.lose_orders = rng.choice((0.0, 0.05, 0.3))
+    elif kind == 'crash':
+        rng.choice(list(world.workers.values())).restart()
+    elif kind == 'slow':
+        worker = rng.choice(list(world.workers.values()))
+        worker.slowness = rng.choice((1.0, 6.0, 1000.0))
+    else:
+        world.leave(f'j{rng.randrange(max(1, number))}')
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_no_history_has_two_runs_of_a_task_at_a_time(seed):
+    """Kills, freezes, cuts, lost orders and crashes come one on another.
+
+    Whatever comes, no task has two runs at a time, and no job that was
+    refused as not run has been started.
+    """
+    rng = random.Random(seed)
+    world = played(seed=seed)
+    for number in range(80):
+        if rng.random() < 0.35:
+            a_fault(world, rng, number)
+        expected = rng.choice((0.1, 0.3, 1.0))
+        world.submit(
+            repeatable_world.a_job(
+                f'j{number}', rng.randint(1, 8), world.now + 4.0, expected
+            )
+        )
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(10.0)
+    assert not world.double
+    assert not world.untrue
