Explain a request from the logs of all processes

Cause: on-call engineers have an id and many logs, and need its cause in minutes.

Change: agatepick explain ID FILE... orders the lines that name the id and says what the last reason means.

--- a/src/agatepick/command_tree.py
+++ b/src/agatepick/command_tree.py
@@ -84,6 +84,7 @@
                 'in': self.zone_in,
             },
             'timeline': self.timeline,
+            'explain': self.explain,
             'bench': self.bench,
             'demo': self.demo,
             'standin': {
@@ -225,6 +226,15 @@
         """Return a zone to service; --wait until it is in force."""
         self._zone(zone, 'in', entry, based_on, wait, json)
 
+    @_text
+    def explain(self, job: str, *files: str) -> None:
+        """Tell what happened to one request, from logs of all processes.
+
+        :param job: the request's id.
+        :param files: logs; standard input if none is named.
+        """
+        self._run = functools.partial(_other, 'explain', 'explain', job, files)
+
     @_text
     def timeline(
         self,
--- /dev/null
+++ b/src/agatepick/explain.py
@@ -0,0 +1,116 @@
+"""Tells the story of one request from the logs of all processes.
+
+``agatepick explain ID FILE...`` reads lines of key=value pairs, mixed as
+they come, and prints those that name the request, in order of time, with a
+line that names the cause of its end.
+"""
+
+import dataclasses
+import json
+import re
+import sys
+import typing
+
+from agatepick import commands
+from agatepick import exceptions
+
+_PAIR = re.compile(r'([A-Za-z_][\w.]*)=("(?:[^"\\]|\\.)*"|\S*)')
+
+_ENDS = ('job_ended', 'job_refused')
+
+CAUSES = {
+    'overloaded': 'more work waited than could start in its time',
+    'waited_too_long': 'no worker had room before its latest start',
+    'no_worker': 'no known worker is large enough or has its label',
+    'cut_off': 'the entry reached no agent',
+    'stopping': 'the entry was stopping and the job would not have ended',
+    'deadline': "its caller's time was over",
+    'caller_left': 'its caller closed the connection',
+    'cancelled': 'a caller cancelled it',
+    'task_failed': 'a task failed as often as its queue allows',
+    'done': 'all tasks ended well',
+}
+"""What each reason in the log means, for people."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log.
+
+    :param at: seconds since the epoch, by the clock of its process.
+    """
+
+    at: float
+    process: str
+    event: str
+    fields: dict[str, str]
+
+    def show(self, start: float) -> str:
+        """The line for a person."""
+        pairs = ' '.join(f'{key}={val}' for key, val in self.fields.items())
+        return f'{self.at - start:+9.3f} s {self.process} {self.event} {pairs}'
+
+
+def parse(text: str) -> Line | None:
+    """A line of a log; ``None`` for what isn't an event."""
+    pairs = {key: _plain(value) for key, value in _PAIR.findall(text)}
+    try:
+        at = float(pairs.pop('time'))
+        process, event = pairs.pop('process'), pairs.pop('event')
+    except (KeyError, ValueError):
+        return None
+    pairs.pop('level', None)
+    return Line(at, process, event, pairs)
+
+
+def story(lines: typing.Iterable[str], job: str) -> list[Line]:
+    """What was logged about a request, in order of time."""
+    needle = f'job={job}'
+    parsed = [parse(text) for text in lines if needle in text]
+    found = [line for line in parsed if line and line.fields.get('job') == job]
+    return sorted(found, key=lambda line: line.at)
+
+
+def cause(found: list[Line]) -> str:
+    """Why the request ended as it did."""
+    ends = [line for line in found if line.event in _ENDS]
+    if not ends:
+        return 'no end was logged: its entry was lost, or the log is cut off'
+    reason = ends[-1].fields.get('reason', '')
+    known = CAUSES.get(reason, 'not a reason known here')
+    return f'{reason}: {known}'
+
+
+def explain(job: str, files: tuple[str, ...]) -> commands.Output:
+    """The story of a request, from files or standard input."""
+    found: list[Line] = []
+    for name in files or ('-',):
+        try:
+            found += _read(name, job)
+        except OSError as exc:
+            raise exceptions.BadUsage(
+                f'{name}: {exc.strerror}', step='explain'
+            ) from exc
+    if not found:
+        raise exceptions.BadUsage(
+            f'no line names the request {job}', step='explain'
+        )
+    found.sort(key=lambda line: line.at)
+    text = [line.show(found[0].at) for line in found]
+    return commands.Output('\n'.join([*text, f'cause: {cause(found)}']))
+
+
+def _read(name: str, job: str) -> list[Line]:
+    if name == '-':
+        return story(sys.stdin, job)
+    with open(name, encoding='utf-8', errors='replace') as file:
+        return story(file, job)
+
+
+def _plain(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    try:
+        return str(json.loads(value))
+    except ValueError:
+        return value
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,59 @@
+import pytest
+
+from agatepick import cli
+from agatepick import explain
+
+ENTRY = (
+    'time=10.000000 level=info process=e event=job_admitted job=a1 queue=q '
+    'tasks=2\n',
+    'time=10.500000 level=info process=e event=job_ended job=a1 queue=q '
+    'verdict=failed reason=task_failed seconds=0.500 late=0.1\n',
+    'time=10.100000 level=info process=e event=job_refused job=b2 queue=q '
+    'reason=overloaded retry_after=1.5\n',
+    'time=10.200000 level=info process=e event=job_admitted job=c3 queue=q\n',
+)
+AGENT = (
+    'noise that is no event\n',
+    '  3.1 agent time=10.200000 level=info process=w event=run_failed job=a1 '
+    'index=1 run=1 peer=e reason="went \\"wrong\\""\n',
+)
+
+
+def test_a_request_s_lines_come_in_order_of_all_processes():
+    found = explain.story([*ENTRY, *AGENT], 'a1')
+    assert [line.event for line in found] == [
+        'job_admitted',
+        'run_failed',
+        'job_ended',
+    ]
+    assert found[1].fields['reason'] == 'went "wrong"'
+
+
+@pytest.mark.parametrize(
+    ('job', 'text'),
+    [
+        ('a1', 'task_failed: a task failed as often'),
+        ('b2', 'overloaded: more work waited'),
+        ('c3', 'no end was logged'),
+    ],
+)
+def test_the_cause_of_three_kinds_of_failure_is_named(job, text):
+    """Refused at admission, failed on bad workers, lost with its entry."""
+    found = explain.story([*ENTRY, *AGENT], job)
+    assert explain.cause(found).startswith(text)
+
+
+def test_the_command_reads_logs_of_all_processes(tmp_path, capsys):
+    for name, lines in (('e.log', ENTRY), ('w.log', AGENT)):
+        (tmp_path / name).write_text(''.join(lines))
+    files = [str(tmp_path / name) for name in ('w.log', 'e.log')]
+    assert cli.main(['explain', 'a1', *files]) == 0
+    text = capsys.readouterr().out.splitlines()
+    assert 'job_admitted' in text[0]
+    assert text[-1].startswith('cause: task_failed')
+
+
+def test_a_request_that_no_log_names_is_told(tmp_path, capsys):
+    (tmp_path / 'e.log').write_text(''.join(ENTRY))
+    assert cli.main(['explain', 'zz', str(tmp_path / 'e.log')]) == 2
+    assert 'zz' in capsys.readouterr().err
