Log what decided a refusal

Cause: a refused request's line named the reason and not the figures that decided it.

Change: cores needed and free, the rate, the wait and the version of the desired state stand in the line; decisions are the same.

--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -122,10 +122,12 @@
 
     :param reason: a word for programs and logs.
     :param retry_after: seconds.
+    :param load: what decided it, where the queue did.
     """
 
     reason: str
     retry_after: float
+    load: Load | None = None
 
 
 class Admission:
@@ -171,7 +173,7 @@
         load = self._load(spec, now + slack, now)
         if load.rate and not in_time(load, slack):
             after = retry_after(load, slack, self._rng)
-            return Refusal('overloaded', after)
+            return Refusal('overloaded', after, load)
         return None
 
     def spread_retry(self) -> float:
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -164,7 +164,11 @@
         refusal = self._admission.refusal(spec, now)
         if refusal is not None:
             return self._refuse_call(
-                event.call, spec, refusal.reason, refusal.retry_after
+                event.call,
+                spec,
+                refusal.reason,
+                refusal.retry_after,
+                refusal.load,
             )
         longest = self._estimator.longest(spec)
         job = owned.OwnedJob(
@@ -201,9 +205,22 @@
         return longest * STOP_STRETCH + STOP_SPARE_SECONDS <= left
 
     def _refuse_call(
-        self, call: int, spec: jobs.Job, reason: str, after: float
+        self,
+        call: int,
+        spec: jobs.Job,
+        reason: str,
+        after: float,
+        load: admitting.Load | None = None,
     ) -> list[object]:
         answer = jobs.Answer(jobs.Verdict.NOT_RUN, reason, after)
+        inputs = {}
+        if load is not None:
+            inputs = {
+                'needed': f'{load.needed:.0f}',
+                'free': f'{load.free:.0f}',
+                'rate': f'{load.rate:.0f}',
+                'wait': f'{load.wait():.3f}',
+            }
         return [
             core.note(
                 'job_refused',
@@ -211,6 +228,8 @@
                 queue=spec.route.name,
                 reason=reason,
                 retry_after=f'{after:.1f}',
+                version=self.routes.version if self.routes else 0,
+                **inputs,
             ),
             events.Reply(call, answer),
         ]
