--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -208,6 +208,10 @@
     def _ends_before_stop(self, spec: jobs.Job, now: float) -> bool:
         if self._stopping_at is None:
             return True
+        if self._done:
+            # The process ends any moment, and with it what it would take:
+            # the caller would get an error and not know whether it ran.
+            return False
         left = self._stopping_at + STOP_GIVE_UP_SECONDS - now
         longest = self._estimator.longest(spec)
         return longest * STOP_STRETCH + STOP_SPARE_SECONDS <= left
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -187,6 +187,19 @@
     assert world.answers['b'].verdict is COMPLETE
 
 
+def test_a_job_that_comes_after_the_last_answer_is_refused():
+    """A caller uses its open connection in the moment a process ends.
+
+    The job would be cut off with the process; it is told "not run" instead.
+    """
+    world = played()
+    world.feed('entry-0', core.StopRequested())
+    world.run(4.0)
+    world.submit(repeatable_world.a_job('j', 1), to='entry-0')
+    world.run(0.01)
+    assert world.answers['j'].verdict is jobs.Verdict.NOT_RUN
+
+
 FAULTS = ('kill', 'freeze', 'cut', 'orders', 'crash', 'slow', 'leave')
 
 
