Let a job that is handed in again join at its entry

Cause: a second request for a job took its place from the first, whose caller got a 504 and would come again in turn; read in the code.

Change: an owned job keeps all requests that wait for it, and answers each; it ends early only when the last of them has left.

Result: its test fails before and passes after.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -147,7 +147,7 @@
         """Jobs of a queue of which no task has started."""
         return sum(
             job.spec.route.name == route and not job.begun
-            for job in self._calls.values()
+            for job in self._open_jobs()
         )
 
     # Callers
@@ -158,13 +158,10 @@
         known = self._jobs.get(spec.key)
         if known is not None and not known.answered:
             # The same caller again, whose first connection may have broken:
-            # the job goes on and this request gets its answer.
-            effects = self._detach(known, now)
-            self._calls.pop(known.call, None)
-            known.call = event.call
+            # the job goes on, and both requests get its answer.
+            known.calls.append(event.call)
             self._calls[event.call] = known
-            self._waiting.add(known)
-            return effects
+            return [core.note('job_rejoined', job=spec.key)]
         if known is not None:
             return self._refuse_call(event.call, spec, 'ending', 1.0)
         if not self._ends_before_stop(spec, now):
@@ -197,14 +194,6 @@
             )
         ]
 
-    def _detach(self, job: owned.OwnedJob, now: float) -> list[object]:
-        return [
-            core.note('job_rejoined', job=job.spec.key, queue=''),
-            events.Reply(
-                job.call, jobs.Answer(jobs.Verdict.GIVEN_UP, 'rejoined')
-            ),
-        ]
-
     def _ends_before_stop(self, spec: jobs.Job, now: float) -> bool:
         if self._stopping_at is None:
             return True
@@ -249,9 +238,12 @@
     def _on_caller_left(
         self, event: events.CallerLeft, now: float
     ) -> list[object]:
-        job = self._calls.get(event.call)
+        job = self._calls.pop(event.call, None)
         if job is None:
             return []
+        job.calls.remove(event.call)
+        if job.calls:
+            return []
         return self._end_job(
             job, jobs.Answer(jobs.Verdict.CANCELLED, 'caller_left'), now
         )
@@ -285,7 +277,8 @@
         """Answer a job's caller; runs that go on are stopped."""
         job.answered = True
         job.waiting.clear()
-        self._calls.pop(job.call, None)
+        for call in job.calls:
+            self._calls.pop(call, None)
         effects: list[object] = [
             core.note(
                 'job_ended',
@@ -296,7 +289,7 @@
                 seconds=f'{now - job.arrived_at:.3f}',
                 late=f'{now - job.latest:.3f}',
             ),
-            events.Reply(job.call, answer),
+            *[events.Reply(call, answer) for call in job.calls],
         ]
         effects += self._stop_runs(job, job.placed())
         self._forget(job)
@@ -543,6 +536,10 @@
                 self._pool.remove(name)
         return []
 
+    def _open_jobs(self) -> list[owned.OwnedJob]:
+        """Jobs whose callers wait, each once."""
+        return [job for job in self._jobs.values() if not job.answered]
+
     def _watch(self, now: float) -> list[object]:
         if now < self._watched_at + WATCH_SECONDS:
             return []
@@ -553,7 +550,7 @@
             if worker.placed and worker.over(now):
                 effects += self._all_over(worker, 'agent_silent', now)
         self._past = [one for one in self._past if one.placed]
-        for job in list(self._calls.values()):
+        for job in self._open_jobs():
             effects += self._watch_job(job, now)
         return effects
 
@@ -584,7 +581,7 @@
         stopped = now - self._stopping_at
         effects: list[object] = []
         if stopped >= STOP_GIVE_UP_SECONDS:
-            for job in list(self._calls.values()):
+            for job in self._open_jobs():
                 verdict = jobs.Verdict.GIVEN_UP
                 if not job.begun:
                     verdict = jobs.Verdict.NOT_RUN
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -46,12 +46,16 @@
 
 
 class OwnedJob:
-    """One job until its answer is given, and until its runs are over."""
+    """One job until its answer is given, and until its runs are over.
+
+    :ivar calls: requests that wait for its answer; more than one if a caller
+        handed it in again.
+    """
 
     def __init__(
         self, call: int, spec: jobs.Job, now: float, latest: float
     ) -> None:
-        self.call = call
+        self.calls = [call]
         self.spec = spec
         self.arrived_at = now
         self.latest = latest
@@ -114,13 +118,13 @@
 
     def __init__(self) -> None:
         self._jobs: list[OwnedJob] = []
-        self._queued: set[int] = set()
+        self._queued: set[types.JobKey] = set()
 
     def add(self, job: OwnedJob) -> None:
         """Queue a job, unless it is queued already."""
-        if job.call in self._queued:
+        if job.spec.key in self._queued:
             return
-        self._queued.add(job.call)
+        self._queued.add(job.spec.key)
         bisect.insort(self._jobs, job, key=_latest)
 
     def in_order(self) -> list[OwnedJob]:
@@ -129,7 +133,7 @@
             self._jobs = [
                 job for job in self._jobs if job.waiting and not job.answered
             ]
-            self._queued = {job.call for job in self._jobs}
+            self._queued = {job.spec.key for job in self._jobs}
         return self._jobs
 
 
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -187,6 +187,23 @@
     assert world.answers['b'].verdict is COMPLETE
 
 
+def test_a_job_handed_in_again_is_joined_at_its_entry():
+    """A caller hands its job in again while the first request still waits.
+
+    Both requests get the one answer, and no task runs twice for it.
+    """
+    world = played()
+    spec = repeatable_world.a_job('j', 4, expected=0.4)
+    world.submit(spec, to='entry-0')
+    world.run(0.05)
+    world.submit(spec, to='entry-0')
+    world.run(2.0)
+    assert not world.waiting
+    assert world.answers['j'].verdict is COMPLETE
+    ended = [len(worker.ended) for worker in world.workers.values()]
+    assert sum(ended) == 4
+
+
 def test_a_job_that_comes_after_the_last_answer_is_refused():
     """A caller uses its open connection in the moment a process ends.
 
