--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -24,7 +24,7 @@
 _INCARNATION_BITS = 63
 
 PACE = links.Pace(heartbeat=0.4, silence=1.2, dial=1.0)
-"""Agents and entries exchange renewals every 0.13 s, so 1.2 s of silence is
+"""Agents and entries exchange renewals every 0.2 s, so 1.2 s of silence is
 no pause of a busy process; a connection that went silent is replaced then."""
 
 LAST_ANSWERS_SECONDS = 0.1
