Work out a worker's faded record once, drop what nothing calls

Cause: reading the change again: the fading of a worker's record stood twice in health, and three public methods had no caller (Health.busy, RouteTable.pools, RowStore.remove).

Change: one private method fades; the three are gone. Behaviour is the same.

Result: formatter, linter and types clean; tests of health, pool, the virtual world and the platform green.

--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -99,14 +99,6 @@
         }
         await self._transact({'expected': [], 'set_keys': [row]})
 
-    async def remove(self, table: str, key: str) -> None:
-        """Remove a row.
-
-        :raises agatepick.exceptions.StoreError: if it may not be done.
-        """
-        row = {'table': table, 'part': '', 'key': key}
-        await self._transact({'expected': [], 'remove': [row]})
-
     async def _transact(self, body: dict[str, typing.Any]) -> None:
         data = msgspec.json.encode({'set_keys': [], 'remove': [], **body})
         status, _ = await self._call(
--- a/src/agatepick/repeatable/health.py
+++ b/src/agatepick/repeatable/health.py
@@ -42,15 +42,9 @@
 
     def cost(self, now: float) -> float:
         """Expected time until a result, over that at a sound worker."""
-        kept = math.exp(-max(0.0, now - self._busy_at) / FADE_SECONDS)
-        slowness = 1.0 + (self._slowness - 1.0) * kept
-        success = 1.0 + (self._success - 1.0) * kept
+        slowness, success = self._faded(now)
         return slowness / max(success, LEAST_SUCCESS)
 
-    def busy(self, now: float) -> None:
-        """Something runs: the record doesn't fade."""
-        self._settle(now)
-
     def ended(self, ok: bool, ratio: float, now: float) -> None:
         """A run ended after ``ratio`` times its expected seconds."""
         self._settle(now)
@@ -70,7 +64,11 @@
         self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
 
     def _settle(self, now: float) -> None:
-        kept = math.exp(-max(0.0, now - self._busy_at) / FADE_SECONDS)
-        self._slowness = 1.0 + (self._slowness - 1.0) * kept
-        self._success = 1.0 + (self._success - 1.0) * kept
+        self._slowness, self._success = self._faded(now)
         self._busy_at = now
+
+    def _faded(self, now: float) -> tuple[float, float]:
+        """Slowness and success, nearer to 1 the longer nothing ran."""
+        kept = math.exp(-max(0.0, now - self._busy_at) / FADE_SECONDS)
+        slowness = 1.0 + (self._slowness - 1.0) * kept
+        return slowness, 1.0 + (self._success - 1.0) * kept
--- a/src/agatepick/repeatable/routes.py
+++ b/src/agatepick/repeatable/routes.py
@@ -43,7 +43,3 @@
             if found is None or len(route.prefix) > len(found.prefix):
                 found = route
         return found
-
-    def pools(self) -> frozenset[str]:
-        """Names of the pools that any queue uses."""
-        return frozenset(route.pool for route in self.routes)
