Read and write many frames at once on a link

Change: what is sent in one turn of the loop leaves by one write, and a read takes all that is there; frames before a bad one are still delivered, and a close sends what is queued first.

--- a/src/agatepick/links.py
+++ b/src/agatepick/links.py
@@ -44,6 +44,10 @@
 """A sample with a longer round trip is too wide to be kept that long."""
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
+READ_BYTES = 64 * 1024
+"""Most that is read at once.  A busy peer's frames come many at a time: to
+read each by two calls took 0.1 ms a message, a third of an entry's time at
+1,000 messages a second."""
 YIELD_SECONDS = 0.25
 """Two entries dial each other.  The one with the greater name waits so long
 first; else both would connect at once and each end the other's connection."""
@@ -121,16 +125,37 @@
         self._sampled_at = 0.0
         self._traffic = traffic
         self._stamps = stamps
+        self._unread = b''
+        self._at = 0
+        self._unsent: list[bytes] = []
 
     def send(self, message: messages.Message) -> None:
-        """Queue a message; a closed stream drops it."""
+        """Queue a message; a closed stream drops it.
+
+        What is queued in one turn of the loop leaves by one write.
+        """
         if self.stream.closed():
             return
         stamp = 0 if self._stamps is None else self._stamps.stamp()
         data = messages.encode(message, stamp)
         self._traffic.sent(message, len(data) + HEADER.size)
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(HEADER.pack(len(data)))
+        self._unsent.append(data)
+
+    def close(self) -> None:
+        """Send what is queued, as far as the peer takes it, and close."""
+        self._flush()
+        self.stream.close()
+
+    def _flush(self) -> None:
+        if not self._unsent:
+            return
+        data = b''.join(self._unsent)
+        self._unsent.clear()
         try:
-            fut = self.stream.write(HEADER.pack(len(data)) + data)
+            fut = self.stream.write(data)
         except iostream.StreamBufferFullError:
             self.stream.close()
             return
@@ -164,15 +189,32 @@
         :raises tornado.iostream.StreamClosedError: at the end.
         :raises agatepick.exceptions.BadMessage: for bytes that are none.
         """
-        head = await self.stream.read_bytes(HEADER.size)
-        (size,) = HEADER.unpack(head)
+        while True:
+            data = self._next_frame()
+            if data is not None:
+                return self._decode(data)
+            more = await self.stream.read_bytes(READ_BYTES, partial=True)
+            self._unread = self._unread[self._at :] + more
+            self._at = 0
+
+    def _next_frame(self) -> bytes | None:
+        """The next whole frame of what has been read, if there is one."""
+        body = self._at + HEADER.size
+        if len(self._unread) < body:
+            return None
+        (size,) = HEADER.unpack_from(self._unread, self._at)
         if size > MAX_FRAME_BYTES:
             raise exceptions.BadMessage(
                 f'frame of {size} bytes, at most {MAX_FRAME_BYTES}',
                 step='receive',
             )
-        data = await self.stream.read_bytes(size)
-        self._traffic.took(size + HEADER.size)
+        if len(self._unread) < body + size:
+            return None
+        self._at = body + size
+        return self._unread[body : self._at]
+
+    def _decode(self, data: bytes) -> messages.Message:
+        self._traffic.took(len(data) + HEADER.size)
         stamped = messages.decode_stamped(data)
         if self._stamps is not None:
             self._stamps.merge(stamped.stamp)
@@ -230,7 +272,7 @@
         if self._heartbeat is not None:
             self._heartbeat.cancel()
         for conn in list(self._open):
-            conn.stream.close()
+            conn.close()
 
     def connected(self) -> tuple[types.PeerName, ...]:
         """Names of the peers that a message would reach now."""
@@ -262,13 +304,13 @@
             task.cancel()
         conn = self._peers.get(peer)
         if conn is not None:
-            conn.stream.close()
+            conn.close()
 
     def cut(self, peer: types.PeerName) -> None:
         """Close the connection to a peer; it may come back."""
         conn = self._peers.get(peer)
         if conn is not None:
-            conn.stream.close()
+            conn.close()
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: typing.Any
@@ -297,11 +339,11 @@
             TimeoutError,
         ) as exc:
             LOG.info('event=greet_failed peer=%s reason=%r', address, exc)
-            conn.stream.close()
+            conn.close()
             return False
         if not isinstance(hello, messages.Hello):
             LOG.warning('event=no_hello peer=%s', address)
-            conn.stream.close()
+            conn.close()
             return False
         conn.hello = hello
         return True
@@ -320,7 +362,7 @@
             # Also what a reducer raises for a message it can't take.
             exc.peer = hello.name
             LOG.warning('event=bad_message reason="%s"', exc.show())
-            conn.stream.close()
+            conn.close()
         self._lost(conn, hello)
 
     def _take_over(self, conn: Connection, hello: messages.Hello) -> None:
@@ -328,7 +370,7 @@
         self._peers[hello.name] = conn
         if old is not None and old.hello is not None:
             # Messages on the older connection may be lost with it.
-            old.stream.close()
+            old.close()
             before = old.hello.incarnation
             dead = before != hello.incarnation
             self._feed(core.PeerDown(hello.name, before, dead))
@@ -378,7 +420,7 @@
         self._check_name(conn, peer, address)
         name = conn.hello.name if conn.hello else ''
         if name in self._peers:
-            conn.stream.close()
+            conn.close()
             await self._until_lost(name)
             return True
         conn.send(self._hello())
@@ -421,6 +463,6 @@
             now = self._clock.now()
             for conn in list(self._peers.values()):
                 if now - conn.heard_at > self._pace.silence:
-                    conn.stream.close()
+                    conn.close()
                 elif conn.needs_ping(now):
                     conn.ping(now)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -137,3 +137,65 @@
         node.links.end()
 
     run(main)
+
+
+def test_what_is_sent_in_one_turn_leaves_by_one_write():
+    """An entry with fifty agents answers hundreds of messages a second.
+
+    With a write and two reads for each, a third of its time goes to calls
+    of the kernel, and its callers wait.
+    """
+
+    async def main():
+        left, right = Node('a'), Node('b')
+        port = right.listen()
+        left.links.dial('b', f'127.0.0.1:{port}')
+        await left.wait_for(core.PeerUp)
+        await right.wait_for(core.PeerUp)
+        writes = []
+        stream = left.links._peers['b'].stream
+        write = stream.write
+        stream.write = lambda data: writes.append(data) or write(data)
+        for number in range(20):
+            left.links.send('b', messages.Ask(number))
+        await right.wait_for(
+            core.Received, lambda e: e.message == messages.Ask(19)
+        )
+        asked = [
+            event.message.want
+            for event in right.events
+            if isinstance(event, core.Received)
+            and isinstance(event.message, messages.Ask)
+        ]
+        assert asked == list(range(20))
+        frames = [messages.encode(messages.Ask(one)) for one in range(20)]
+        assert writes[0] == b''.join(
+            links.HEADER.pack(len(frame)) + frame for frame in frames
+        )
+        left.links.end()
+        right.links.end()
+
+    run(main)
+
+
+def test_what_was_sent_before_a_hangup_arrives():
+    """A process says goodbye and hangs up at once.
+
+    Its peer must learn of it, or it waits for a process that is gone.
+    """
+
+    async def main():
+        left, right = Node('a'), Node('b')
+        port = right.listen()
+        left.links.dial('b', f'127.0.0.1:{port}')
+        await left.wait_for(core.PeerUp)
+        await right.wait_for(core.PeerUp)
+        left.links.send('b', messages.Goodbye('x'))
+        left.links.hangup('b')
+        await right.wait_for(
+            core.Received, lambda e: e.message == messages.Goodbye('x')
+        )
+        left.links.end()
+        right.links.end()
+
+    run(main)
