Spend fewer messages on wants and news of room

Change: what still waits rides on each start message; wants are told per pool, every 0.25 s or at once if more urgent, and not taken back; an agent's news are paced by how many agents its entries listen to. Found on the way: wants went to the first waiting job's pool alone, so a second service's full workers never heard of waiting tasks.

--- a/src/agatepick/messages.capnp
+++ b/src/agatepick/messages.capnp
@@ -256,6 +256,7 @@
   number @0 :UInt64;
   grant @1 :UInt64;
   runs @2 :List(RunSpec);
+  want @3 :Want;
 }
 
 struct RunRef {
@@ -288,4 +289,5 @@
 
 struct Renewed {
   sent @0 :Float64;
+  agents @1 :UInt32;
 }
--- a/src/agatepick/messages.py
+++ b/src/agatepick/messages.py
@@ -361,11 +361,13 @@
 
     :param number: counts these messages on one connection, from 1.
     :param grant: number of the :class:`Room` that it answers, or 0.
+    :param want: what still waits; it replaces an earlier :class:`Want`.
     """
 
     number: int
     grant: int
     runs: tuple[RunSpec, ...]
+    want: Want = Want(0, types.Needs(), 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -417,9 +419,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Renewed:
-    """The lease holds, counted from when its :class:`Renewal` was sent."""
+    """The lease holds, counted from when its :class:`Renewal` was sent.
+
+    :param agents: agents that the entry listens to.
+    """
 
     sent: float
+    agents: int = 1
 
 
 Message = (
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -215,6 +215,7 @@
     ) -> list[object]:
         until = message.sent + leases.OWNER_SECONDS
         owner.valid_until = max(owner.valid_until, until)
+        owner.agents = message.agents
         return []
 
     def _take_want(
@@ -229,6 +230,7 @@
         owner.taken = message.number
         if message.grant:
             self._room.returned(owner.name, message.grant)
+        self._room.want(owner.name, message.want, now)
         effects: list[object] = []
         for spec in message.runs:
             effects += self._start(owner, spec, now)
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -369,7 +369,9 @@
         worker.renewed_at = now
         return [
             *effects,
-            core.Send(worker.name, messages.Renewed(message.sent)),
+            core.Send(
+                worker.name, messages.Renewed(message.sent, len(self._pool))
+            ),
         ]
 
     def _take_room(
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -6,6 +6,9 @@
 room for whoever is the most urgent (:mod:`~agatepick.repeatable.sharing`).
 """
 
+import dataclasses
+import math
+
 from agatepick import core
 from agatepick import messages
 from agatepick.repeatable import estimating
@@ -13,10 +16,17 @@
 from agatepick.repeatable import pool
 from agatepick import types
 
-WANT_SECONDS = 0.1
+WANT_SECONDS = 0.25
 """How often an entry repeats what it waits for; agents forget a want after
-four times that."""
+four times that.  With 52 agents two thirds of a busy entry's messages were
+wants while it repeated them every 0.1 s, and took them back."""
+
+URGENT_SECONDS = 0.05
+"""A first task that is more urgent than what was told by this much is told
+at once: short wide tasks have a slack of 0.13 s in all."""
 
+WANT_PAUSE_SECONDS = 0.03
+"""Least pause between two such rounds."""
 
 MAX_BLOCKED = 24
 """Jobs without room after which no more are tried in one round: a queue of
@@ -24,6 +34,9 @@
 core spent all its time on that."""
 
 
+NO_WANT = messages.Want(0, types.Needs(), 0.0)
+
+
 class Placing:
     """One entry's starts and wants."""
 
@@ -34,8 +47,7 @@
         self._estimator = estimator
         self._sends: dict[types.PeerName, list[messages.RunSpec]] = {}
         self._granted: dict[types.PeerName, messages.Room] = {}
-        self._wanted_at = 0.0
-        self._wanted = False
+        self._told: dict[str, _Told] = {}
 
     def take_room(self, worker: pool.Worker, room: messages.Room) -> None:
         """An agent told of its worker's room, or keeps some for us."""
@@ -53,9 +65,19 @@
         :param waiting: jobs with waiting tasks, in that order.
         """
         blocked = self._place_jobs(waiting, now) if waiting else []
-        answered = list(self._granted)
-        effects = self._send_starts()
-        effects += self._tell_wants(blocked, answered, now)
+        by_pool: dict[str, list[owned.OwnedJob]] = {}
+        for job in blocked:
+            by_pool.setdefault(job.spec.route.pool, []).append(job)
+        wants = {name: _want(jobs, now) for name, jobs in by_pool.items()}
+        effects = self._send_starts(wants)
+        for name, jobs in by_pool.items():
+            effects += self._tell_want(name, wants[name], jobs[0], now)
+        # Nothing waits for the other pools any more.  Their agents aren't
+        # told: one that still keeps room for us learns it by the answer,
+        # the others forget the want.
+        for name, told in self._told.items():
+            if name not in by_pool:
+                self._told[name] = dataclasses.replace(told, latest=math.inf)
         return effects
 
     def _place_jobs(
@@ -131,7 +153,7 @@
             )
         )
 
-    def _send_starts(self) -> list[object]:
+    def _send_starts(self, wants: dict[str, messages.Want]) -> list[object]:
         effects: list[object] = []
         for name in dict.fromkeys([*self._sends, *self._granted]):
             worker = self._pool.get(name)
@@ -146,6 +168,7 @@
                         worker.number,
                         grant.grant if grant else 0,
                         tuple(self._sends.get(name, ())),
+                        wants.get(worker.pool, NO_WANT),
                     ),
                 )
             )
@@ -155,41 +178,40 @@
         self._sends.clear()
         return effects
 
-    def _tell_wants(
-        self,
-        blocked: list[owned.OwnedJob],
-        answered: list[types.PeerName],
-        now: float,
-    ) -> list[object]:
-        """Tell agents of tasks that found no room.
-
-        :param answered: agents whose grants were answered just now: they
-            have taken this entry's want for met.
-        """
-        if not blocked:
-            if not self._wanted:
-                return []
-            self._wanted = False
-            return self._to_agents(messages.Want(0, types.Needs(), 0.0), None)
-        want = _want(blocked, now)
-        if self._wanted and now < self._wanted_at + WANT_SECONDS:
-            return [core.Send(name, want) for name in answered]
-        self._wanted = True
-        self._wanted_at = now
-        return self._to_agents(want, blocked[0].spec.route.pool)
-
-    def _to_agents(
-        self, want: messages.Want, name: str | None
+    def _tell_want(
+        self, name: str, want: messages.Want, first: owned.OwnedJob, now: float
     ) -> list[object]:
+        """Tell a pool's agents of tasks without room, now and then."""
+        told = self._told.get(name)
+        if told is not None and not told.due(first, now):
+            return []
+        self._told[name] = _Told(now, first.latest)
         return [
             core.Send(worker.name, want)
             for worker in self._pool
-            if worker.connected
-            and worker.room is not None
-            and name in (None, worker.room.pool)
+            if worker.connected and worker.pool == name
         ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Told:
+    """What a pool's agents were told last of tasks that wait.
+
+    :param latest: latest start of the first of them; infinite once none
+        waits any more.
+    """
+
+    at: float
+    latest: float
+
+    def due(self, first: owned.OwnedJob, now: float) -> bool:
+        """Whether to tell again."""
+        if now >= self.at + WANT_SECONDS:
+            return True
+        urgent = first.latest < self.latest - URGENT_SECONDS
+        return urgent and now >= self.at + WANT_PAUSE_SECONDS
+
+
 def expected(
     estimator: estimating.Estimator, job: owned.OwnedJob, index: int
 ) -> float:
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -108,6 +108,11 @@
         for _, needs in self.sent:
             self.free = self.free - needs
 
+    @property
+    def pool(self) -> str:
+        """Name of the workers that it belongs to; empty before it is told."""
+        return self.room.pool if self.room is not None else ''
+
     @property
     def cost(self) -> float:
         """Expected time until a result, over that at a sound worker."""
@@ -124,6 +129,9 @@
     def __iter__(self) -> typing.Iterator[Worker]:
         return iter(self.workers.values())
 
+    def __len__(self) -> int:
+        return len(self.workers)
+
     def get(self, name: types.PeerName) -> Worker | None:
         """A worker by its agent's name."""
         return self.workers.get(name)
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -14,6 +14,7 @@
 
     :ivar valid_until: end of the lease on its runs.
     :ivar taken: number of its last start message.
+    :ivar agents: agents that it listens to.
     :ivar gone: another life has taken its place.
     """
 
@@ -21,6 +22,7 @@
     incarnation: int
     valid_until: float = 0.0
     taken: int = 0
+    agents: int = 1
     connected: bool = True
     gone: bool = False
 
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -22,8 +22,8 @@
 """How long room is kept for an entry: the slowest round trip between zones
 is 3 ms, and a busy entry's turn of its loop takes up to 30 ms."""
 
-WANT_SECONDS = 0.4
-"""How long a want holds; entries repeat theirs every 0.1 s."""
+WANT_SECONDS = 1.0
+"""How long a want holds; entries repeat theirs every 0.25 s."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -13,10 +13,10 @@
 with 0.3 s a task frees one every 30 ms; telling each at once took a third of
 all messages and changed nothing in what callers got."""
 
-FEW_ENTRIES = 4
-"""Entries up to which that pause is kept.  With more, each entry also hears
-more agents, so the pause grows with the square: at 8 entries and 52 agents
-an entry of half a core would hear 1,700 broadcasts a second else."""
+NEWS_SECONDS = 0.0027
+"""That pause for each agent that the busiest entry listens to, so that no
+entry hears more than 370 broadcasts a second, however many agents there are.
+With 52 agents an entry of half a core would hear 1,700 a second else."""
 
 COST_STEP = 0.2
 """Change of a worker's cost that is worth a message."""
@@ -36,6 +36,7 @@
         self._worker: workerapi.WorkerSeen | None = None
         self._open = False
         self._entries = 0
+        self._agents = 1
         self._cost = 1.0
         self._told: messages.Room | None = None
         self._told_at = 0.0
@@ -51,7 +52,9 @@
         """Grant freed room, and tell all entries what has changed."""
         self._worker = worker
         self._open = is_open
-        self._entries = sum(one.connected for one in owners.values())
+        heard = [one.agents for one in owners.values() if one.connected]
+        self._entries = len(heard)
+        self._agents = max(heard, default=1)
         cost = self._health.cost(now)
         if abs(cost - self._cost) >= COST_STEP:
             self._cost = cost
@@ -73,7 +76,7 @@
         return self._told_at + self._pause() if self._due else None
 
     def _pause(self) -> float:
-        return TELL_SECONDS * max(1.0, self._entries / FEW_ENTRIES) ** 2
+        return max(TELL_SECONDS, NEWS_SECONDS * self._agents)
 
     def describe(
         self,
