Ask again at once for starts and lists without an answer

Change: the same start is sent again after 30 ms, three times in all (a worker takes one run once), lists that stay out are asked for once more after 0.1 s, and a worker's silence is told by time instead of by counting failures, in a module of its own. A refusal after an earlier order without an answer is no proof: such a run is stopped and its end awaited.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -18,6 +18,7 @@
 from agatepick.repeatable import serving
 from agatepick.repeatable import sharing
 from agatepick.repeatable import telling
+from agatepick.repeatable import watching
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -30,22 +31,19 @@
 STRANGER_SECONDS = 0.2
 """Pause before a run that no entry owns is told to stop once more."""
 
-CLOSING_FAILURES = 2
-"""Watches without an answer after which nothing more is started: one order
-in twenty may stay without one, two in a row hardly do."""
+START_RETRY_SECONDS = 0.03
+"""Pause before a start is sent again that had no answer.  The worker takes
+the same run once however often it is told, so this only saves time: a start
+that was given up and tried elsewhere cost 0.15 s, more than the slack of
+short urgent jobs."""
 
-WORKER_FAILURES = 3
-"""Watches without an answer after which the worker's lease is left to run
-out.  Three take 0.7 s, as long as the lease: were it given up after two, one
-pair of lost answers a minute would end all that runs there."""
+MAX_STARTS = 3
+"""Times that one run's start is sent."""
 
 BEAT_SECONDS = 6.0
 """Silence after which a worker is taken for gone: three announcements and
 some more, at 1.5 s each."""
 
-PROBE_SECONDS = 0.5
-"""Pause between questions to a worker that doesn't answer."""
-
 LEAST_EXPECTED_SECONDS = 0.05
 """Shorter runs are as long as the way to the worker and back on a busy
 machine, which says nothing of the worker."""
@@ -84,9 +82,7 @@
         self._closed: frozenset[str] = frozenset()
         self._ended_seen = 0
         self._ended_told = 0
-        self._watching = False
-        self._watch_at = 0.0
-        self._failures = 0
+        self._watching = watching.Watching()
         self._lease_until = 0.0
         self._strangers_at = 0.0
         self._stopping_at: float | None = None
@@ -133,7 +129,7 @@
         effects += self._reports.flush(now)
         self._look_at_health(now)
         effects += self._telling.share(
-            self._worker, self._open, self._owners, now
+            self._worker, self._open(now), self._owners, now
         )
         effects += self._finish(now)
         wake = self._next_wake(now)
@@ -255,24 +251,53 @@
             return self._refuse(owner, ref, reason)
         worker = self._worker
         assert worker is not None
-        self._runs[spec.name] = runs.Run(
-            ref, spec.name, spec.needs, owner, now, spec.expected
+        run = runs.Run(
+            ref,
+            spec.name,
+            spec.payload,
+            spec.needs,
+            owner,
+            now,
+            spec.expected,
         )
+        self._runs[spec.name] = run
+        return self._order_start(run, worker, now)
+
+    def _order_start(
+        self, run: runs.Run, worker: workerapi.WorkerSeen, now: float
+    ) -> list[object]:
+        run.starts += 1
+        run.unanswered += 1
+        run.start_sent_at = now
         self._extend_lease(now)
         return [
             workerapi.StartRun(
                 worker.life,
-                ref,
-                spec.name,
-                spec.payload,
+                run.ref,
+                run.name,
+                run.payload,
                 leases.WORKER_SECONDS,
             )
         ]
 
+    def _start_again(self, run: runs.Run, now: float) -> list[object]:
+        """Send a start once more that has had no answer for too long."""
+        worker = self._worker
+        if worker is None or not self._may_start_again(run):
+            return []
+        if now < run.start_sent_at + START_RETRY_SECONDS:
+            return []
+        return self._order_start(run, worker, now)
+
+    def _may_start_again(self, run: runs.Run) -> bool:
+        if self._worker is None or run.confirmed_at or run.stopping:
+            return False
+        return run.starts < MAX_STARTS
+
     def _refusal(
         self, owner: runs.Owner, spec: messages.RunSpec, now: float
     ) -> str:
-        if not self._open:
+        if not self._open(now):
             return 'closed'
         if owner.valid_until <= now:
             # Held up on the way: its owner may have given it up meanwhile.
@@ -323,15 +348,14 @@
 
     # The worker
 
-    @property
-    def _open(self) -> bool:
+    def _open(self, now: float) -> bool:
         worker = self._worker
         return (
             worker is not None
             and not worker.draining
             and self._stopping_at is None
             and self._cfg.zone not in self._closed
-            and self._failures < CLOSING_FAILURES
+            and not self._watching.closing(now)
         )
 
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
@@ -374,9 +398,7 @@
         # What an earlier life of this process started there goes on until
         # its lease runs out, and takes room meanwhile: ask for it.
         self._ended_told = -1
-        self._watching = False
-        self._watch_at = now
-        self._failures = 0
+        self._watching.reset(now)
         effects: list[object] = []
         for run in self._runs.values():
             # Gone with the former life; but a start that was on its way may
@@ -418,18 +440,28 @@
         run = self._find(event.life, event.ref)
         if run is None:
             return []
-        if event.result is workerapi.StartResult.UNKNOWN:
-            run.confirmed_at = now
-            return [
-                runs.run_note('start_unanswered', run, event.reason),
-                *self._stop_run(run, now),
-            ]
+        run.unanswered -= 1
         if event.result is workerapi.StartResult.STARTED:
-            run.confirmed_at = now
+            run.confirmed_at = run.confirmed_at or now
             return []
-        self._runs.pop(run.name)
-        self._room.give_back(run.needs)
-        return self._refuse(run.owner, run.ref, event.result.value)
+        if run.confirmed_at or run.stopping:
+            return []
+        if event.result is workerapi.StartResult.UNKNOWN:
+            if run.unanswered or run.starts < MAX_STARTS:
+                # Another one is on its way, or will be at the next look.
+                return []
+        elif run.starts == 1:
+            self._runs.pop(run.name)
+            self._room.give_back(run.needs)
+            return self._refuse(run.owner, run.ref, event.result.value)
+        # An earlier order may still be carried out: the run is over when
+        # the worker has taken note of a stop and doesn't list it.
+        run.confirmed_at = now
+        reason = event.reason or event.result.value
+        return [
+            runs.run_note('start_unanswered', run, reason),
+            *self._stop_run(run, now),
+        ]
 
     def _stop_run(self, run: runs.Run, now: float) -> list[object]:
         worker = self._worker
@@ -457,9 +489,7 @@
         worker = self._worker
         if worker is None or worker.life != event.life:
             return []
-        self._watching = False
-        self._watch_at = now
-        self._failures = 0
+        self._watching.answered(now)
         self._ended_told = self._ended_seen
         effects: list[object] = []
         for end in event.ended:
@@ -518,8 +548,7 @@
         worker = self._worker
         if worker is None or worker.life != event.life:
             return []
-        self._watching = False
-        self._failures += 1
+        self._watching.failed(now)
         if event.refused or event.other_life:
             # The process is gone, and all that it ran with it.
             self._worker = None
@@ -527,11 +556,9 @@
                 core.note('worker_lost', life=event.life),
                 *self._worker_gone('worker_lost', now),
             ]
-        if self._failures < WORKER_FAILURES:
-            self._watch_at = now
-        else:
-            self._watch_at = now + PROBE_SECONDS
-        return [core.note('worker_silent', failures=self._failures)]
+        if not self._watching.closing(now):
+            return []
+        return [core.note('worker_silent', life=event.life)]
 
     def _over(
         self, run: runs.Run, state: types.RunState, reason: str, now: float
@@ -571,18 +598,18 @@
 
     def _watch(self, now: float) -> list[object]:
         worker = self._worker
-        if worker is None or self._watching or now < self._watch_at:
+        if worker is None or not self._watching.due(now):
             return []
         busy = bool(self._runs)
-        unwell = self._failures >= WORKER_FAILURES
-        if not busy and not unwell and self._ended_told == self._ended_seen:
+        silent = self._watching.silent(now)
+        if not busy and not silent and self._ended_told == self._ended_seen:
             return []
-        self._watching = True
         lease = 0.0
-        if busy and not unwell and self._renewing(now):
+        if busy and not silent and self._renewing(now):
             lease = leases.WORKER_SECONDS
             self._extend_lease(now)
-        wait = leases.WORKER_WAIT_SECONDS if busy else 0.0
+        wait = watching.WAIT_SECONDS if busy else 0.0
+        self._watching.asked(wait, now)
         return [workerapi.Watch(worker.life, self._ended_seen, lease, wait)]
 
     def _renewing(self, now: float) -> bool:
@@ -605,7 +632,7 @@
         if self._worker and now > self._seen_at + BEAT_SECONDS:
             life = self._worker.life
             effects.append(core.note('worker_lapsed', life=life))
-            self._failures = max(self._failures, WORKER_FAILURES)
+            self._watching.lapse(now)
             self._seen_at = now
         return effects + self._review_entries(now)
 
@@ -620,6 +647,8 @@
             elif run.owner.valid_until <= now:
                 effects.append(runs.run_note('run_unrenewed', run, 'lease'))
                 effects += self._stop_run(run, now)
+            else:
+                effects += self._start_again(run, now)
         return effects
 
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
@@ -644,14 +673,20 @@
         wakes = [self._renewed_at + leases.RENEW_SECONDS]
         if self._runs:
             wakes.append(now + STOP_RETRY_SECONDS)
+        wakes += [
+            run.start_sent_at + START_RETRY_SECONDS
+            for run in self._runs.values()
+            if self._may_start_again(run)
+        ]
         expiry = self._room.next_expiry()
         if expiry is not None:
             wakes.append(expiry)
         tell_at = self._telling.next_at()
         if tell_at is not None:
             wakes.append(tell_at)
-        if not self._watching and self._watch_at > now:
-            wakes.append(self._watch_at)
+        ask_at = self._watching.next_at()
+        if self._worker is not None and ask_at is not None and ask_at > now:
+            wakes.append(ask_at)
         return max(now, min(wakes))
 
 
--- a/src/agatepick/repeatable/leases.py
+++ b/src/agatepick/repeatable/leases.py
@@ -28,9 +28,6 @@
 """How far ahead an agent extends its worker's lease.  The worker's bound is
 1 s; less keeps the whole chain under the callers' 1.3 s."""
 
-WORKER_WAIT_SECONDS = 0.15
-"""How long a worker may wait with its list of runs; renewed as often."""
-
 CLOCK_DRIFT = 1.02
 """A worker's steady clock may be 2% slow, so its lease lasts 2% longer."""
 
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -33,16 +33,22 @@
 class Run:
     """One run at the worker, until it is known to be over.
 
+    :ivar starts: times that its start was sent.
+    :ivar unanswered: how many of these may still get an answer.
     :ivar confirmed_at: when the worker answered the start; 0 before.
     :ivar stopped_at: when the worker took note of a stop; 0 before.
     """
 
     ref: messages.RunRef
     name: str
+    payload: bytes
     needs: types.Needs
     owner: Owner
     asked_at: float
     expected: float
+    starts: int = 0
+    unanswered: int = 0
+    start_sent_at: float = 0.0
     confirmed_at: float = 0.0
     stopping: bool = False
     stop_sent_at: float = 0.0
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -89,6 +89,8 @@
         if until <= self.world.now:
             return result.LATE
         self.extend(until)
+        if name in self.runs and self.runs[name][0] == run:
+            return result.STARTED
         if self.highest.get(name, 0) >= run:
             return result.STALE_RUN
         if (len(self.runs) + 1) * NEEDS.cpu > CAPACITY.cpu:
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -141,6 +141,25 @@
     assert len(starts) == 2
 
 
+def test_a_start_without_an_answer_costs_less_than_a_short_job_s_slack():
+    """A worker leaves orders without an answer and carries them out late.
+
+    A task whose start was lost is started at the same worker once more;
+    tried elsewhere only after the order was given up, it would be late.
+    """
+    world = played()
+    world.lose_orders = 1.0
+    spec = repeatable_world.a_job('j', 2, expected=0.1)
+    longest = max(world.seconds(task.name) for task in spec.tasks)
+    world.submit(spec)
+    world.run(0.01)
+    world.lose_orders = 0.0
+    world.run(longest + 0.09)
+    assert world.answers['j'].verdict is COMPLETE
+    world.run(15.0)
+    assert not world.double
+
+
 def test_an_entry_that_is_away_is_replaced_and_taken_back():
     """One of an agent's entries is gone for long; others are strange to it.
 
