Take no run for over that may be in a worker's next life

Cause: a worker that crashes and comes back under its id takes orders meant for its former life, as orders name the id alone. The agent took all runs for over as soon as a list bore another birth; those whose start came after the crash went on, and their tasks ran twice. Change: a list of another life makes the agent stop all that it knows of there and wait for a list without it; a worker that is gone leaves runs whose start is unanswered open. The worker's clock starts anew with its life: samples of the former one made leases up to a second too long.

--- a/src/agatepick/platform/announcements.py
+++ b/src/agatepick/platform/announcements.py
@@ -64,7 +64,7 @@
             self.finish({'reason': str(exc)})
             return
         if beat.clock_ms:
-            self._clock.sample(beat.clock_ms)
+            self._clock.sample(beat.clock_ms, beat.born)
         self._feed(_seen(name, beat))
         self.finish({})
 
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -72,19 +72,28 @@
     def __init__(self, clock: types.Clock):
         self._clock = clock
         self._samples: list[tuple[float, float]] = []
+        self._born = 0
 
-    def sample(self, clock_ms: float) -> None:
-        """The worker told its clock in something that came just now."""
+    def sample(self, clock_ms: float, born: int = 0) -> None:
+        """The worker told its clock in something that came just now.
+
+        Each life has a clock of its own, which starts anew.  By the former
+        life's, leases would be too long by all that it was ahead, and runs
+        go on after they were taken for over.
+
+        :param born: tells the worker's life; 0 if that isn't known.
+        """
+        if born and born < self._born:
+            return
+        if born > self._born:
+            self._born = born
+            self._samples.clear()
         now = self._clock.now()
         self._samples.append((now, clock_ms - now * 1000.0))
         oldest = now - SAMPLE_SECONDS
         while len(self._samples) > 1 and self._samples[0][0] < oldest:
             self._samples.pop(0)
 
-    def forget(self) -> None:
-        """Another worker speaks now."""
-        self._samples.clear()
-
     def until(self, seconds: float) -> int:
         """The instant of the worker's clock some seconds from now."""
         # Each sample is too low by its way here; the highest errs least.
@@ -240,11 +249,11 @@
         except (msgspec.MsgspecError, IndexError) as exc:
             logs.warning(LOG, 'lists_unreadable', reason=exc)
             return workerapi.WatchFailed(effect.life)
-        if lists.born and life_of(_id_of(effect.life), lists.born) != (
-            effect.life
-        ):
-            return workerapi.WatchFailed(effect.life, other_life=True)
-        self.worker_clock.sample(lists.clock_ms)
+        life = life_of(_id_of(effect.life), lists.born)
+        if lists.born and life != effect.life:
+            self.worker_clock.sample(lists.clock_ms, lists.born)
+            return workerapi.WorkerReborn(effect.life, life, lists.born)
+        self.worker_clock.sample(lists.clock_ms, lists.born)
         return workerapi.Watched(effect.life, asked_at, running, ended)
 
     async def _post(
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -101,6 +101,7 @@
             workerapi.StopAnswered: self._on_stop_answered,
             workerapi.Watched: self._on_watched,
             workerapi.WatchFailed: self._on_watch_failed,
+            workerapi.WorkerReborn: self._on_reborn,
         }
         self._takes: dict[type, _Take] = {
             messages.StartRuns: self._take_starts,
@@ -417,6 +418,18 @@
             ),
         ]
 
+    def _on_reborn(
+        self, event: workerapi.WorkerReborn, now: float
+    ) -> list[object]:
+        worker = self._worker
+        if worker is None or worker.life != event.life:
+            return []
+        # What it is now, its next announcement tells.
+        found = dataclasses.replace(
+            worker, life=event.new_life, born=event.born, sequence=-1
+        )
+        return self._new_life(found, now)
+
     def _on_worker_left(
         self, event: workerapi.WorkerLeft, now: float
     ) -> list[object]:
@@ -431,7 +444,9 @@
     def _worker_gone(self, reason: str, now: float) -> list[object]:
         effects: list[object] = []
         for run in list(self._runs.values()):
-            effects += self._over(run, types.RunState.OVER, reason, now)
+            # A start that is still on its way may reach the next life.
+            if not run.unanswered:
+                effects += self._over(run, types.RunState.OVER, reason, now)
         return effects
 
     def _on_start_answered(
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -153,12 +153,29 @@
     ended: tuple[EndedAt, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerReborn:
+    """Event: a :class:`Watch` was answered by another life of the worker.
+
+    It has the same name, so it takes orders that were meant for the former.
+
+    :param life: the life that was asked.
+    :param new_life: the one that answered.
+    :param born: instant of its start, in milliseconds.
+    """
+
+    life: str
+    new_life: str
+    born: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchFailed:
     """Event: no answer to a :class:`Watch`.
 
     :param refused: nothing listens at the worker's address.
-    :param other_life: another life of the worker answered.
+    :param other_life: another worker answers there, which takes no orders
+        for this one.
     """
 
     life: str
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -157,24 +157,35 @@
         self.finish({'row_version': self.store.version, 'now_ms': 1})
 
 
+LOOK_SECONDS = 0.02
+"""How often a worker ends what its lease no longer covers."""
+
+MAX_LEASE_MS = 1000
+
+
 class Worker:
     """A worker that runs tasks for a while and announces itself.
 
     :ivar seconds: how long each run takes.
     :ivar refuse: reason for which starts are refused; empty for none.
     :ivar silent: orders get no answer.
+    :ivar until: instant of its clock at which all that runs there ends.
     """
 
     def __init__(self, seconds=0.05):
         self.seconds = seconds
+        self.until = 0
+        self.looking = False
         self.refuse = ''
         self.silent = False
         self.born = 1_700_000_000_000
         self.name = 'i-7f3a91c2'
         self.runs = {}
+        self.highest = {}
         self.ended = []
         self.orders = []
         self.lives = []
+        self.connections = set()
         self.server, self.address = serve(
             web.Application(
                 [('/v1/(.*)', _Order, {'worker': self})],
@@ -203,7 +214,36 @@
             **more,
         }
 
+    def extend(self, until):
+        """Take a lease, which never shortens the one in force."""
+        until = min(until, self.clock_ms() + MAX_LEASE_MS)
+        self.until = max(self.until, until)
+
+    def begin(self, task, run):
+        """A run starts."""
+        if not self.looking:
+            self._look_later()
+        self.highest[task] = run
+        self.runs[task] = run
+        asyncio.get_running_loop().call_later(
+            self.seconds, self.end, task, run, 'done'
+        )
+
+    def _look_later(self):
+        self.looking = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOOK_SECONDS, self._look)
+
+    def _look(self):
+        self.looking = False
+        if self.clock_ms() > self.until:
+            for task, run in list(self.runs.items()):
+                self.end(task, run, 'lapsed')
+        if self.runs:
+            self._look_later()
+
     def end(self, task, run, how):
+        """A run ends, if it is still there."""
         if self.runs.get(task) == run:
             del self.runs[task]
             self.ended.append([len(self.ended) + 1, task, run, how, ''])
@@ -218,26 +258,38 @@
         body = json.loads(self.request.body)
         worker.orders.append((name, body))
         worker.lives.append(self.request.headers['X-Target-Instance'])
+        stream = self.request.connection.stream
+        worker.connections.add(stream.socket.getpeername())
         if worker.silent:
             await asyncio.sleep(5.0)
+        if 'until_ms' in body:
+            worker.extend(body['until_ms'])
         if name == 'hold':
             await self._hold(body)
             return
+        task, run = body['task'], body['run']
+        seen = worker.highest.get(task, 0)
         if name == 'run-stop':
-            worker.end(body['task'], body['run'], 'stopped')
+            worker.highest[task] = max(seen, run)
+            worker.end(task, run, 'stopped')
         elif worker.refuse:
-            self.set_status(409)
-            self.finish(
-                {'clock_ms': worker.clock_ms(), 'reason': worker.refuse}
-            )
+            self._refuse(worker.refuse)
+            return
+        elif body['until_ms'] <= worker.clock_ms():
+            self._refuse('late')
+            return
+        elif seen < run:
+            worker.begin(task, run)
+        elif worker.runs.get(task) != run:
+            self._refuse('old')
             return
-        else:
-            worker.runs[body['task']] = body['run']
-            asyncio.get_running_loop().call_later(
-                worker.seconds, worker.end, body['task'], body['run'], 'done'
-            )
         self.finish({'clock_ms': worker.clock_ms()})
 
+    def _refuse(self, reason):
+        self.set_status(409)
+        clock_ms = self.worker.clock_ms()
+        self.finish({'clock_ms': clock_ms, 'reason': reason})
+
     async def _hold(self, body):
         worker = self.worker
         loop = asyncio.get_running_loop()
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -455,26 +455,25 @@
         args = (effect.name, effect.ref.run, until)
         if self._lost() or not worker.up:
             late = self.rng.uniform(2.0, 12.0)
-            self.later(late, self._late_start, worker, effect.life, args)
+            self.later(late, self._late_start, worker, args)
             event = workerapi.StartAnswered(
                 effect.life, effect.ref, workerapi.StartResult.UNKNOWN
             )
             self.later(0.12, self._feed_life, node.name, node.life, event)
             return
-        result = workerapi.StartResult.OTHER_LIFE
-        if worker.life == effect.life:
-            result = worker.start(*args)
+        # Orders name the worker, not its life: a new life takes them too.
+        result = worker.start(*args)
         event = workerapi.StartAnswered(effect.life, effect.ref, result)
         self._answer(node, node.life, event)
 
-    def _late_start(self, worker, life, args):
-        if worker.up and worker.life == life:
+    def _late_start(self, worker, args):
+        if worker.up:
             worker.start(*args)
 
     def _order_stop(self, node, effect):
         worker = self.workers[node.name]
         ok = not self._lost() and worker.up
-        if ok and worker.life == effect.life:
+        if ok:
             worker.stop(effect.name, effect.run)
         event = workerapi.StopAnswered(
             effect.life, effect.name, effect.run, ok
@@ -483,12 +482,16 @@
 
     def _order_watch(self, node, effect):
         worker = self.workers[node.name]
-        if self._lost() or not worker.up or worker.life != effect.life:
-            event = workerapi.WatchFailed(
-                effect.life, other_life=worker.life != effect.life
-            )
+        if self._lost() or not worker.up:
+            event = workerapi.WatchFailed(effect.life)
             self.later(0.23, self._feed_life, node.name, node.life, event)
             return
+        if worker.life != effect.life:
+            event = workerapi.WorkerReborn(
+                effect.life, worker.life, worker.born
+            )
+            self._answer(node, node.life, event)
+            return
         if effect.lease_seconds:
             worker.expire()
             worker.extend(self.now + effect.lease_seconds * leases.CLOCK_DRIFT)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -289,19 +289,45 @@
 
 
 def test_a_list_of_another_life_is_told_apart():
-    """A worker crashed and came back under its id, empty."""
+    """A worker crashed and came back under its id, empty.
+
+    It takes orders meant for its former life, so runs that were on their
+    way may be there: only its own lists tell which are over.
+    """
 
     async def main():
         standin = platform_standins.Worker()
         orders = Orders(standin)
         standin.born += 1000
         orders.client.watch(workerapi.Watch(orders.life, 0, 0.65, 0.0))
-        assert (await orders.next()).other_life
+        new_life = worker.life_of(standin.name, standin.born)
+        assert await orders.next() == workerapi.WorkerReborn(
+            orders.life, new_life, standin.born
+        )
         await orders.client.close()
 
     run(main)
 
 
+def test_another_life_s_clock_starts_anew():
+    """A worker comes back with a clock that counts from its own start.
+
+    By the former life's clock its leases would last as long as it allows,
+    and runs go on that were taken for over.
+    """
+
+    class Clock:
+        def now(self):
+            return 100.0
+
+    found = worker.WorkerClock(Clock())
+    found.sample(900_000, 1)
+    found.sample(20, 2)
+    assert found.until(0.65) == 670
+    found.sample(900_010, 1)
+    assert found.until(0.65) == 670
+
+
 def test_the_worker_s_clock_is_never_run_ahead():
     """A late answer makes the worker's clock look older than it is.
 
