Read a table of several pages as of its first

Cause: found by reading; the version of the last page was taken for that of all, so a row of the first page that changed meanwhile was never told of again. Change: the first page's version is kept, and the feed tells what came after.

--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -56,17 +56,23 @@
             self._session = None
 
     async def read(self, table: str) -> Rows:
-        """All rows of a table's empty part.
+        """All rows of a table's empty part, as of the first page.
+
+        A row of the first page that changes while the others are read is
+        told by :meth:`changes` after that version; by the last page's, it
+        would be missed for good.
 
         :raises agatepick.exceptions.StoreError: if they can't be had.
         """
         found: list[Row] = []
         params: dict[str, str | int] = {'table': table, 'part': ''}
+        version: int | None = None
         while True:
             page = await self._get('/v1/rows-get', params, READ_SECONDS)
             found += page.rows
+            version = page.row_version if version is None else version
             if not page.has_more or not page.rows:
-                return Rows(tuple(found), page.row_version)
+                return Rows(tuple(found), version)
             # The range begins with ``from`` itself.
             params['from'] = page.rows[-1].key + '\0'
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -24,6 +24,8 @@
 
     :ivar mode: ``calm``, ``busy`` (503), ``many`` (429) or ``lost`` (writes
         are done and not answered).
+    :ivar page: rows that one answer holds at most.
+    :ivar between_pages: called after each answer to a read.
     """
 
     def __init__(self):
@@ -32,6 +34,8 @@
         self.forgotten = 0
         self.dropped = {}
         self.mode = CALM
+        self.page = 500
+        self.between_pages = lambda: None
         self.calls = []
         self.changed = asyncio.Event()
         self.server, self.address = serve(
@@ -109,12 +113,12 @@
             self.set_status(status)
             self.finish({})
 
-    def tell(self, rows):
+    def tell(self, rows, more=False):
         self.finish(
             {
                 'rows': rows,
                 'row_version': self.store.version,
-                'has_more': False,
+                'has_more': more,
                 'now_ms': 1,
             }
         )
@@ -123,7 +127,17 @@
 class _Get(_Handler):
     def get(self):
         rows = self.store.since(self.get_argument('table'), 0)
-        self.tell([row for row in rows if 'deleted' not in row])
+        begin = self.get_argument('from', '')
+        rows = sorted(
+            (
+                row
+                for row in rows
+                if 'deleted' not in row and row['key'] >= begin
+            ),
+            key=lambda row: row['key'],
+        )
+        self.tell(rows[: self.store.page], len(rows) > self.store.page)
+        self.store.between_pages()
 
 
 class _Feed(_Handler):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -185,6 +185,30 @@
     run(main)
 
 
+def test_a_row_that_changes_while_the_others_are_read_is_not_missed():
+    """A table of several pages is read while the operator writes.
+
+    A row of the first page changes before the second is read.  Were it
+    missed, a process would go by the older one for as long as it lives.
+    """
+
+    async def main():
+        store = platform_standins.Store()
+        for number in range(4):
+            store.put('t', f'k{number}', 'old')
+        store.page = 2
+        changes = [lambda: store.put('t', 'k0', 'new')]
+        store.between_pages = lambda: changes and changes.pop()()
+        client = rows.RowStore(store.address)
+        found = await client.read('t')
+        assert [row.key for row in found.rows] == ['k0', 'k1', 'k2', 'k3']
+        later = await client.changes('t', found.row_version, 0.0)
+        assert [row.key for row in later.rows] == ['k0']
+        await client.close()
+
+    run(main)
+
+
 def test_an_entry_lists_itself_though_answers_are_lost():
     """Writes are done and not answered: done again, they change nothing."""
 
