--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -127,7 +127,7 @@
 class _Get(_Handler):
     def get(self):
         rows = self.store.since(self.get_argument('table'), 0)
-        begin = self.get_argument('from', '')
+        begin = self.get_argument('from', '', strip=False)
         rows = sorted(
             (
                 row
