--- a/examples/configuration_cost.py
+++ b/examples/configuration_cost.py
@@ -11,11 +11,11 @@
 import sys
 import time
 
-from agatepick import calls
-from agatepick import cluster
-from agatepick import processes
-from agatepick import settings
-from agatepick import standin_table
+from agatepick.api import calls
+from agatepick.conf import settings
+from agatepick.config import cluster
+from agatepick.runtime import processes
+from agatepick.standins import standin_table
 
 SIZES = (2, 4, 8)
 IDLE_SECONDS = 8.0
--- a/src/agatepick/__init__.py
+++ b/src/agatepick/__init__.py
@@ -9,30 +9,32 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from agatepick.callers import routes as caller_routes
-    from agatepick.calls import Calls as Calls
-    from agatepick.calls import ChangeProposed as ChangeProposed
-    from agatepick.calls import JobAsked as JobAsked
-    from agatepick.calls import JobCancelled as JobCancelled
-    from agatepick.calls import JobSubmitted as JobSubmitted
-    from agatepick.calls import Reply as Reply
-    from agatepick.calls import StatusAsked as StatusAsked
-    from agatepick.client import Client as Client
-    from agatepick.client import Job as Job
-    from agatepick.client import JobResult as JobResult
-    from agatepick.client import Task as Task
-    from agatepick.client import TaskResult as TaskResult
-    from agatepick.clocks import ProcessClock as ProcessClock
+    from agatepick.api.callers import routes as caller_routes
+    from agatepick.api.calls import Calls as Calls
+    from agatepick.api.calls import ChangeProposed as ChangeProposed
+    from agatepick.api.calls import JobAsked as JobAsked
+    from agatepick.api.calls import JobCancelled as JobCancelled
+    from agatepick.api.calls import JobSubmitted as JobSubmitted
+    from agatepick.api.calls import Reply as Reply
+    from agatepick.api.calls import StatusAsked as StatusAsked
+    from agatepick.api.operators import routes as operator_routes
+    from agatepick.api.web import Front as Front
+    from agatepick.api.web import server as server
+    from agatepick.cmd.client import Client as Client
+    from agatepick.cmd.client import Job as Job
+    from agatepick.cmd.client import JobResult as JobResult
+    from agatepick.cmd.client import Task as Task
+    from agatepick.cmd.client import TaskResult as TaskResult
+    from agatepick.conf.settings import Http as Http
+    from agatepick.conf.settings import Tokens as Tokens
+    from agatepick.conf.settings_files import load as load_settings
     from agatepick.core import Note as Note
     from agatepick.core import note as note
     from agatepick.core import Reducer as Reducer
     from agatepick.exceptions import AgatepickError as AgatepickError
-    from agatepick.operators import routes as operator_routes
-    from agatepick.settings import Http as Http
-    from agatepick.settings import Tokens as Tokens
-    from agatepick.settings_files import load as load_settings
-    from agatepick.shell import Shell as Shell
-    from agatepick.timeline import Timeline as Timeline
+    from agatepick.net.clocks import ProcessClock as ProcessClock
+    from agatepick.runtime.shell import Shell as Shell
+    from agatepick.telemetry.timeline import Timeline as Timeline
     from agatepick.types import Clock as Clock
     from agatepick.types import JobAnswer as JobAnswer
     from agatepick.types import JobSpec as JobSpec
@@ -41,8 +43,6 @@
     from agatepick.types import Outcome as Outcome
     from agatepick.types import TaskAnswer as TaskAnswer
     from agatepick.types import TaskSpec as TaskSpec
-    from agatepick.web import Front as Front
-    from agatepick.web import server as server
 
 __all__ = [
     'AgatepickError',
@@ -84,30 +84,30 @@
 # Loaded when first used: an agent has 64 MB, and what only callers and
 # operators need (clients, HTTP routes) would take a third of it.
 _HOMES = {
-    'caller_routes': ('agatepick.callers', 'routes'),
-    'Calls': ('agatepick.calls', 'Calls'),
-    'ChangeProposed': ('agatepick.calls', 'ChangeProposed'),
-    'JobAsked': ('agatepick.calls', 'JobAsked'),
-    'JobCancelled': ('agatepick.calls', 'JobCancelled'),
-    'JobSubmitted': ('agatepick.calls', 'JobSubmitted'),
-    'Reply': ('agatepick.calls', 'Reply'),
-    'StatusAsked': ('agatepick.calls', 'StatusAsked'),
-    'Client': ('agatepick.client', 'Client'),
-    'Job': ('agatepick.client', 'Job'),
-    'JobResult': ('agatepick.client', 'JobResult'),
-    'Task': ('agatepick.client', 'Task'),
-    'TaskResult': ('agatepick.client', 'TaskResult'),
-    'ProcessClock': ('agatepick.clocks', 'ProcessClock'),
+    'caller_routes': ('agatepick.api.callers', 'routes'),
+    'Calls': ('agatepick.api.calls', 'Calls'),
+    'ChangeProposed': ('agatepick.api.calls', 'ChangeProposed'),
+    'JobAsked': ('agatepick.api.calls', 'JobAsked'),
+    'JobCancelled': ('agatepick.api.calls', 'JobCancelled'),
+    'JobSubmitted': ('agatepick.api.calls', 'JobSubmitted'),
+    'Reply': ('agatepick.api.calls', 'Reply'),
+    'StatusAsked': ('agatepick.api.calls', 'StatusAsked'),
+    'Client': ('agatepick.cmd.client', 'Client'),
+    'Job': ('agatepick.cmd.client', 'Job'),
+    'JobResult': ('agatepick.cmd.client', 'JobResult'),
+    'Task': ('agatepick.cmd.client', 'Task'),
+    'TaskResult': ('agatepick.cmd.client', 'TaskResult'),
+    'ProcessClock': ('agatepick.net.clocks', 'ProcessClock'),
     'Note': ('agatepick.core', 'Note'),
     'note': ('agatepick.core', 'note'),
     'Reducer': ('agatepick.core', 'Reducer'),
     'AgatepickError': ('agatepick.exceptions', 'AgatepickError'),
-    'operator_routes': ('agatepick.operators', 'routes'),
-    'Http': ('agatepick.settings', 'Http'),
-    'Tokens': ('agatepick.settings', 'Tokens'),
-    'load_settings': ('agatepick.settings_files', 'load'),
-    'Shell': ('agatepick.shell', 'Shell'),
-    'Timeline': ('agatepick.timeline', 'Timeline'),
+    'operator_routes': ('agatepick.api.operators', 'routes'),
+    'Http': ('agatepick.conf.settings', 'Http'),
+    'Tokens': ('agatepick.conf.settings', 'Tokens'),
+    'load_settings': ('agatepick.conf.settings_files', 'load'),
+    'Shell': ('agatepick.runtime.shell', 'Shell'),
+    'Timeline': ('agatepick.telemetry.timeline', 'Timeline'),
     'Clock': ('agatepick.types', 'Clock'),
     'JobAnswer': ('agatepick.types', 'JobAnswer'),
     'JobSpec': ('agatepick.types', 'JobSpec'),
@@ -116,8 +116,8 @@
     'Outcome': ('agatepick.types', 'Outcome'),
     'TaskAnswer': ('agatepick.types', 'TaskAnswer'),
     'TaskSpec': ('agatepick.types', 'TaskSpec'),
-    'Front': ('agatepick.web', 'Front'),
-    'server': ('agatepick.web', 'server'),
+    'Front': ('agatepick.api.web', 'Front'),
+    'server': ('agatepick.api.web', 'server'),
 }
 
 
--- /dev/null
+++ b/src/agatepick/agentside/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside an upstream: each task starts at most once."""
--- a/src/agatepick/agent.py
+++ b/src/agatepick/agentside/agent.py
@@ -8,20 +8,20 @@
 
 import dataclasses
 
-from agatepick import clocks
+from agatepick.agentside import entries
+from agatepick.agentside import ledger
+from agatepick.agentside import reporting
+from agatepick.agentside import running
+from agatepick.agentside import slots
+from agatepick.agentside import startcheck
+from agatepick.agentside import upstream
+from agatepick.conf import settings
 from agatepick import core
-from agatepick import entries
-from agatepick import ledger
-from agatepick import messages
-from agatepick import ownership
-from agatepick import reporting
-from agatepick import running
-from agatepick import settings
-from agatepick import slots
-from agatepick import startcheck
-from agatepick import successors
+from agatepick.net import clocks
+from agatepick.net import messages
+from agatepick.owning import ownership
+from agatepick.owning import successors
 from agatepick import types
-from agatepick import upstream
 
 LATE_SECONDS = 60.0
 """A job let in at the end of the window starts its tasks a little later."""
--- a/src/agatepick/announce.py
+++ b/src/agatepick/agentside/announce.py
@@ -12,10 +12,10 @@
 import tornado.httpserver
 import tornado.web
 
-from agatepick import settings
+from agatepick.agentside import upstream
+from agatepick.api import web
+from agatepick.conf import settings
 from agatepick import types
-from agatepick import upstream
-from agatepick import web
 
 MAX_BODY_BYTES = 64 * 1024
 RENEWALS_A_TERM = 3
--- a/src/agatepick/entries.py
+++ b/src/agatepick/agentside/entries.py
@@ -8,10 +8,10 @@
 import collections.abc
 import dataclasses
 
-from agatepick import clocks
+from agatepick.agentside import ledger
 from agatepick import core
-from agatepick import ledger
-from agatepick import messages
+from agatepick.net import clocks
+from agatepick.net import messages
 from agatepick import types
 
 ROLE_ENTRY = 'entry'
--- a/src/agatepick/httpupstream.py
+++ b/src/agatepick/agentside/httpupstream.py
@@ -13,9 +13,9 @@
 from tornado import httpclient
 from tornado import httputil
 
-from agatepick import logs
+from agatepick.agentside import upstream
+from agatepick.telemetry import logs
 from agatepick import types
-from agatepick import upstream
 
 LOG = logging.getLogger(__name__)
 
@@ -45,7 +45,7 @@
 
 
 class HttpUpstream:
-    """An :class:`~agatepick.upstream.Upstream` that is reached over HTTP.
+    """An :class:`.upstream.Upstream` that is reached over HTTP.
 
     :param feed: takes the agent's events.
     """
--- a/src/agatepick/ledger.py
+++ b/src/agatepick/agentside/ledger.py
@@ -12,8 +12,8 @@
 
 import xxhash
 
-from agatepick import messages
-from agatepick import ownership
+from agatepick.net import messages
+from agatepick.owning import ownership
 from agatepick import types
 
 MAX_TASKS = 200_000
--- a/src/agatepick/outbox.py
+++ b/src/agatepick/agentside/outbox.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 
-from agatepick import ledger
-from agatepick import messages
+from agatepick.agentside import ledger
+from agatepick.net import messages
 
 MAX_REPORTS = 1000
 MAX_BYTES = 4 * 1024 * 1024
--- a/src/agatepick/reporting.py
+++ b/src/agatepick/agentside/reporting.py
@@ -5,14 +5,14 @@
 connected again, and an heir is told by ``Orphans``.
 """
 
+from agatepick.agentside import entries
+from agatepick.agentside import ledger
+from agatepick.agentside import outbox
+from agatepick.agentside import running
+from agatepick.agentside import slots
 from agatepick import core
-from agatepick import entries
-from agatepick import ledger
-from agatepick import messages
-from agatepick import outbox
-from agatepick import running
-from agatepick import slots
-from agatepick import successors
+from agatepick.net import messages
+from agatepick.owning import successors
 from agatepick import types
 
 
--- a/src/agatepick/running.py
+++ b/src/agatepick/agentside/running.py
@@ -8,10 +8,10 @@
 
 import dataclasses
 
-from agatepick import ledger
-from agatepick import messages
+from agatepick.agentside import ledger
+from agatepick.agentside import upstream
+from agatepick.net import messages
 from agatepick import types
-from agatepick import upstream
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agatepick/slots.py
+++ b/src/agatepick/agentside/slots.py
@@ -18,7 +18,7 @@
 
 import dataclasses
 
-from agatepick import ledger
+from agatepick.agentside import ledger
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/agatepick/startcheck.py
+++ b/src/agatepick/agentside/startcheck.py
@@ -5,10 +5,10 @@
 
 import dataclasses
 
-from agatepick import clocks
-from agatepick import messages
-from agatepick import running
-from agatepick import slots
+from agatepick.agentside import running
+from agatepick.agentside import slots
+from agatepick.net import clocks
+from agatepick.net import messages
 
 REASON_CLOCK = 'clock'
 REASON_KIND = 'kind'
--- /dev/null
+++ b/src/agatepick/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP side towards callers and operators."""
--- a/src/agatepick/callers.py
+++ b/src/agatepick/api/callers.py
@@ -22,10 +22,10 @@
 import tornado.routing
 import uuid_utils
 
-from agatepick import calls
-from agatepick import job_bodies
+from agatepick.api import calls
+from agatepick.api import job_bodies
+from agatepick.api import web
 from agatepick import types
-from agatepick import web
 
 ASYNC_GRACE = 0.05
 """Seconds that even an asynchronous request is held, so that a refusal at
--- a/src/agatepick/calls.py
+++ b/src/agatepick/api/calls.py
@@ -10,7 +10,7 @@
 import itertools
 import typing
 
-from agatepick import cluster
+from agatepick.config import cluster
 from agatepick import exceptions
 from agatepick import types
 
--- a/src/agatepick/job_bodies.py
+++ b/src/agatepick/api/job_bodies.py
@@ -9,8 +9,8 @@
 import msgspec
 import xxhash
 
+from agatepick.api import web
 from agatepick import types
-from agatepick import web
 
 DEFAULT_TIMEOUT = 10.0
 MAX_TIMEOUT = 300.0
@@ -87,7 +87,7 @@
 
     :param team: the team of the caller's token; ``None`` if callers need no
         token, and the body names it.
-    :raises agatepick.web.Refused: naming the field at fault.
+    :raises agatepick.api.web.Refused: naming the field at fault.
     """
     parsed = _parsed(body)
     if len(parsed.tasks) > max_tasks:
--- a/src/agatepick/openapi.py
+++ b/src/agatepick/api/openapi.py
@@ -2,7 +2,7 @@
 
 The document is kept as ``openapi.json`` in the package; a test holds it
 against this module, and this module against the server's routes.  Write it
-anew with ``python -m agatepick.openapi > src/agatepick/openapi.json``.
+anew with ``python -m agatepick.api.openapi > src/agatepick/api/openapi.json``.
 """
 
 import importlib.metadata
@@ -13,10 +13,10 @@
 
 import msgspec
 
-from agatepick import cluster
-from agatepick import job_bodies
-from agatepick import operators
-from agatepick import web
+from agatepick.api import job_bodies
+from agatepick.api import operators
+from agatepick.api import web
+from agatepick.config import cluster
 
 FILE = pathlib.Path(__file__).with_name('openapi.json')
 _REF = '#/components/schemas/{name}'
--- a/src/agatepick/operators.py
+++ b/src/agatepick/api/operators.py
@@ -12,10 +12,10 @@
 import msgspec
 import tornado.routing
 
-from agatepick import calls
-from agatepick import cluster
+from agatepick.api import calls
+from agatepick.api import web
+from agatepick.config import cluster
 from agatepick import exceptions
-from agatepick import web
 
 JSON_LINES = 'application/jsonl'
 STATUS_OF_VERDICT = {
--- a/src/agatepick/web.py
+++ b/src/agatepick/api/web.py
@@ -17,11 +17,11 @@
 import tornado.routing
 import tornado.web
 
-from agatepick import calls
+from agatepick.api import calls
+from agatepick.conf import settings
 from agatepick import exceptions
-from agatepick import logs
-from agatepick import metrics
-from agatepick import settings
+from agatepick.telemetry import logs
+from agatepick.telemetry import metrics
 from agatepick import types
 
 PROBLEM = 'application/problem+json'
--- /dev/null
+++ b/src/agatepick/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the programs against an ideal scheduler."""
--- a/src/agatepick/bench_arrivals.py
+++ b/src/agatepick/bench/bench_arrivals.py
@@ -9,7 +9,7 @@
 import dataclasses
 import random
 
-from agatepick import bench_plan
+from agatepick.bench import bench_plan
 
 SHORTEST_SECONDS = 0.05
 LONGEST_SHORT_SECONDS = 1.0
--- a/src/agatepick/bench_callers.py
+++ b/src/agatepick/bench/bench_callers.py
@@ -15,11 +15,11 @@
 import tornado.simple_httpclient
 import uuid_utils
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
-from agatepick import bench_truth
-from agatepick import bench_upstream
-from agatepick import standin_upstream
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_truth
+from agatepick.bench import bench_upstream
+from agatepick.standins import standin_upstream
 from agatepick import types
 
 MAX_OPEN_REQUESTS = 10_000
--- a/src/agatepick/bench_cluster.py
+++ b/src/agatepick/bench/bench_cluster.py
@@ -12,21 +12,21 @@
 import logging
 import random
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
-from agatepick import bench_plan
-from agatepick import bench_upstream
-from agatepick import calls
-from agatepick import cluster
+from agatepick.agentside import upstream
+from agatepick.api import calls
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_upstream
+from agatepick.conf import settings
+from agatepick.config import cluster
 from agatepick import core
-from agatepick import messages
-from agatepick import placement
-from agatepick import processes
-from agatepick import settings
-from agatepick import standin_table
-from agatepick import standin_upstream
+from agatepick.decisions import placement
+from agatepick.net import messages
+from agatepick.runtime import processes
+from agatepick.standins import standin_table
+from agatepick.standins import standin_upstream
 from agatepick import types
-from agatepick import upstream
 
 LOG = logging.getLogger(__name__)
 
--- a/src/agatepick/bench_evidence.py
+++ b/src/agatepick/bench/bench_evidence.py
@@ -3,8 +3,8 @@
 import collections.abc
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_plan
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_plan
 from agatepick import types
 
 USEFUL_MESSAGES = frozenset(('Starts', 'Results'))
--- a/src/agatepick/bench_ideal.py
+++ b/src/agatepick/bench/bench_ideal.py
@@ -9,8 +9,8 @@
 import dataclasses
 import heapq
 
-from agatepick import bench_arrivals
-from agatepick import bench_plan
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_plan
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/bench_lag.py
+++ b/src/agatepick/bench/bench_lag.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from agatepick import bench_measures
+from agatepick.bench import bench_measures
 
 PERIOD_SECONDS = 0.02
 
--- a/src/agatepick/bench_ledger.py
+++ b/src/agatepick/bench/bench_ledger.py
@@ -1,7 +1,7 @@
 """Cost of an agent's ledger: memory per remembered task, time per task.
 
-Run by ``python -m agatepick.bench_ledger``; prints one JSON object.  Memory
-is the growth of what Python has allocated, so it counts keys and all.
+Run by ``python -m agatepick.bench.bench_ledger``; prints one JSON object.
+Memory is the growth of what Python has allocated, so it counts keys and all.
 """
 
 import json
@@ -9,12 +9,12 @@
 import time
 import tracemalloc
 
-from agatepick import agent
+from agatepick.agentside import agent
+from agatepick.agentside import ledger
+from agatepick.agentside import upstream
 from agatepick import core
-from agatepick import ledger
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
-from agatepick import upstream
 
 TASKS = 100_000
 TASKS_A_JOB = 130
--- a/src/agatepick/bench_measures.py
+++ b/src/agatepick/bench/bench_measures.py
@@ -6,9 +6,9 @@
 
 from hdrh import histogram
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
-from agatepick import bench_ideal
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_ideal
 from agatepick import types
 
 LOWEST_MICROSECONDS = 1
--- a/src/agatepick/bench_player.py
+++ b/src/agatepick/bench/bench_player.py
@@ -4,13 +4,13 @@
 import collections.abc
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_callers
-from agatepick import bench_cluster
-from agatepick import bench_evidence
-from agatepick import bench_plan
-from agatepick import bench_upstream
-from agatepick import cluster
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_callers
+from agatepick.bench import bench_cluster
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_upstream
+from agatepick.config import cluster
 
 DRAIN_SECONDS = 45.0
 """How long after the last arrival the bench waits for answers."""
--- a/src/agatepick/bench_report.py
+++ b/src/agatepick/bench/bench_report.py
@@ -6,10 +6,10 @@
 import pathlib
 import typing
 
-from agatepick import bench_evidence
-from agatepick import bench_ideal
-from agatepick import bench_measures
-from agatepick import bench_truth
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_ideal
+from agatepick.bench import bench_measures
+from agatepick.bench import bench_truth
 
 PICTURE_DPI = 120
 WORK_BINS = 60
--- a/src/agatepick/bench_run.py
+++ b/src/agatepick/bench/bench_run.py
@@ -11,20 +11,20 @@
 import statistics
 import time
 
-from agatepick import bench_arrivals
-from agatepick import bench_callers
-from agatepick import bench_cluster
-from agatepick import bench_evidence
-from agatepick import bench_ideal
-from agatepick import bench_lag
-from agatepick import bench_measures
-from agatepick import bench_plan
-from agatepick import bench_player
-from agatepick import bench_report
-from agatepick import bench_truth
-from agatepick import bench_upstream
-from agatepick import clocks
-from agatepick import cluster
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_callers
+from agatepick.bench import bench_cluster
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_ideal
+from agatepick.bench import bench_lag
+from agatepick.bench import bench_measures
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_player
+from agatepick.bench import bench_report
+from agatepick.bench import bench_truth
+from agatepick.bench import bench_upstream
+from agatepick.config import cluster
+from agatepick.net import clocks
 
 DEFAULT_SECONDS = 20.0
 LIGHT = 'light'
--- a/src/agatepick/bench_truth.py
+++ b/src/agatepick/bench/bench_truth.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
 from agatepick import types
 
 TASK_PREFIX = 't'
--- a/src/agatepick/bench_upstream.py
+++ b/src/agatepick/bench/bench_upstream.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 
-from agatepick import bench_evidence
-from agatepick import bench_truth
-from agatepick import standin_upstream
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_truth
+from agatepick.standins import standin_upstream
 from agatepick import types
 
 
--- /dev/null
+++ b/src/agatepick/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of cost by size, and what follows at the planned size."""
--- a/src/agatepick/capacity.py
+++ b/src/agatepick/capacity/capacity.py
@@ -1,9 +1,9 @@
 """Makes the tables of ``docs/CAPACITY.md`` from a measurement's JSON.
 
 Every figure of the plan's size in the page comes from here: a line of
-:mod:`agatepick.slopes`, extended to the size.  The page keeps its tables
-between markers; ``update`` writes them anew, and a test finds a page whose
-tables are not those of the measurement beside it.
+:mod:`agatepick.capacity.slopes`, extended to the size.  The page keeps its
+tables between markers; ``update`` writes them anew, and a test finds a page
+whose tables are not those of the measurement beside it.
 """
 
 import collections.abc
@@ -12,7 +12,7 @@
 import pathlib
 import re
 
-from agatepick import slopes
+from agatepick.capacity import slopes
 
 WORKERS = 9100
 STARTS_PER_SECOND = 510_000
--- a/src/agatepick/slopes_command.py
+++ b/src/agatepick/capacity/slopes_command.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from agatepick import commands
-from agatepick import slopes
-from agatepick import slopes_programs
-from agatepick import slopes_wire
+from agatepick.capacity import slopes
+from agatepick.capacity import slopes_programs
+from agatepick.capacity import slopes_wire
+from agatepick.cmd import commands
 
 
 def run(
--- a/src/agatepick/slopes_programs.py
+++ b/src/agatepick/capacity/slopes_programs.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
-from agatepick import bench_arrivals
-from agatepick import bench_callers
-from agatepick import bench_upstream
-from agatepick import clocks
-from agatepick import slopes
-from agatepick import slopes_process
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_callers
+from agatepick.bench import bench_upstream
+from agatepick.capacity import slopes
+from agatepick.capacity import slopes_process
+from agatepick.net import clocks
 
 HOST = '127.0.0.1'
 SLOTS = 8
--- a/src/agatepick/slopes_wire.py
+++ b/src/agatepick/capacity/slopes_wire.py
@@ -1,7 +1,8 @@
 """Messages and bytes of real links, over the sizes of an installation.
 
 The links count every frame exactly, so these figures need no process of
-their own; processor time and memory do (:mod:`agatepick.slopes_process`).
+their own; processor time and memory do
+(:mod:`agatepick.capacity.slopes_process`).
 """
 
 import asyncio
@@ -9,15 +10,15 @@
 import collections.abc
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_cluster
-from agatepick import bench_plan
-from agatepick import bench_run
-from agatepick import bench_upstream
-from agatepick import clocks
-from agatepick import cluster
-from agatepick import links
-from agatepick import slopes
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_cluster
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_run
+from agatepick.bench import bench_upstream
+from agatepick.capacity import slopes
+from agatepick.config import cluster
+from agatepick.net import clocks
+from agatepick.net import links
 
 IDLE_SECONDS = 8.0
 CHANGE_SECONDS = 12.0
--- a/src/agatepick/cli.py
+++ b/src/agatepick/cli.py
@@ -27,7 +27,7 @@
 import fire
 import fire.core
 
-from agatepick import command_tree
+from agatepick.cmd import command_tree
 from agatepick import exceptions
 
 
--- /dev/null
+++ b/src/agatepick/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, its clients, and what it shows."""
--- a/src/agatepick/command_tree.py
+++ b/src/agatepick/cmd/command_tree.py
@@ -13,12 +13,12 @@
 
 import fire.decorators
 
-from agatepick import bench_plan
-from agatepick import cluster
-from agatepick import commands
+from agatepick.bench import bench_plan
+from agatepick.cmd import commands
+from agatepick.conf import settings
+from agatepick.conf import settings_files
+from agatepick.config import cluster
 from agatepick import exceptions
-from agatepick import settings
-from agatepick import settings_files
 
 Run = typing.Callable[[], commands.Output]
 SLOPES = 'slopes'
@@ -233,7 +233,9 @@
         :param job: the request's id.
         :param files: logs; standard input if none is named.
         """
-        self._run = functools.partial(_other, 'explain', 'explain', job, files)
+        self._run = functools.partial(
+            _other, 'cmd.explain', 'explain', job, files
+        )
 
     @_text
     def timeline(
@@ -265,7 +267,7 @@
 
         def run() -> commands.Output:
             _check_number('--seconds', seconds)
-            return _other('demo', 'run_command', seconds, json)
+            return _other('cmd.demo', 'run_command', seconds, json)
 
         self._run = run
 
@@ -278,7 +280,7 @@
     def _daemon(self, function: str, config: str, kind: type[object]) -> None:
         def run() -> commands.Output:
             return _other(
-                'daemons', function, settings_files.load(config, kind)
+                'runtime.daemons', function, settings_files.load(config, kind)
             )
 
         self._run = run
@@ -380,7 +382,7 @@
         )
     if pattern != SLOPES:
         _check_bench(options)
-    return _other('bench', 'run_command', pattern, **options)
+    return _other('bench.bench', 'run_command', pattern, **options)
 
 
 def _check_bench(options: dict[str, typing.Any]) -> None:
--- a/src/agatepick/commands.py
+++ b/src/agatepick/cmd/commands.py
@@ -14,12 +14,12 @@
 
 import msgspec
 
-from agatepick import client
-from agatepick import draining
+from agatepick.cmd import client
+from agatepick.cmd import draining
+from agatepick.cmd import operator_client
 from agatepick import exceptions
-from agatepick import operator_client
-from agatepick import timeline
-from agatepick import tls
+from agatepick.net import tls
+from agatepick.telemetry import timeline
 from agatepick import types
 
 DEFAULT_ENTRY = 'http://127.0.0.1:8080'
--- a/src/agatepick/demo.py
+++ b/src/agatepick/cmd/demo.py
@@ -16,17 +16,17 @@
 import sys
 import typing
 
-from agatepick import bench_arrivals
-from agatepick import bench_callers
-from agatepick import bench_cluster
-from agatepick import bench_evidence
-from agatepick import bench_plan
-from agatepick import bench_truth
-from agatepick import bench_upstream
-from agatepick import clocks
-from agatepick import cluster
-from agatepick import commands
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_callers
+from agatepick.bench import bench_cluster
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_truth
+from agatepick.bench import bench_upstream
+from agatepick.cmd import commands
+from agatepick.config import cluster
 from agatepick import exceptions
+from agatepick.net import clocks
 from agatepick import types
 
 DEPLOYMENT = bench_plan.Deployment(
--- a/src/agatepick/draining.py
+++ b/src/agatepick/cmd/draining.py
@@ -4,8 +4,8 @@
 import dataclasses
 import typing
 
+from agatepick.cmd import operator_client
 from agatepick import exceptions
-from agatepick import operator_client
 
 POLL_SECONDS = 0.1
 
--- a/src/agatepick/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -11,7 +11,7 @@
 import sys
 import typing
 
-from agatepick import commands
+from agatepick.cmd import commands
 from agatepick import exceptions
 
 _PAIR = re.compile(r'([A-Za-z_][\w.]*)=("(?:[^"\\]|\\.)*"|\S*)')
--- /dev/null
+++ b/src/agatepick/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files, checked whole at the start."""
--- a/src/agatepick/settings.py
+++ b/src/agatepick/conf/settings.py
@@ -1,8 +1,8 @@
 """Settings of each program, as frozen data classes with their defaults.
 
-:mod:`agatepick.settings_files` reads them from TOML and checks them whole.
-Durations are seconds and their keys end in ``_seconds``; sizes are bytes or
-MiB and end in ``_bytes`` or ``_mb``.
+:mod:`agatepick.conf.settings_files` reads them from TOML and checks them
+whole. Durations are seconds and their keys end in ``_seconds``; sizes are
+bytes or MiB and end in ``_bytes`` or ``_mb``.
 """
 
 import dataclasses
--- a/src/agatepick/settings_files.py
+++ b/src/agatepick/conf/settings_files.py
@@ -10,9 +10,9 @@
 import pathlib
 import typing
 
+from agatepick.conf import settings
+from agatepick.conf import typed_toml
 from agatepick import exceptions
-from agatepick import settings
-from agatepick import typed_toml
 
 _T = typing.TypeVar('_T')
 _MARKS = {'http': 'entry', 'entries': 'agent', 'table': 'table'}
--- /dev/null
+++ b/src/agatepick/config/__init__.py
@@ -0,0 +1,1 @@
+"""One cluster configuration, in force everywhere at an instant."""
--- a/src/agatepick/clockwatch.py
+++ b/src/agatepick/config/clockwatch.py
@@ -1,8 +1,8 @@
 """Which peers' clocks agree with ours, and whether ours can be trusted."""
 
-from agatepick import clocks
-from agatepick import links
-from agatepick import messages
+from agatepick.net import clocks
+from agatepick.net import links
+from agatepick.net import messages
 
 FRESH_SECONDS = 3 * links.SAMPLE_SECONDS
 """A peer without a sample for so long has gone; its clock has no vote.
--- a/src/agatepick/cluster.py
+++ b/src/agatepick/config/cluster.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from agatepick import exceptions
-from agatepick import messages
+from agatepick.net import messages
 
 PRESETS = ('ordinary', 'peak', 'maintenance')
 REMOVED_KEPT_SECONDS = 600.0
--- a/src/agatepick/configstatus.py
+++ b/src/agatepick/config/configstatus.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from agatepick import cluster
-from agatepick import messages
+from agatepick.config import cluster
+from agatepick.net import messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/configuration.py
+++ b/src/agatepick/config/configuration.py
@@ -9,22 +9,22 @@
 import math
 import random
 
-from agatepick import clockwatch
-from agatepick import cluster
-from agatepick import configstatus
+from agatepick.config import clockwatch
+from agatepick.config import cluster
+from agatepick.config import configstatus
+from agatepick.config import dials
+from agatepick.config import headreader
+from agatepick.config import headrows
+from agatepick.config import history
+from agatepick.config import listing
+from agatepick.config import membership
+from agatepick.config import permits
+from agatepick.config import proposals
+from agatepick.config import readlease
 from agatepick import core
-from agatepick import dials
 from agatepick import exceptions
-from agatepick import headreader
-from agatepick import headrows
-from agatepick import history
-from agatepick import listing
-from agatepick import membership
-from agatepick import messages
-from agatepick import permits
-from agatepick import proposals
-from agatepick import readlease
-from agatepick import store
+from agatepick.net import messages
+from agatepick.table import store
 
 FETCH_ROWS = 256
 """Rows handed on to a peer in one message."""
--- a/src/agatepick/headreader.py
+++ b/src/agatepick/config/headreader.py
@@ -7,11 +7,11 @@
 import dataclasses
 import typing
 
-from agatepick import cluster
+from agatepick.config import cluster
+from agatepick.config import headrows
+from agatepick.config import history
 from agatepick import exceptions
-from agatepick import headrows
-from agatepick import history
-from agatepick import store
+from agatepick.table import store
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/headrows.py
+++ b/src/agatepick/config/headrows.py
@@ -1,15 +1,15 @@
 """How the cluster configuration lies in the table service's rows.
 
-``cluster/head`` is the :class:`~agatepick.cluster.Head`, ``change/VERSION``
-one :class:`~agatepick.cluster.ChangeRow` each, and ``cluster/snapshot`` the
-whole document as of some version not long past, so that a new process reads
-a few hundred rows at most.  All functions are pure.
+``cluster/head`` is the :class:`~agatepick.config.cluster.Head`,
+``change/VERSION`` one :class:`~agatepick.config.cluster.ChangeRow` each, and
+``cluster/snapshot`` the whole document as of some version not long past, so
+that a new process reads a few hundred rows at most.  All functions are pure.
 """
 
-from agatepick import cluster
+from agatepick.config import cluster
+from agatepick.config import history
 from agatepick import exceptions
-from agatepick import history
-from agatepick import store
+from agatepick.table import store
 
 CLUSTER = 'cluster'
 CHANGE = 'change'
--- a/src/agatepick/history.py
+++ b/src/agatepick/config/history.py
@@ -8,8 +8,8 @@
 import collections.abc
 import math
 
-from agatepick import cluster
-from agatepick import messages
+from agatepick.config import cluster
+from agatepick.net import messages
 
 ROWS_KEPT = 1024
 """Change rows kept to be handed on to peers, and in the store."""
--- a/src/agatepick/listing.py
+++ b/src/agatepick/config/listing.py
@@ -3,12 +3,12 @@
 import math
 import random
 
-from agatepick import cluster
+from agatepick.config import cluster
+from agatepick.config import history
+from agatepick.config import membership
+from agatepick.config import proposals
 from agatepick import core
-from agatepick import history
-from agatepick import membership
-from agatepick import messages
-from agatepick import proposals
+from agatepick.net import messages
 
 
 class Listing:
--- a/src/agatepick/membership.py
+++ b/src/agatepick/config/membership.py
@@ -7,9 +7,9 @@
 import collections.abc
 import dataclasses
 
-from agatepick import cluster
-from agatepick import messages
-from agatepick import readlease
+from agatepick.config import cluster
+from agatepick.config import readlease
+from agatepick.net import messages
 
 REMOVE_DEAD_SECONDS = 2.0
 """A process that was replaced in place lists itself anew within this time,
--- a/src/agatepick/permits.py
+++ b/src/agatepick/config/permits.py
@@ -1,12 +1,12 @@
 """Until when this entry may start tasks, and in which zones."""
 
-from agatepick import clockwatch
-from agatepick import cluster
-from agatepick import history
-from agatepick import membership
-from agatepick import messages
-from agatepick import proposals
-from agatepick import readlease
+from agatepick.config import clockwatch
+from agatepick.config import cluster
+from agatepick.config import history
+from agatepick.config import membership
+from agatepick.config import proposals
+from agatepick.config import readlease
+from agatepick.net import messages
 
 
 class Snapshot:
--- a/src/agatepick/proposals.py
+++ b/src/agatepick/config/proposals.py
@@ -2,7 +2,8 @@
 
 Stages of an attempt: read the head; stop granting leases and tell the other
 entries of the intent; wait until each acknowledged it or can't rely on us
-any more; send the transaction.  :mod:`agatepick.readlease` has the proof.
+any more; send the transaction.  :mod:`agatepick.config.readlease` has the
+proof.
 """
 
 import collections
@@ -10,14 +11,14 @@
 import dataclasses
 import enum
 
-from agatepick import cluster
+from agatepick.config import cluster
+from agatepick.config import headrows
+from agatepick.config import history
+from agatepick.config import readlease
 from agatepick import core
 from agatepick import exceptions
-from agatepick import headrows
-from agatepick import history
-from agatepick import messages
-from agatepick import readlease
-from agatepick import store
+from agatepick.net import messages
+from agatepick.table import store
 
 ATTEMPTS = 8
 """Attempts at one change.  Another entry moves the stamp about once a
--- a/src/agatepick/readlease.py
+++ b/src/agatepick/config/readlease.py
@@ -51,7 +51,7 @@
 import dataclasses
 import math
 
-from agatepick import cluster
+from agatepick.config import cluster
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/core.py
+++ b/src/agatepick/core.py
@@ -1,14 +1,14 @@
 """The reducer frame: events in, effects out, no input or output inside.
 
 Each role is one reducer over all its events.  A reducer is fed by a shell
-(:mod:`agatepick.shell`) that turns sockets, HTTP and time into events and
-carries the effects out.  It reads no clock: every call brings ``now``.
+(:mod:`agatepick.runtime.shell`) that turns sockets, HTTP and time into events
+and carries the effects out.  It reads no clock: every call brings ``now``.
 """
 
 import dataclasses
 import typing
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 
--- /dev/null
+++ b/src/agatepick/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions under load, testable without a network."""
--- a/src/agatepick/demand.py
+++ b/src/agatepick/decisions/demand.py
@@ -13,7 +13,7 @@
 
 import math
 
-from agatepick import estimates
+from agatepick.decisions import estimates
 
 HOLD_SECONDS = 0.5
 """Queue, in time, that is left to the slots this entry holds already."""
--- a/src/agatepick/dispatch.py
+++ b/src/agatepick/decisions/dispatch.py
@@ -18,20 +18,20 @@
 import random
 import typing
 
-from agatepick import admission
 from agatepick import core
-from agatepick import demand
-from agatepick import estimates
-from agatepick import messages
-from agatepick import outliers
-from agatepick import placement
-from agatepick import presets
-from agatepick import queues
-from agatepick import quotas
-from agatepick import retries
-from agatepick import sizing
+from agatepick.decisions import admission
+from agatepick.decisions import demand
+from agatepick.decisions import estimates
+from agatepick.decisions import outliers
+from agatepick.decisions import placement
+from agatepick.decisions import presets
+from agatepick.decisions import queues
+from agatepick.decisions import quotas
+from agatepick.decisions import retries
+from agatepick.decisions import sizing
+from agatepick.decisions import workers
+from agatepick.net import messages
 from agatepick import types
-from agatepick import workers
 
 ASK_SECONDS = 0.25
 IDLE_SHARE = 0.5
--- a/src/agatepick/queues.py
+++ b/src/agatepick/decisions/queues.py
@@ -34,7 +34,7 @@
 import math
 import typing
 
-from agatepick import placement
+from agatepick.decisions import placement
 from agatepick import types
 
 SIZE_WEIGHT = 1.0
--- a/src/agatepick/quotas.py
+++ b/src/agatepick/decisions/quotas.py
@@ -33,7 +33,7 @@
 import xxhash
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 
 LEASE_SECONDS = 4.0
 RENEW_SECONDS = 2.0
--- a/src/agatepick/retries.py
+++ b/src/agatepick/decisions/retries.py
@@ -18,8 +18,8 @@
 import random
 import typing
 
-from agatepick import presets
-from agatepick import queues
+from agatepick.decisions import presets
+from agatepick.decisions import queues
 
 BASE_SECONDS = 0.01
 MAX_SECONDS = 0.5
--- a/src/agatepick/sizing.py
+++ b/src/agatepick/decisions/sizing.py
@@ -3,9 +3,9 @@
 import dataclasses
 import typing
 
-from agatepick import admission
-from agatepick import estimates
-from agatepick import placement
+from agatepick.decisions import admission
+from agatepick.decisions import estimates
+from agatepick.decisions import placement
 from agatepick import types
 
 Classify = typing.Callable[
--- a/src/agatepick/workers.py
+++ b/src/agatepick/decisions/workers.py
@@ -8,10 +8,10 @@
 import math
 import typing
 
-from agatepick import admission
-from agatepick import messages
-from agatepick import outliers
-from agatepick import placement
+from agatepick.decisions import admission
+from agatepick.decisions import outliers
+from agatepick.decisions import placement
+from agatepick.net import messages
 from agatepick import types
 
 FORGET_SECONDS = 600.0
--- a/src/agatepick/zones.py
+++ b/src/agatepick/decisions/zones.py
@@ -14,7 +14,7 @@
 move files the zone's workers anew.
 """
 
-from agatepick import cluster
+from agatepick.config import cluster
 
 FIRST_SHARE = 0.25
 RAMP_SECONDS = 2.0
--- /dev/null
+++ b/src/agatepick/net/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, the links that carry them, and clocks."""
--- a/src/agatepick/links.py
+++ b/src/agatepick/net/links.py
@@ -1,7 +1,7 @@
 """Connections to peers: Cap'n Proto messages, framed, over TCP.
 
 A frame is a big-endian 32-bit length and one encoded message.  Both sides
-first send a :class:`~agatepick.messages.Hello`, the accepting side before
+first send a :class:`~agatepick.net.messages.Hello`, the accepting side before
 the dialling one: so a dialler that finds it already has a connection to that
 peer goes away unnoticed.  One connection serves both ways; when a peer dials
 again, it has lost the older connection, and the newer takes over.
@@ -21,7 +21,7 @@
 
 from agatepick import core
 from agatepick import exceptions
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 LOG = logging.getLogger(__name__)
--- a/src/agatepick/tls.py
+++ b/src/agatepick/net/tls.py
@@ -10,8 +10,8 @@
 import ssl
 import typing
 
+from agatepick.conf import settings
 from agatepick import exceptions
-from agatepick import settings
 
 Stamp = tuple[tuple[str, int, int], ...]
 """Path, time of change and size of each file."""
--- a/src/agatepick/agentlist.py
+++ b/src/agatepick/owning/agentlist.py
@@ -1,7 +1,7 @@
 """The agents that an entry is connected to, and what they offer."""
 
-from agatepick import dispatch
-from agatepick import messages
+from agatepick.decisions import dispatch
+from agatepick.net import messages
 from agatepick import types
 
 
--- a/src/agatepick/answers.py
+++ b/src/agatepick/owning/answers.py
@@ -2,12 +2,12 @@
 
 import msgspec
 
-from agatepick import calls
+from agatepick.api import calls
 from agatepick import core
-from agatepick import dispatch
-from agatepick import jobs
-from agatepick import messages
-from agatepick import ownership
+from agatepick.decisions import dispatch
+from agatepick.net import messages
+from agatepick.owning import jobs
+from agatepick.owning import ownership
 from agatepick import types
 
 CODE_KEY_REUSED = 'key_reused'
@@ -18,7 +18,7 @@
 
 
 def encode(answer: types.JobAnswer) -> bytes:
-    """An answer as bytes for :class:`agatepick.messages.Forwarded`."""
+    """An answer as bytes for :class:`agatepick.net.messages.Forwarded`."""
     return msgspec.msgpack.encode(answer)
 
 
--- a/src/agatepick/deaths.py
+++ b/src/agatepick/owning/deaths.py
@@ -13,8 +13,8 @@
 The proof is one that each entry makes for itself; it is not passed on.
 """
 
-from agatepick import messages
-from agatepick import ownership
+from agatepick.net import messages
+from agatepick.owning import ownership
 from agatepick import types
 
 DEATH_MARGIN = 0.5
--- a/src/agatepick/entry.py
+++ b/src/agatepick/owning/entry.py
@@ -1,33 +1,33 @@
 """The entry's reducer: callers' requests in, starts and answers out.
 
-An entry owns the jobs whose keys hash to it (:mod:`~agatepick.owner`) and
-passes other requests on (:mod:`~agatepick.forwarding`).  It follows the
-cluster's configuration (:mod:`~agatepick.configuration`), and after each
-event it lets waiting tasks start wherever slots are free
-(:mod:`~agatepick.dispatch`).
+An entry owns the jobs whose keys hash to it (:mod:`~agatepick.owning.owner`)
+and passes other requests on (:mod:`~agatepick.owning.forwarding`).  It follows
+the cluster's configuration (:mod:`~agatepick.config.configuration`), and after
+each event it lets waiting tasks start wherever slots are free
+(:mod:`~agatepick.decisions.dispatch`).
 """
 
 import dataclasses
 import random
 import typing
 
-from agatepick import answers
-from agatepick import calls
-from agatepick import cluster
-from agatepick import configstatus
-from agatepick import configuration
+from agatepick.api import calls
+from agatepick.config import cluster
+from agatepick.config import configstatus
+from agatepick.config import configuration
 from agatepick import core
-from agatepick import deaths
-from agatepick import dispatch
-from agatepick import forwarding
-from agatepick import jobs
-from agatepick import messages
-from agatepick import owner
-from agatepick import ownership
-from agatepick import presets
-from agatepick import store
+from agatepick.decisions import dispatch
+from agatepick.decisions import presets
+from agatepick.net import messages
+from agatepick.owning import answers
+from agatepick.owning import deaths
+from agatepick.owning import forwarding
+from agatepick.owning import jobs
+from agatepick.owning import owner
+from agatepick.owning import ownership
+from agatepick.owning import zonework
+from agatepick.table import store
 from agatepick import types
-from agatepick import zonework
 
 AGENT = 'agent'
 ENTRY = 'entry'
--- a/src/agatepick/forwarding.py
+++ b/src/agatepick/owning/forwarding.py
@@ -7,10 +7,10 @@
 
 import dataclasses
 
-from agatepick import answers
 from agatepick import core
-from agatepick import jobs
-from agatepick import messages
+from agatepick.net import messages
+from agatepick.owning import answers
+from agatepick.owning import jobs
 from agatepick import types
 
 RETRY_AFTER_SECONDS = 1.0
--- a/src/agatepick/jobs.py
+++ b/src/agatepick/owning/jobs.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 CODE_FAILED = 'tasks_failed'
--- a/src/agatepick/owner.py
+++ b/src/agatepick/owning/owner.py
@@ -9,21 +9,21 @@
 import heapq
 import math
 
-from agatepick import agentlist
-from agatepick import answers
-from agatepick import configuration
+from agatepick.config import configuration
+from agatepick.config import permits
 from agatepick import core
-from agatepick import dispatch
-from agatepick import forwarding
-from agatepick import jobs
-from agatepick import messages
-from agatepick import ownership
-from agatepick import permits
-from agatepick import starting
-from agatepick import takeover
+from agatepick.decisions import dispatch
+from agatepick.decisions import zones
+from agatepick.net import messages
+from agatepick.owning import agentlist
+from agatepick.owning import answers
+from agatepick.owning import forwarding
+from agatepick.owning import jobs
+from agatepick.owning import ownership
+from agatepick.owning import starting
+from agatepick.owning import takeover
+from agatepick.owning import zonework
 from agatepick import types
-from agatepick import zones
-from agatepick import zonework
 
 STOP = 'stop'
 LEASE_GRACE_SECONDS = 1.0
--- a/src/agatepick/ownership.py
+++ b/src/agatepick/owning/ownership.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from agatepick import exceptions
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 SKEW = 2.0
--- a/src/agatepick/starting.py
+++ b/src/agatepick/owning/starting.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from agatepick import dispatch
-from agatepick import jobs
-from agatepick import messages
+from agatepick.decisions import dispatch
+from agatepick.net import messages
+from agatepick.owning import jobs
 from agatepick import types
 
 
--- a/src/agatepick/successors.py
+++ b/src/agatepick/owning/successors.py
@@ -11,10 +11,10 @@
 import collections.abc
 import dataclasses
 
-from agatepick import ledger
-from agatepick import messages
-from agatepick import outbox
-from agatepick import ownership
+from agatepick.agentside import ledger
+from agatepick.agentside import outbox
+from agatepick.net import messages
+from agatepick.owning import ownership
 from agatepick import types
 
 
--- a/src/agatepick/takeover.py
+++ b/src/agatepick/owning/takeover.py
@@ -10,10 +10,10 @@
 import collections.abc
 import dataclasses
 
-from agatepick import jobs
-from agatepick import ledger
-from agatepick import messages
-from agatepick import ownership
+from agatepick.agentside import ledger
+from agatepick.net import messages
+from agatepick.owning import jobs
+from agatepick.owning import ownership
 from agatepick import types
 
 FORGET_SECONDS = 1.0
--- a/src/agatepick/platform/announcements.py
+++ b/src/agatepick/platform/announcements.py
@@ -5,9 +5,9 @@
 import msgspec
 from tornado import web
 
-from agatepick import logs
 from agatepick.platform import worker
 from agatepick.repeatable import workerapi
+from agatepick.telemetry import logs
 from agatepick import types
 
 LOG = logs.logger(__name__)
--- a/src/agatepick/platform/desired.py
+++ b/src/agatepick/platform/desired.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from agatepick import logs
 from agatepick.platform import following
 from agatepick.repeatable import events
 from agatepick.repeatable import routes
+from agatepick.telemetry import logs
 
 LOG = logs.logger(__name__)
 
--- a/src/agatepick/platform/following.py
+++ b/src/agatepick/platform/following.py
@@ -5,8 +5,8 @@
 import typing
 
 from agatepick import exceptions
-from agatepick import logs
 from agatepick.platform import rows
+from agatepick.telemetry import logs
 
 LOG = logs.logger(__name__)
 
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -9,11 +9,11 @@
 import msgspec
 from tornado import web
 
-from agatepick import logs
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
 from agatepick.repeatable import routes
+from agatepick.telemetry import logs
 from agatepick import types
 
 LOG = logs.logger(__name__)
--- a/src/agatepick/platform/members.py
+++ b/src/agatepick/platform/members.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from agatepick import exceptions
-from agatepick import logs
 from agatepick.platform import following
 from agatepick.platform import rows
 from agatepick.repeatable import events
+from agatepick.telemetry import logs
 
 LOG = logs.logger(__name__)
 
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -12,7 +12,6 @@
 from tornado import web
 
 from agatepick import exceptions
-from agatepick import logs
 from agatepick.platform import announcements
 from agatepick.platform import desired
 from agatepick.platform import following
@@ -27,6 +26,7 @@
 from agatepick.repeatable import measures
 from agatepick.repeatable import process
 from agatepick.repeatable import workerapi
+from agatepick.telemetry import logs
 
 LOG = logs.logger(__name__)
 
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -10,9 +10,9 @@
 import aiohttp
 import msgspec
 
-from agatepick import logs
 from agatepick.platform import rows
 from agatepick.repeatable import workerapi
+from agatepick.telemetry import logs
 from agatepick import types
 
 LOG = logs.logger(__name__)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -9,7 +9,7 @@
 import typing
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import events
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -10,7 +10,7 @@
 import typing
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import admitting
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
--- a/src/agatepick/repeatable/estimating.py
+++ b/src/agatepick/repeatable/estimating.py
@@ -8,7 +8,7 @@
 
 import statistics
 
-from agatepick import estimates
+from agatepick.decisions import estimates
 from agatepick.repeatable import jobs
 from agatepick import types
 
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import jobs
 from agatepick import types
 
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -10,7 +10,7 @@
 import math
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import estimating
 from agatepick.repeatable import owned
 from agatepick.repeatable import pool
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -15,7 +15,7 @@
 import statistics
 import typing
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import leases
 from agatepick import types
 
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -12,13 +12,13 @@
 
 from tornado import netutil
 
-from agatepick import clocks
 from agatepick import core
-from agatepick import links
-from agatepick import logs
-from agatepick import messages
+from agatepick.net import clocks
+from agatepick.net import links
+from agatepick.net import messages
 from agatepick.repeatable import measures
-from agatepick import shell
+from agatepick.runtime import shell
+from agatepick.telemetry import logs
 from agatepick import types
 
 _INCARNATION_BITS = 63
--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -9,7 +9,7 @@
 import typing
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import runs
 from agatepick import types
 
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick import types
 
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -15,7 +15,7 @@
 
 import dataclasses
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 GRANT_SECONDS = 0.05
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -1,7 +1,7 @@
 """What entries are told of the worker and of its room."""
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 
--- /dev/null
+++ b/src/agatepick/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Whole processes: a reducer with its shell, links and signals."""
--- a/src/agatepick/daemons.py
+++ b/src/agatepick/runtime/daemons.py
@@ -11,16 +11,16 @@
 
 import uuid_utils
 
-from agatepick import commands
+from agatepick.agentside import upstream
+from agatepick.cmd import commands
+from agatepick.conf import settings
 from agatepick import exceptions
-from agatepick import logs
-from agatepick import processes
-from agatepick import settings
-from agatepick import standin_table
-from agatepick import standin_upstream
-from agatepick import tls
+from agatepick.net import tls
+from agatepick.runtime import processes
+from agatepick.standins import standin_table
+from agatepick.standins import standin_upstream
+from agatepick.telemetry import logs
 from agatepick import types
-from agatepick import upstream
 
 LOG = logging.getLogger(__name__)
 
--- a/src/agatepick/processes.py
+++ b/src/agatepick/runtime/processes.py
@@ -14,33 +14,33 @@
 from tornado import httpserver
 from tornado import netutil
 
-from agatepick import agent
-from agatepick import announce
-from agatepick import callers
-from agatepick import calls
-from agatepick import clocks
-from agatepick import configuration
+from agatepick.agentside import agent
+from agatepick.agentside import announce
+from agatepick.agentside import httpupstream
+from agatepick.agentside import upstream
+from agatepick.api import callers
+from agatepick.api import calls
+from agatepick.api import operators
+from agatepick.api import web
+from agatepick.conf import settings
+from agatepick.config import configuration
+from agatepick.config import readlease
 from agatepick import core
-from agatepick import dispatch
-from agatepick import entry
+from agatepick.decisions import dispatch
+from agatepick.decisions import placement
 from agatepick import exceptions
-from agatepick import httpupstream
-from agatepick import links
-from agatepick import messages
-from agatepick import metrics
-from agatepick import operators
-from agatepick import owner
-from agatepick import placement
-from agatepick import readlease
-from agatepick import settings
-from agatepick import shell
-from agatepick import store
-from agatepick import tablestore
-from agatepick import timeline
-from agatepick import tls
+from agatepick.net import clocks
+from agatepick.net import links
+from agatepick.net import messages
+from agatepick.net import tls
+from agatepick.owning import entry
+from agatepick.owning import owner
+from agatepick.runtime import shell
+from agatepick.table import store
+from agatepick.table import tablestore
+from agatepick.telemetry import metrics
+from agatepick.telemetry import timeline
 from agatepick import types
-from agatepick import upstream
-from agatepick import web
 
 LOG = logging.getLogger(__name__)
 
--- a/src/agatepick/shell.py
+++ b/src/agatepick/runtime/shell.py
@@ -11,7 +11,7 @@
 import typing
 
 from agatepick import core
-from agatepick import links
+from agatepick.net import links
 from agatepick import types
 
 LOG = logging.getLogger(__name__)
--- /dev/null
+++ b/src/agatepick/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for a walk on one machine."""
--- a/src/agatepick/standin_table.py
+++ b/src/agatepick/standins/standin_table.py
@@ -16,8 +16,8 @@
 import tornado.web
 
 from agatepick import exceptions
-from agatepick import ratelimit
-from agatepick import store
+from agatepick.table import ratelimit
+from agatepick.table import store
 
 READS_PER_SECOND = 2000.0
 WRITES_PER_SECOND = 400.0
--- a/src/agatepick/standin_upstream.py
+++ b/src/agatepick/standins/standin_upstream.py
@@ -16,10 +16,10 @@
 import tornado.netutil
 import tornado.web
 
-from agatepick import announce
-from agatepick import httpupstream
+from agatepick.agentside import announce
+from agatepick.agentside import httpupstream
+from agatepick.agentside import upstream
 from agatepick import types
-from agatepick import upstream
 
 REASON_FAULT = 'standin_fault'
 REASON_STOPPED = 'stopped'
@@ -147,7 +147,7 @@
 
 
 class LocalUpstream:
-    """An :class:`~agatepick.upstream.Upstream` in the agent's own process.
+    """An :class:`.upstream.Upstream` in the agent's own process.
 
     :param feed: takes the agent's events.
     """
--- a/src/agatepick/tablestore.py
+++ b/src/agatepick/table/tablestore.py
@@ -16,10 +16,10 @@
 import tornado.httpclient
 import tornado.simple_httpclient
 
-from agatepick import breaker
 from agatepick import exceptions
-from agatepick import ratelimit
-from agatepick import store
+from agatepick.table import breaker
+from agatepick.table import ratelimit
+from agatepick.table import store
 
 BACKOFF_SECONDS = 0.02
 BACKOFF_MAX_SECONDS = 0.5
--- /dev/null
+++ b/src/agatepick/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What can be seen: the time line, logs and metrics."""
--- a/src/agatepick/metrics.py
+++ b/src/agatepick/telemetry/metrics.py
@@ -10,8 +10,8 @@
 
 import statsd
 
+from agatepick.conf import settings
 from agatepick import core
-from agatepick import settings
 
 
 class Kind(enum.StrEnum):
--- a/src/agatepick/timeline.py
+++ b/src/agatepick/telemetry/timeline.py
@@ -17,8 +17,8 @@
 
 from agatepick import core
 from agatepick import exceptions
-from agatepick import logs
-from agatepick import messages
+from agatepick.net import messages
+from agatepick.telemetry import logs
 from agatepick import types
 
 MICROSECONDS = 1_000_000
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -1,10 +1,10 @@
 """An agent under test: entries to play, messages to build, what it sent."""
 
-from agatepick import agent
+from agatepick.agentside import agent
+from agatepick.agentside import upstream
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
-from agatepick import upstream
 
 NOW = 1_800_000_000.0
 CAPACITY = types.Needs(8.0, 1024, 1)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,17 +9,17 @@
 import tornado.httpclient
 import tornado.netutil
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
-from agatepick import bench_plan
-from agatepick import bench_truth
-from agatepick import callers
-from agatepick import calls
-from agatepick import dispatch
-from agatepick import messages
-from agatepick import settings
+from agatepick.api import callers
+from agatepick.api import calls
+from agatepick.api import web
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_truth
+from agatepick.conf import settings
+from agatepick.decisions import dispatch
+from agatepick.net import messages
 from agatepick import types
-from agatepick import web
 
 NOW = 1_700_000_000.0
 OPERATOR = 'operator-token-0123'
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -10,7 +10,7 @@
 import random
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import agent
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -12,19 +12,19 @@
 import json
 import random
 
-from agatepick import agent
-from agatepick import calls
-from agatepick import cluster
-from agatepick import configuration
+from agatepick.agentside import agent
+from agatepick.agentside import upstream
+from agatepick.api import calls
+from agatepick.config import cluster
+from agatepick.config import configuration
 from agatepick import core
-from agatepick import dispatch
-from agatepick import entry
+from agatepick.decisions import dispatch
 from agatepick import exceptions
-from agatepick import messages
-from agatepick import standin_table
-from agatepick import store
+from agatepick.net import messages
+from agatepick.owning import entry
+from agatepick.standins import standin_table
+from agatepick.table import store
 from agatepick import types
-from agatepick import upstream
 
 START = 1_800_000_000.0
 NETWORK = 0.001
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-from agatepick import admission
+from agatepick.decisions import admission
 from agatepick import types
 
 ONE = admission.Demand(tasks=10, work=5.0, typical=0.5, longest=1.0)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,10 +2,10 @@
 from hypothesis import strategies as st
 import pytest
 
+from agatepick.agentside import upstream
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
-from agatepick import upstream
 from tests import agents
 
 KEY = agents.key()
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -7,10 +7,10 @@
 import tornado.httpclient
 import tornado.netutil
 
-from agatepick import announce
-from agatepick import settings
+from agatepick.agentside import announce
+from agatepick.agentside import upstream
+from agatepick.conf import settings
 from agatepick import types
-from agatepick import upstream
 
 GOOD = {
     'session': 's1',
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 import pytest
 
-from agatepick import agent
+from agatepick.agentside import agent
+from agatepick.agentside import ledger
+from agatepick.agentside import upstream
 from agatepick import core
-from agatepick import ledger
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
-from agatepick import upstream
 from tests import agents
 
 OWNER = 'owner'
--- a/tests/test_bench_arrivals.py
+++ b/tests/test_bench_arrivals.py
@@ -1,7 +1,7 @@
 import pytest
 
-from agatepick import bench_arrivals
-from agatepick import bench_plan
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_plan
 
 LECTORES = bench_plan.DEPLOYMENTS['lectores']
 
--- a/tests/test_bench_ideal.py
+++ b/tests/test_bench_ideal.py
@@ -1,8 +1,8 @@
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_ideal
-from agatepick import bench_plan
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_ideal
+from agatepick.bench import bench_plan
 
 ONE_SLOT = dataclasses.replace(
     bench_plan.DEPLOYMENTS['lectores'], workers=1, slots=1
--- a/tests/test_bench_measures.py
+++ b/tests/test_bench_measures.py
@@ -1,7 +1,7 @@
 import pytest
 
-from agatepick import bench_evidence
-from agatepick import bench_measures
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_measures
 from agatepick import types
 
 
--- a/tests/test_bench_report.py
+++ b/tests/test_bench_report.py
@@ -1,8 +1,8 @@
 import json
 
-from agatepick import bench_evidence
-from agatepick import bench_ideal
-from agatepick import bench_report
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_ideal
+from agatepick.bench import bench_report
 from agatepick import types
 
 
--- a/tests/test_bench_run.py
+++ b/tests/test_bench_run.py
@@ -1,9 +1,9 @@
 import asyncio
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_plan
-from agatepick import bench_run
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_run
 
 
 def test_a_whole_installation_answers_every_job_and_breaks_no_promise():
--- a/tests/test_bench_truth.py
+++ b/tests/test_bench_truth.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from agatepick import bench_evidence
-from agatepick import bench_truth
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_truth
 from agatepick import types
 
 CLEAN = bench_truth.Truth(0, 0, 0, 0, 0, 0)
--- a/tests/test_bench_upstream.py
+++ b/tests/test_bench_upstream.py
@@ -1,11 +1,11 @@
 import asyncio
 import math
 
-from agatepick import bench_arrivals
-from agatepick import bench_callers
-from agatepick import bench_truth
-from agatepick import bench_upstream
-from agatepick import standin_upstream
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_callers
+from agatepick.bench import bench_truth
+from agatepick.bench import bench_upstream
+from agatepick.standins import standin_upstream
 from agatepick import types
 
 KEY = '01900000-0000-7000-8000-000000000000'
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from agatepick import callers
-from agatepick import ownership
+from agatepick.api import callers
+from agatepick.owning import ownership
 from agatepick import types
 from tests import conftest
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from agatepick import calls
+from agatepick.api import calls
 from agatepick import exceptions
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from agatepick import capacity
-from agatepick import slopes
+from agatepick.capacity import capacity
+from agatepick.capacity import slopes
 
 DOCS = pathlib.Path(__file__).parents[1] / 'docs'
 LINES = {
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from agatepick import callers
-from agatepick import calls
+from agatepick.api import callers
+from agatepick.api import calls
+from agatepick.api import operators
 from agatepick import cli
-from agatepick import cluster
-from agatepick import command_tree
+from agatepick.cmd import command_tree
+from agatepick.config import cluster
 from agatepick import exceptions
-from agatepick import operators
 from agatepick import types
 from tests import conftest
 from tests import test_operators
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from agatepick import client
+from agatepick.cmd import client
 from agatepick import exceptions
 from agatepick import types
 
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -1,4 +1,4 @@
-from agatepick import clocks
+from agatepick.net import clocks
 
 
 def test_the_clock_counts_on_from_its_start_and_ignores_steps(monkeypatch):
--- a/tests/test_clockwatch.py
+++ b/tests/test_clockwatch.py
@@ -1,6 +1,6 @@
-from agatepick import clockwatch
-from agatepick import links
-from agatepick import messages
+from agatepick.config import clockwatch
+from agatepick.net import links
+from agatepick.net import messages
 
 NOW = 1_800_000_000.0
 MARGIN = 0.25
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,6 +1,6 @@
 import pytest
 
-from agatepick import cluster
+from agatepick.config import cluster
 from agatepick import exceptions
 
 
--- a/tests/test_cluster_properties.py
+++ b/tests/test_cluster_properties.py
@@ -3,7 +3,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from agatepick import cluster
+from agatepick.config import cluster
 from tests import virtual_cluster
 
 NAMES = st.sampled_from('xyz')
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from agatepick import cluster
+from agatepick.config import cluster
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from tests import virtual_cluster
 
 RULES = virtual_cluster.RULES
--- a/tests/test_deaths.py
+++ b/tests/test_deaths.py
@@ -1,9 +1,9 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from agatepick import deaths
-from agatepick import messages
-from agatepick import ownership
+from agatepick.net import messages
+from agatepick.owning import deaths
+from agatepick.owning import ownership
 
 NOW = 1_800_000_000.0
 SKEW = 2.0
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,10 +1,10 @@
 import dataclasses
 
-from agatepick import bench_arrivals
-from agatepick import bench_evidence
-from agatepick import bench_plan
-from agatepick import bench_truth
-from agatepick import demo
+from agatepick.bench import bench_arrivals
+from agatepick.bench import bench_evidence
+from agatepick.bench import bench_plan
+from agatepick.bench import bench_truth
+from agatepick.cmd import demo
 from agatepick import types
 
 LOAD = bench_arrivals.plan(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from agatepick import dispatch
-from agatepick import messages
-from agatepick import presets
+from agatepick.decisions import dispatch
+from agatepick.decisions import presets
+from agatepick.net import messages
 from agatepick import types
 from tests import playing
 
--- a/tests/test_entries_and_agents.py
+++ b/tests/test_entries_and_agents.py
@@ -8,18 +8,18 @@
 from hypothesis import strategies as st
 import pytest
 
-from agatepick import agent
-from agatepick import calls
-from agatepick import cluster
-from agatepick import configuration
+from agatepick.agentside import agent
+from agatepick.agentside import upstream
+from agatepick.api import calls
+from agatepick.config import cluster
+from agatepick.config import configuration
+from agatepick.config import permits
 from agatepick import core
-from agatepick import dispatch
-from agatepick import entry
-from agatepick import messages
-from agatepick import permits
-from agatepick import takeover
+from agatepick.decisions import dispatch
+from agatepick.net import messages
+from agatepick.owning import entry
+from agatepick.owning import takeover
 from agatepick import types
-from agatepick import upstream
 from tests import agents
 from tests import test_at_most_once
 
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -1,6 +1,6 @@
 import random
 
-from agatepick import estimates
+from agatepick.decisions import estimates
 from agatepick import types
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from agatepick import client
-from agatepick import settings_files
+from agatepick.cmd import client
+from agatepick.conf import settings_files
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 FILES = sorted(EXAMPLES.rglob('*.toml'))
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,7 +1,7 @@
 import pytest
 
 from agatepick import cli
-from agatepick import explain
+from agatepick.cmd import explain
 
 ENTRY = (
     'time=10.000000 level=info process=e event=job_admitted job=a1 queue=q '
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,13 +8,13 @@
 import hypothesis
 from hypothesis import strategies
 
+from agatepick.api import job_bodies
+from agatepick.api import web
 from agatepick import core
 from agatepick import exceptions
-from agatepick import job_bodies
-from agatepick import links
-from agatepick import messages
+from agatepick.net import links
+from agatepick.net import messages
 from agatepick import types
-from agatepick import web
 from tests import conftest
 
 TASK = {'id': 'a', 'kind': 'slot'}
--- a/tests/test_httpupstream.py
+++ b/tests/test_httpupstream.py
@@ -3,12 +3,12 @@
 import tornado.httpserver
 import tornado.netutil
 
-from agatepick import announce
-from agatepick import httpupstream
-from agatepick import settings
-from agatepick import standin_upstream
+from agatepick.agentside import announce
+from agatepick.agentside import httpupstream
+from agatepick.agentside import upstream
+from agatepick.conf import settings
+from agatepick.standins import standin_upstream
 from agatepick import types
-from agatepick import upstream
 from tests import agents
 from tests import test_standin_upstream
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,4 +1,4 @@
-from agatepick import jobs
+from agatepick.owning import jobs
 from agatepick import types
 
 NOW = 1_800_000_000.0
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,5 +1,5 @@
-from agatepick import ledger
-from agatepick import messages
+from agatepick.agentside import ledger
+from agatepick.net import messages
 from agatepick import types
 from tests import agents
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,8 +5,8 @@
 import pytest
 
 from agatepick import core
-from agatepick import links
-from agatepick import messages
+from agatepick.net import links
+from agatepick.net import messages
 
 
 class WallClock:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,7 +3,7 @@
 import os
 
 from agatepick import core
-from agatepick import logs
+from agatepick.telemetry import logs
 
 
 def test_each_event_is_one_line_of_pairs():
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,7 +6,7 @@
 import pytest
 
 from agatepick import exceptions
-from agatepick import messages
+from agatepick.net import messages
 from agatepick import types
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from agatepick.conf import settings
 from agatepick import core
-from agatepick import metrics
-from agatepick import settings
+from agatepick.telemetry import metrics
 
 PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'metrics.md'
 
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -1,11 +1,11 @@
 import json
 import re
 
-from agatepick import callers
-from agatepick import openapi
-from agatepick import operators
+from agatepick.api import callers
+from agatepick.api import openapi
+from agatepick.api import operators
+from agatepick.api import web
 from agatepick import types
-from agatepick import web
 
 METHODS = ('get', 'post', 'put', 'delete')
 JOB = {'team': 'talca', 'tasks': [{'id': 'a', 'kind': 'slot'}]}
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from agatepick import calls
-from agatepick import cluster
-from agatepick import operators
+from agatepick.api import calls
+from agatepick.api import operators
+from agatepick.config import cluster
 from tests import conftest
 
 TOKEN = {'Authorization': f'Bearer {conftest.OPERATOR}'}
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -1,4 +1,4 @@
-from agatepick import outliers
+from agatepick.decisions import outliers
 
 
 def _known(number, share=0.3):
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from agatepick import calls
-from agatepick import cluster
+from agatepick.api import calls
+from agatepick.config import cluster
+from agatepick.config import permits
 from agatepick import core
-from agatepick import dispatch
-from agatepick import jobs
-from agatepick import messages
-from agatepick import owner
-from agatepick import ownership
-from agatepick import permits
+from agatepick.decisions import dispatch
+from agatepick.net import messages
+from agatepick.owning import jobs
+from agatepick.owning import owner
+from agatepick.owning import ownership
 from agatepick import types
 from tests import agents
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,8 +5,8 @@
 import pytest
 
 from agatepick import exceptions
-from agatepick import messages
-from agatepick import ownership
+from agatepick.net import messages
+from agatepick.owning import ownership
 
 NOW = 1_800_000_000.0
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from agatepick import placement
+from agatepick.decisions import placement
 from agatepick import types
 
 KIND = placement.Requirement('k', types.Needs(), ())
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import pool
 from agatepick import types
 
--- a/tests/test_presets.py
+++ b/tests/test_presets.py
@@ -1,6 +1,6 @@
 import dataclasses
 
-from agatepick import presets
+from agatepick.decisions import presets
 
 
 def test_presets_change_what_their_text_says():
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,7 +2,7 @@
 
 import uuid_utils
 
-from agatepick import commands
+from agatepick.cmd import commands
 from tests import whole
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies
 
 from agatepick import core
-from agatepick import messages
-from agatepick import quotas
+from agatepick.decisions import quotas
+from agatepick.net import messages
 
 QUOTA = 10
 NAMES = ('e0', 'e1', 'e2')
--- a/tests/test_readlease.py
+++ b/tests/test_readlease.py
@@ -1,7 +1,7 @@
 import math
 
-from agatepick import cluster
-from agatepick import readlease
+from agatepick.config import cluster
+from agatepick.config import readlease
 
 RULES = readlease.Rules(fence=3.0, margin=0.25)
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,9 +3,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from agatepick import presets
-from agatepick import queues
-from agatepick import retries
+from agatepick.decisions import presets
+from agatepick.decisions import queues
+from agatepick.decisions import retries
 
 
 def _budget():
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 import pytest
 
-from agatepick import cluster
+from agatepick.config import cluster
 from agatepick import types
 from tests import sessions
 
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -1,8 +1,8 @@
 import pytest
 
+from agatepick.conf import settings
+from agatepick.conf import settings_files
 from agatepick import exceptions
-from agatepick import settings
-from agatepick import settings_files
 
 GOOD = """
 [process]
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,4 +1,4 @@
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import sharing
 from agatepick import types
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from agatepick.capacity import slopes
+from agatepick.capacity import slopes_process
 from agatepick import exceptions
-from agatepick import slopes
-from agatepick import slopes_process
 
 SUBJECT = slopes.Subject('bytes', 'agents', 'B/s', 'wire')
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,8 +1,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from agatepick import ledger
-from agatepick import slots
+from agatepick.agentside import ledger
+from agatepick.agentside import slots
 
 A, B, C = (ledger.Owner(name, 1) for name in 'abc')
 
--- a/tests/test_standin_upstream.py
+++ b/tests/test_standin_upstream.py
@@ -1,8 +1,8 @@
 import asyncio
 
-from agatepick import standin_upstream
+from agatepick.agentside import upstream
+from agatepick.standins import standin_upstream
 from agatepick import types
-from agatepick import upstream
 from tests import agents
 
 
--- a/tests/test_tablestore.py
+++ b/tests/test_tablestore.py
@@ -1,11 +1,11 @@
 import asyncio
 import random
 
-from agatepick import breaker
 from agatepick import exceptions
-from agatepick import standin_table
-from agatepick import store
-from agatepick import tablestore
+from agatepick.standins import standin_table
+from agatepick.table import breaker
+from agatepick.table import store
+from agatepick.table import tablestore
 
 PUT = store.Transact(
     (store.Condition('t', 'k', None),), (store.Row('t', 'k', b'\xff'),)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,11 +4,11 @@
 import pytest
 import uuid_utils
 
-from agatepick import jobs
-from agatepick import ledger
-from agatepick import messages
-from agatepick import ownership
-from agatepick import takeover
+from agatepick.agentside import ledger
+from agatepick.net import messages
+from agatepick.owning import jobs
+from agatepick.owning import ownership
+from agatepick.owning import takeover
 from agatepick import types
 from tests import agents
 from tests import whole
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -1,7 +1,7 @@
 import pytest
 
 from agatepick import core
-from agatepick import messages
+from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -4,7 +4,7 @@
 
 from agatepick import core
 from agatepick import exceptions
-from agatepick import timeline
+from agatepick.telemetry import timeline
 from tests import conftest
 from tests import whole
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -12,16 +12,16 @@
 from cryptography.x509 import oid
 import pytest
 
-from agatepick import client
-from agatepick import clocks
+from agatepick.agentside import upstream
+from agatepick.cmd import client
+from agatepick.conf import settings
 from agatepick import exceptions
-from agatepick import processes
-from agatepick import settings
-from agatepick import standin_table
-from agatepick import standin_upstream
-from agatepick import tls
+from agatepick.net import clocks
+from agatepick.net import tls
+from agatepick.runtime import processes
+from agatepick.standins import standin_table
+from agatepick.standins import standin_upstream
 from agatepick import types
-from agatepick import upstream
 
 LOOPBACK = x509.IPAddress(ipaddress.ip_address('127.0.0.1'))
 START = datetime.datetime(2020, 1, 1)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,5 +1,5 @@
-from agatepick import cluster
-from agatepick import zones
+from agatepick.config import cluster
+from agatepick.decisions import zones
 
 
 def test_a_zone_that_never_left_has_all_its_slots():
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -9,14 +9,14 @@
 import itertools
 import random
 
-from agatepick import cluster
-from agatepick import configuration
+from agatepick.config import cluster
+from agatepick.config import configuration
+from agatepick.config import readlease
 from agatepick import core
 from agatepick import exceptions
-from agatepick import messages
-from agatepick import readlease
-from agatepick import standin_table
-from agatepick import store
+from agatepick.net import messages
+from agatepick.standins import standin_table
+from agatepick.table import store
 
 START = 1_000.0
 RULES = readlease.Rules()
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -7,13 +7,13 @@
 
 from tornado import httpclient
 
-from agatepick import clocks
-from agatepick import processes
-from agatepick import settings
-from agatepick import standin_table
-from agatepick import standin_upstream
+from agatepick.agentside import upstream
+from agatepick.conf import settings
+from agatepick.net import clocks
+from agatepick.runtime import processes
+from agatepick.standins import standin_table
+from agatepick.standins import standin_upstream
 from agatepick import types
-from agatepick import upstream
 
 ANY_PORT = '127.0.0.1:0'
 PLAIN = settings.Tls(enabled=False)
