Name the cause of late answers, and check the page of events

Change: job_ended tells when the job began, and late counts from the end of its objective by its expected seconds; explain names what held it up; a test compares the page with the code.

--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -32,6 +32,17 @@
 }
 """What each reason in the log means, for people."""
 
+DELAYS = {
+    'run_failed': 'a task failed and ran again elsewhere',
+    'run_stuck': 'a task took too long at a worker and was moved',
+    'start_unanswered': 'a worker left a start without an answer',
+    'run_over': 'a run ended without its own doing and was done again',
+    'run_unrenewed': 'its entry renewed too late, and runs were ended',
+}
+"""Events that hold a job up that ends well all the same."""
+
+_ORPHANED = ('run_unrenewed', 'run_abandoned')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
@@ -72,15 +83,47 @@
 
 
 def cause(found: list[Line]) -> str:
-    """Why the request ended as it did."""
+    """Why the request ended as it did, or ended late."""
     ends = [line for line in found if line.event in _ENDS]
     if not ends:
-        return 'no end was logged: its entry was lost, or the log is cut off'
-    reason = ends[-1].fields.get('reason', '')
+        return _lost(found)
+    end = ends[-1].fields
+    reason = end.get('reason', '')
+    if end.get('verdict') == 'complete' and _number(end, 'late') > 0.0:
+        return f'late by {end["late"]} s: {_delay(found, end)}'
     known = CAUSES.get(reason, 'not a reason known here')
     return f'{reason}: {known}'
 
 
+def _lost(found: list[Line]) -> str:
+    text = 'no end was logged: its entry was lost, or the log is cut off'
+    ended = [line for line in found if line.event in _ORPHANED]
+    if not ended:
+        return text
+    agents = ', '.join(sorted({line.process for line in ended}))
+    return f'{text}; its runs were ended by {agents}'
+
+
+def _delay(found: list[Line], end: dict[str, str]) -> str:
+    """What held a job up that ended well."""
+    for line in found:
+        if line.event in DELAYS:
+            where = line.fields.get('peer', line.process)
+            return f'{line.event} ({where}): {DELAYS[line.event]}'
+    begun = [line for line in found if line.event == 'job_admitted']
+    slack = _number(begun[-1].fields, 'slack') if begun else 0.0
+    if _number(end, 'began') > slack:
+        return f'it waited {end["began"]} s for room, its slack was {slack} s'
+    return 'its tasks took longer than expected'
+
+
+def _number(fields: dict[str, str], name: str) -> float:
+    try:
+        return float(fields.get(name, ''))
+    except ValueError:
+        return 0.0
+
+
 def explain(job: str, files: tuple[str, ...]) -> commands.Output:
     """The story of a request, from files or standard input."""
     found: list[Line] = []
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -178,7 +178,7 @@
             )
         longest = self._estimator.longest(spec)
         job = owned.OwnedJob(
-            event.call, spec, now, self._admission.latest(spec, now)
+            event.call, spec, now, self._admission.latest(spec, now), longest
         )
         self._calls[event.call] = job
         self._jobs[spec.key] = job
@@ -288,7 +288,8 @@
                 verdict=answer.verdict.value,
                 reason=answer.reason or 'done',
                 seconds=f'{now - job.arrived_at:.3f}',
-                late=f'{now - job.latest:.3f}',
+                began=_passed(job.arrived_at, job.begun_at),
+                late=f'{now - job.ends_by:.3f}',
             ),
             *[events.Reply(call, answer) for call in job.calls],
         ]
@@ -597,3 +598,8 @@
             return effects
         self._done = True
         return [*effects, core.Exit()]
+
+
+def _passed(since: float, until: float | None) -> str:
+    """Seconds between two instants; ``never`` if there is no second one."""
+    return 'never' if until is None else f'{until - since:.3f}'
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -48,20 +48,29 @@
 class OwnedJob:
     """One job until its answer is given, and until its runs are over.
 
+    :ivar latest: instant at which it must begin to end in its objective.
+    :ivar ends_by: end of its objective, by its expected seconds.
+    :ivar begun_at: when its first task was sent to a worker.
     :ivar calls: requests that wait for its answer; more than one if a caller
         handed it in again.
     """
 
     def __init__(
-        self, call: int, spec: jobs.Job, now: float, latest: float
+        self,
+        call: int,
+        spec: jobs.Job,
+        now: float,
+        latest: float,
+        expected: float,
     ) -> None:
         self.calls = [call]
         self.spec = spec
         self.arrived_at = now
         self.latest = latest
+        self.ends_by = latest + expected
         self.records = [TaskRecord() for _ in spec.tasks]
         self.waiting: collections.deque[int] = collections.deque()
-        self.begun = False
+        self.begun_at: float | None = None
         self.answered = False
         self.open = len(spec.tasks)
         self.seconds: dict[int, list[float]] = {}
@@ -69,6 +78,16 @@
         for task in spec.tasks:
             self._left[task.step] += 1
 
+    @property
+    def begun(self) -> bool:
+        """Whether any task may have started."""
+        return self.begun_at is not None
+
+    def begin(self, now: float) -> None:
+        """A task of it is sent to a worker."""
+        if self.begun_at is None:
+            self.begun_at = now
+
     def ref(self, index: int) -> messages.RunRef:
         """Names the last run of a task."""
         return messages.RunRef(self.spec.key, index, self.records[index].run)
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -139,7 +139,7 @@
         record.run += 1
         record.placed_at = now
         record.stopping = False
-        job.begun = True
+        job.begin(now)
         worker.bind((job.spec.key, index), record.run, task.needs)
         self._sends.setdefault(worker.name, []).append(
             messages.RunSpec(
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -43,6 +43,43 @@
     assert explain.cause(found).startswith(text)
 
 
+def late(began, *more):
+    """A job that ended well, and what was logged besides."""
+    return [
+        'time=1.0 level=info process=e event=job_admitted job=d4 slack=0.1\n',
+        *more,
+        'time=1.8 level=info process=e event=job_ended job=d4 '
+        f'verdict=complete reason=done began={began} late=0.3\n',
+    ]
+
+
+STUCK = 'time=1.5 level=info process=e event=run_stuck job=d4 peer=w\n'
+
+
+@pytest.mark.parametrize(
+    ('lines', 'text'),
+    [
+        (late('0.4'), 'it waited 0.4 s for room, its slack was 0.1 s'),
+        (late('0.0', STUCK), 'run_stuck (w): a task took too long'),
+        (late('0.0'), 'its tasks took longer than expected'),
+    ],
+)
+def test_the_cause_of_a_late_answer_is_named(lines, text):
+    """All tasks ended well, but the caller waited in vain."""
+    found = explain.cause(explain.story(lines, 'd4'))
+    assert found.startswith('late by 0.3 s: ')
+    assert text in found
+
+
+def test_the_agents_that_ended_a_lost_entry_s_runs_are_named():
+    lines = [
+        *ENTRY,
+        'time=11.0 level=info process=w event=run_abandoned job=c3 index=0\n',
+    ]
+    found = explain.cause(explain.story(lines, 'c3'))
+    assert found.endswith('its runs were ended by w')
+
+
 def test_the_command_reads_logs_of_all_processes(tmp_path, capsys):
     for name, lines in (('e.log', ENTRY), ('w.log', AGENT)):
         (tmp_path / name).write_text(''.join(lines))
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,24 @@
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CALLS = (
+    r"(?:core\.note|run_note)\(\s*'(\w+)'",
+    r"logs\.(?:info|warning)\(\s*LOG,\s*'(\w+)'",
+)
+
+BUILT = {'run_failed', 'run_over', 'lines_dropped'}
+"""Events whose names the code puts together or writes by itself."""
+
+
+def test_the_page_lists_each_event_that_the_programs_log():
+    """An engineer looks an event up and must find it, and no dead one."""
+    found = set(BUILT)
+    for package in ('repeatable', 'platform'):
+        for path in (ROOT / 'src' / 'agatepick' / package).glob('*.py'):
+            for call in CALLS:
+                found |= set(re.findall(call, path.read_text()))
+    found.discard('run_')
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    listed = set(re.findall(r'`(\w+)`', page.partition('## Events')[2]))
+    assert listed == found
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -39,7 +39,7 @@
         after=(frozenset(),),
         deadline=NOW + 10.0,
     )
-    job = owned.OwnedJob(1, spec, NOW, latest)
+    job = owned.OwnedJob(1, spec, NOW, latest, 0.1)
     job.release()
     return job
 
