Give an entry's graceful stop a module of its own

Cause: the stop's rules lay in four places of a reducer of 600 lines. Change: stopping.py holds what a stopping entry takes, when it gives up and when it ends; nothing else changes.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -19,6 +19,7 @@
 from agatepick.repeatable import placing
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
+from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
 from agatepick import types
 
@@ -38,21 +39,6 @@
 GONE_SECONDS = 10.0
 """An agent away for so long is forgotten."""
 
-STOP_STRETCH = 1.6
-"""Times its expected seconds that a job is given when a stopping entry takes
-it: callers keep using open connections, and what is taken must be answered
-before the process is killed after 6 s."""
-
-STOP_SPARE_SECONDS = 0.3
-"""Time beyond that for waiting and the way to the worker and back."""
-
-STOP_MIN_SECONDS = 2.5
-"""How long a stopping entry serves on: the balancer asks once a second and
-takes it out of rotation after two misses."""
-
-STOP_GIVE_UP_SECONDS = 5.2
-"""When a stopping entry answers what hasn't ended: may be tried again."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryConfig:
@@ -84,8 +70,7 @@
         self._placed_at = 0.0
         self._gone_at: dict[types.PeerName, float] = {}
         self._past: list[pool.Worker] = []
-        self._stopping_at: float | None = None
-        self._done = False
+        self._stopping = stopping.Stopping()
         self.routes: routes.RouteTable | None = None
         self._handlers: dict[type, core.Handler] = {
             core.Received: self._on_received,
@@ -130,14 +115,14 @@
         An entry that is cut off from all workers can serve nobody, and its
         callers would be better off at another.
         """
-        if self.routes is None or self._stopping_at is not None:
+        if self.routes is None or self._stopping.begun:
             return False
         return any(worker.usable(now) for worker in self._pool)
 
     @property
     def stopping(self) -> bool:
         """Whether the process was asked to stop."""
-        return self._stopping_at is not None
+        return self._stopping.begun
 
     def knows(self, key: types.JobKey) -> bool:
         """Whether a job is owned here and hasn't been answered."""
@@ -165,7 +150,8 @@
             return [core.note('job_rejoined', job=spec.key)]
         if known is not None:
             return self._refuse_call(event.call, spec, 'ending', 1.0)
-        if not self._ends_before_stop(spec, now):
+        longest = self._estimator.longest(spec)
+        if not self._stopping.takes(longest, now):
             return self._refuse_call(event.call, spec, 'stopping', 1.0)
         refusal = self._admission.refusal(spec, now)
         if refusal is not None:
@@ -176,7 +162,6 @@
                 refusal.retry_after,
                 refusal.load,
             )
-        longest = self._estimator.longest(spec)
         job = owned.OwnedJob(
             event.call, spec, now, self._admission.latest(spec, now), longest
         )
@@ -195,17 +180,6 @@
             )
         ]
 
-    def _ends_before_stop(self, spec: jobs.Job, now: float) -> bool:
-        if self._stopping_at is None:
-            return True
-        if self._done:
-            # The process ends any moment, and with it what it would take:
-            # the caller would get an error and not know whether it ran.
-            return False
-        left = self._stopping_at + STOP_GIVE_UP_SECONDS - now
-        longest = self._estimator.longest(spec)
-        return longest * STOP_STRETCH + STOP_SPARE_SECONDS <= left
-
     def _refuse_call(
         self,
         call: int,
@@ -578,26 +552,21 @@
         return [*[one.note for one in found], *stops]
 
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
-        if self._stopping_at is None:
-            self._stopping_at = now
+        self._stopping.begin(now)
         return [core.note('stopping', jobs=len(self._calls))]
 
     def _finish(self, now: float) -> list[object]:
-        if self._stopping_at is None or self._done:
-            return []
-        stopped = now - self._stopping_at
         effects: list[object] = []
-        if stopped >= STOP_GIVE_UP_SECONDS:
+        if self._stopping.gives_up(now):
             for job in self._open_jobs():
                 verdict = jobs.Verdict.GIVEN_UP
                 if not job.begun:
                     verdict = jobs.Verdict.NOT_RUN
                 answer = jobs.Answer(verdict, 'stopping', 1.0)
                 effects += self._end_job(job, answer, now)
-        if self._calls or stopped < STOP_MIN_SECONDS:
-            return effects
-        self._done = True
-        return [*effects, core.Exit()]
+        if self._stopping.end(bool(self._calls), now):
+            effects.append(core.Exit())
+        return effects
 
 
 def _passed(since: float, until: float | None) -> str:
