--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -108,7 +108,9 @@
     """What held a job up that ended well."""
     for line in found:
         if line.event in DELAYS:
-            where = line.fields.get('peer', line.process)
+            # An agent's peer is the entry; an entry's is the agent.
+            stuck = line.event == 'run_stuck'
+            where = line.fields.get('peer', '') if stuck else line.process
             return f'{line.event} ({where}): {DELAYS[line.event]}'
     begun = [line for line in found if line.event == 'job_admitted']
     slack = _number(begun[-1].fields, 'slack') if begun else 0.0
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,7 @@
 
 
 STUCK = 'time=1.5 level=info process=e event=run_stuck job=d4 peer=w\n'
+FAILED = 'time=1.5 level=info process=w event=run_failed job=d4 peer=e\n'
 
 
 @pytest.mark.parametrize(
@@ -61,6 +62,7 @@
     [
         (late('0.4'), 'it waited 0.4 s for room, its slack was 0.1 s'),
         (late('0.0', STUCK), 'run_stuck (w): a task took too long'),
+        (late('0.0', FAILED), 'run_failed (w): a task failed'),
         (late('0.0'), 'its tasks took longer than expected'),
     ],
 )
