Serve metrics as text, and no other way

Change: telemetry.metrics counts with prometheus_client and serves /metrics at metrics.listen; statsd, its settings and its dependency are gone; gauges are set when asked for instead of every ten seconds.

--- a/src/agatepick/api/web.py
+++ b/src/agatepick/api/web.py
@@ -59,7 +59,9 @@
     tokens: settings.Tokens
     timeline: Timelike
     ready: typing.Callable[[], bool] = lambda: True
-    statsd: metrics.Metrics = metrics.Metrics()
+    measured: metrics.Metrics = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -363,10 +365,10 @@
 
 def _log_request(handler: tornado.web.RequestHandler) -> None:
     if isinstance(handler, Handler):
-        sent = handler.front.statsd
-        sent.count('http.requests', f'{handler.get_status() // 100}xx')
-        sent.seconds('http.seconds', handler.request.request_time())
-        sent.gauge('http.open', len(handler.front.calls))
+        found = handler.front.measured
+        found.count('http_requests', f'{handler.get_status() // 100}xx')
+        found.seconds('http_seconds', handler.request.request_time())
+        found.gauge('http_open', len(handler.front.calls))
     logs.event(
         _log,
         logging.DEBUG,
--- a/src/agatepick/conf/settings.py
+++ b/src/agatepick/conf/settings.py
@@ -175,10 +175,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Metrics:
-    """Where statsd metrics go, over UDP; empty sends none."""
+    """Where metrics are served as text, at ``/metrics``; empty serves none."""
 
-    statsd: Address = ''
-    prefix: str = 'agatepick'
+    listen: Address = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/runtime/processes.py
+++ b/src/agatepick/runtime/processes.py
@@ -46,7 +46,6 @@
 
 LAST_ANSWERS_SECONDS = 0.1
 _INCARNATION_BITS = 63
-GAUGE_SECONDS = 10.0
 _POLL_SHARE = 1 / 6
 _RENEW_SHARE = 0.23
 """Parts of the fence between reads of the head, and between renewals and
@@ -92,7 +91,7 @@
         cfg: settings.Process,
         stop_seconds: float,
         timeline_events: int,
-        statsd: settings.Metrics,
+        metrics_at: settings.Metrics,
         outside: Outside,
     ):
         self.name = cfg.name
@@ -101,9 +100,11 @@
         self.timeline = timeline.Timeline(
             cfg.name, timeline_events, outside.clock
         )
-        self.metrics = metrics.Metrics.from_config(statsd)
+        self.metrics = metrics.Metrics()
+        self.metrics_address = ''
+        self._metrics_at = metrics_at
+        self._metrics_http: httpserver.HTTPServer | None = None
         self._stop_seconds = stop_seconds
-        self._gauging: asyncio.TimerHandle | None = None
         self._http: httpserver.HTTPServer | None = None
         self._closing: asyncio.Task[None] | None = None
         self.shell: shell.Shell
@@ -131,8 +132,8 @@
         self.shell.done.set()
         self.shell.end()
         self.links.end()
-        if self._gauging is not None:
-            self._gauging.cancel()
+        if self._metrics_http is not None:
+            self._metrics_http.stop()
         if self._http is not None:
             self._http.stop()
             # Callers of a dead process must see a broken connection and ask
@@ -158,7 +159,14 @@
         self.shell.use_links(self.links)
         self.shell.handle(core.Send, self._send)
         self.shell.handle(core.Note, self._note)
-        self._gauge()
+        if self._metrics_at.listen:
+            self._serve_metrics()
+
+    def _serve_metrics(self) -> None:
+        sockets = _bind(self._metrics_at.listen)
+        self.metrics_address = _address(sockets)
+        self._metrics_http = metrics.server(self.metrics, self._set_gauges)
+        self._metrics_http.add_sockets(sockets)
 
     def _hello(self) -> messages.Hello:
         raise NotImplementedError
@@ -176,15 +184,12 @@
         self.timeline.add(effect)
         self.metrics.noted(effect)
 
-    def _gauge(self) -> None:
-        """Send the gauges, again and again."""
+    def _set_gauges(self) -> None:
         traffic = self.links.traffic
-        self.metrics.gauge('links.messages_out', traffic.messages_out)
-        self.metrics.gauge('links.messages_in', traffic.messages_in)
-        self.metrics.gauge('links.bytes_out', traffic.bytes_out)
-        self.metrics.gauge('links.bytes_in', traffic.bytes_in)
-        loop = asyncio.get_running_loop()
-        self._gauging = loop.call_later(GAUGE_SECONDS, self._gauge)
+        self.metrics.gauge('links_messages_out', traffic.messages_out)
+        self.metrics.gauge('links_messages_in', traffic.messages_in)
+        self.metrics.gauge('links_bytes_out', traffic.bytes_out)
+        self.metrics.gauge('links_bytes_in', traffic.bytes_in)
 
 
 class EntryProcess(Process):
@@ -398,7 +403,7 @@
             settings.Http(cfg.listen),
             settings.Tokens(cfg.token),
             self.timeline,
-            statsd=self.metrics,
+            measured=self.metrics,
         )
         routes = operators.process_routes(front)
         self._operators = web.server(front, routes, contexts.http)
--- a/src/agatepick/telemetry/metrics.py
+++ b/src/agatepick/telemetry/metrics.py
@@ -1,35 +1,45 @@
-"""Metrics by statsd, over UDP.
+"""Metrics of one process, as text for a scraper.
 
 The names, kinds and units are :data:`METRICS`; ``docs/metrics.md`` lists the
-same.  A name that isn't there can't be sent, so the page stays whole.
+same.  A name that isn't there can't be counted, so the page stays whole.
 """
 
 import dataclasses
 import enum
 import typing
 
-import statsd
+import prometheus_client
+from tornado import httpserver
+from tornado import web
 
-from agatepick.conf import settings
 from agatepick import core
 
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+SECONDS = (0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
+"""Upper edges of the buckets: most tasks take 50 ms to a second."""
+
 
 class Kind(enum.StrEnum):
-    """Kinds of statsd metrics."""
+    """Kinds of metrics."""
 
     COUNTER = 'counter'
     GAUGE = 'gauge'
-    TIMER = 'timer'
+    HISTOGRAM = 'histogram'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Metric:
-    """One metric: its name, kind, unit and meaning."""
+    """One metric: its name, kind, unit and meaning.
+
+    :param label: what a counter is split by; empty for nothing.
+    """
 
     name: str
     kind: Kind
     unit: str
     meaning: str
+    label: str = ''
 
 
 METRICS = {
@@ -40,40 +50,42 @@
             Kind.COUNTER,
             'events',
             'events of the time line, by name',
+            'event',
         ),
         Metric(
-            'http.requests',
+            'http_requests',
             Kind.COUNTER,
             'requests',
             'answered requests, by status class',
+            'status',
         ),
         Metric(
-            'http.seconds',
-            Kind.TIMER,
-            'milliseconds',
+            'http_seconds',
+            Kind.HISTOGRAM,
+            'seconds',
             'time from a request to its answer',
         ),
-        Metric('http.open', Kind.GAUGE, 'requests', 'requests held open'),
+        Metric('http_open', Kind.GAUGE, 'requests', 'requests held open'),
         Metric(
-            'links.messages_out',
+            'links_messages_out',
             Kind.GAUGE,
             'messages',
             'messages sent to peers since the start',
         ),
         Metric(
-            'links.messages_in',
+            'links_messages_in',
             Kind.GAUGE,
             'messages',
             'messages taken from peers since the start',
         ),
         Metric(
-            'links.bytes_out',
+            'links_bytes_out',
             Kind.GAUGE,
             'bytes',
             'bytes sent to peers since the start',
         ),
         Metric(
-            'links.bytes_in',
+            'links_bytes_in',
             Kind.GAUGE,
             'bytes',
             'bytes taken from peers since the start',
@@ -82,66 +94,76 @@
 }
 
 
-class Client(typing.Protocol):
-    """What is used of a statsd client."""
-
-    def incr(self, stat: str, count: int) -> None:
-        """Add to a counter."""
-        ...
-
-    def gauge(self, stat: str, value: float) -> None:
-        """Set a gauge."""
-        ...
-
-    def timing(self, stat: str, delta: float) -> None:
-        """Record milliseconds."""
-        ...
-
-
 class Metrics:
-    """Sends the metrics of one process.
+    """The metrics of one process."""
 
-    Sending is one datagram without an answer: a statsd server that is gone
-    or slow holds nothing up.
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._gauges: dict[str, prometheus_client.Gauge] = {}
+        self._histograms: dict[str, prometheus_client.Histogram] = {}
+        for one in METRICS.values():
+            self._add(one)
 
-    :param client: ``None`` sends nothing.
-    """
-
-    def __init__(self, client: Client | None = None):
-        self._client = client
-
-    @classmethod
-    def from_config(cls, cfg: settings.Metrics) -> 'Metrics':
-        """Metrics to the server that settings name, if any."""
-        if not cfg.statsd:
-            return cls()
-        host, _, port = cfg.statsd.rpartition(':')
-        return cls(
-            statsd.StatsClient(host.strip('[]'), int(port), prefix=cfg.prefix)
-        )
-
-    def count(self, name: str, by: str = '', count: int = 1) -> None:
-        """Add to a counter, under a part of its own if ``by`` is given."""
-        self._check(name, Kind.COUNTER)
-        if self._client is not None:
-            self._client.incr(f'{name}.{by}' if by else name, count)
+    def count(self, name: str, by: str) -> None:
+        """Add one to a counter, under a value of its label."""
+        self._counters[name].labels(by).inc()
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
-        self._check(name, Kind.GAUGE)
-        if self._client is not None:
-            self._client.gauge(name, value)
+        self._gauges[name].set(value)
 
     def seconds(self, name: str, seconds: float) -> None:
-        """Record a duration; sent as milliseconds."""
-        self._check(name, Kind.TIMER)
-        if self._client is not None:
-            self._client.timing(name, seconds * 1000)
+        """Record a duration."""
+        self._histograms[name].observe(seconds)
 
     def noted(self, note: core.Note) -> None:
         """Count an event of the time line by its name."""
         self.count('events', note.name)
 
-    def _check(self, name: str, kind: Kind) -> None:
-        if METRICS[name].kind != kind:
-            raise ValueError(f'{name} is no {kind.value}')
+    def text(self) -> bytes:
+        """All of them in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _add(self, one: Metric) -> None:
+        name = f'agatepick_{one.name}'
+        if one.kind is Kind.COUNTER:
+            self._counters[one.name] = prometheus_client.Counter(
+                name, one.meaning, (one.label,), registry=self._registry
+            )
+        elif one.kind is Kind.GAUGE:
+            self._gauges[one.name] = prometheus_client.Gauge(
+                name, one.meaning, registry=self._registry
+            )
+        else:
+            self._histograms[one.name] = prometheus_client.Histogram(
+                name, one.meaning, buckets=SECONDS, registry=self._registry
+            )
+
+
+class _Page(web.RequestHandler):
+    def initialize(
+        self, found: Metrics, refresh: typing.Callable[[], None]
+    ) -> None:
+        self._found = found
+        self._refresh = refresh
+
+    def get(self) -> None:
+        """All metrics."""
+        self._refresh()
+        self.set_header('Content-Type', CONTENT_TYPE)
+        self.finish(self._found.text())
+
+
+def server(
+    found: Metrics, refresh: typing.Callable[[], None]
+) -> httpserver.HTTPServer:
+    """Serves the metrics as text at ``/metrics``; listens nowhere yet.
+
+    :param refresh: called before each answer, to set the gauges.
+    """
+    parts = {'found': found, 'refresh': refresh}
+    app = web.Application(
+        [(r'/metrics', _Page, parts)], log_function=lambda handler: None
+    )
+    return httpserver.HTTPServer(app)
