Tell figures of the moment among the metrics

Cause: the metrics counted events alone; how long the queue is, how much room there is, which state is in force and how the store's calls end could be read from the log only. Change: reducers tell a few figures when a scraper asks, the store's client counts calls by outcome; a test holds the page against the table. They cost nothing between scrapes.

--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -200,6 +200,7 @@
     loop.add_signal_handler(signal.SIGTERM, asked.set)
     loop.add_signal_handler(signal.SIGINT, asked.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    own.measures.read(own.figures, lambda: store.counts)
     _serve_metrics(cfg, own.measures)
     tasks = [loop.create_task(work) for work in works]
     tasks.append(loop.create_task(_reload(cfg, path, store, reload)))
--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import collections
 import typing
 
 import aiohttp
@@ -43,10 +44,16 @@
 
 
 class RowStore:
-    """Calls of the store at one address."""
+    """Calls of the store at one address.
+
+    :ivar counts: calls so far, by path and status or ``no_answer``.
+    """
 
     def __init__(self, address: str):
         self.address = address
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -137,9 +144,12 @@
             async with self._session.request(
                 method, url, timeout=timeout, headers=JSON, **more
             ) as answer:
-                return answer.status, await answer.read()
+                body = await answer.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+            self.counts[path, 'no_answer'] += 1
             raise self._error(repr(exc), path) from exc
+        self.counts[path, str(answer.status)] += 1
+        return answer.status, body
 
     def _error(self, what: str, step: str) -> exceptions.StoreUnavailable:
         return exceptions.StoreUnavailable(what, step=step, peer=self.address)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -107,6 +107,15 @@
             effects.append(core.WakeAt(wake))
         return effects
 
+    def figures(self, now: float) -> dict[str, float]:
+        """What it knows and has at this moment; see ``measures.FIGURES``."""
+        return {
+            'runs': len(self._orders.runs),
+            'entries': sum(one.connected for one in self._owners.values()),
+            'worker_open': float(self._open(now)),
+            'free_cores': self._room.free.cpu,
+        }
+
     # Entries
 
     def _on_listed(
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -136,6 +136,20 @@
             for job in self._open_jobs()
         )
 
+    def figures(self, now: float) -> dict[str, float]:
+        """What it knows and has at this moment; see ``measures.FIGURES``."""
+        jobs_open = self._open_jobs()
+        usable = [worker for worker in self._pool if worker.usable(now)]
+        waits = [now - job.arrived_at for job in jobs_open if not job.begun]
+        return {
+            'jobs_open': len(jobs_open),
+            'jobs_waiting': len(self._waiting.in_order()),
+            'longest_wait_seconds': max(waits, default=0.0),
+            'workers_usable': len(usable),
+            'free_cores': sum(worker.free.cpu for worker in usable),
+            'state_version': self.routes.version if self.routes else 0,
+        }
+
     # Callers
 
     def _on_job(self, event: events.JobArrived, now: float) -> list[object]:
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -5,7 +5,11 @@
 the time until an answer by verdict.
 """
 
+import typing
+
 import prometheus_client
+from prometheus_client import core as families
+from prometheus_client import registry
 
 from agatepick import core
 
@@ -18,6 +22,47 @@
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
+FIGURES = {
+    'jobs_open': 'jobs whose callers wait for an answer',
+    'jobs_waiting': 'jobs with tasks that wait for room',
+    'longest_wait_seconds': 'age of the oldest job that has not begun',
+    'workers_usable': 'workers to which runs may be sent now',
+    'free_cores': 'cores that are free for more runs, as far as is known',
+    'state_version': 'version of the desired state in force; 0 for none',
+    'runs': 'runs at the worker that are not known to be over',
+    'entries': 'entries that the agent is connected to',
+    'worker_open': '1 while runs may be started at the worker',
+}
+"""Figures of the moment, by name: what each tells.  They are worked out when
+a scraper asks, so they cost nothing else."""
+
+Figures = typing.Callable[[], dict[str, float]]
+Counts = typing.Callable[[], dict[tuple[str, str], int]]
+
+
+class _Reader(registry.Collector):
+    """Turns figures and counts of the moment into metrics."""
+
+    def __init__(self, figures: Figures, store_calls: Counts):
+        self._figures = figures
+        self._store_calls = store_calls
+
+    def collect(self) -> typing.Iterator[families.Metric]:
+        """One gauge for each figure, and the calls to the store."""
+        for name, value in self._figures().items():
+            yield families.GaugeMetricFamily(
+                f'agatepick_{name}', FIGURES[name], value
+            )
+        calls = families.CounterMetricFamily(
+            'agatepick_store_calls',
+            'Calls to the store, by what was asked and the outcome',
+            labels=('call', 'outcome'),
+        )
+        for labels, count in self._store_calls().items():
+            calls.add_metric(labels, count)
+        yield calls
+
+
 class Measures:
     """The metrics of one process."""
 
@@ -47,6 +92,13 @@
         if verdict is not None:
             self._answers.labels(verdict).observe(float(fields['seconds']))
 
+    def read(self, figures: Figures, store_calls: Counts) -> None:
+        """Tell figures of the moment too, and the calls to the store.
+
+        :param store_calls: calls so far, by what was asked and the outcome.
+        """
+        self._registry.register(_Reader(figures, store_calls))
+
     def text(self) -> bytes:
         """All metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -33,6 +33,14 @@
 LOG = logs.logger(__name__)
 
 
+class Reducer(core.Reducer, typing.Protocol):
+    """A reducer that can tell what it has."""
+
+    def figures(self, now: float) -> dict[str, float]:
+        """Figures of the moment, by their names in ``measures``."""
+        ...
+
+
 class Process:
     """One entry or agent.
 
@@ -45,12 +53,13 @@
         name: types.PeerName,
         role: str,
         zone: str,
-        reducer: core.Reducer,
+        reducer: Reducer,
         incarnation: int,
         clock: types.Clock,
     ):
         self.name = name
         self.clock = clock
+        self._reducer = reducer
         self._role = role
         self._zone = zone
         self._incarnation = incarnation
@@ -71,6 +80,10 @@
         """Let the reducer take an event."""
         self.shell.feed(event)
 
+    def figures(self) -> dict[str, float]:
+        """What the reducer has at this moment."""
+        return self._reducer.figures(self.clock.now())
+
     def handle(
         self, kind: type, handler: typing.Callable[[typing.Any], None]
     ) -> None:
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -1,5 +1,6 @@
 from agatepick import core
 from agatepick.repeatable import measures
+from tests import repeatable_world
 
 
 def test_notes_are_counted_by_event_and_reason():
@@ -27,3 +28,35 @@
         found.noted(core.note('job_refused', reason=f'r{number}'))
     lines = found.text().decode().count('agatepick_events_total{')
     assert lines <= measures.MAX_REASONS + 1
+
+
+def test_figures_of_the_moment_are_told_when_asked():
+    """A queue grows between two scrapes; the second one must show it."""
+    found = measures.Measures()
+    waits = [0.0]
+    calls = {('/v1/rows-get', '200'): 3}
+    found.read(lambda: {'longest_wait_seconds': waits[0]}, lambda: calls)
+    assert 'agatepick_longest_wait_seconds 0.0' in found.text().decode()
+    waits[0] = 1.5
+    text = found.text().decode()
+    assert 'agatepick_longest_wait_seconds 1.5' in text
+    line = 'agatepick_store_calls_total{call="/v1/rows-get",outcome="200"} 3.0'
+    assert line in text
+
+
+def test_both_reducers_tell_only_figures_that_are_explained():
+    world = repeatable_world.World(entries=1, agents=1)
+    world.run(1.0)
+    world.submit(repeatable_world.a_job('j', 11, expected=0.3))
+    world.run(0.02)
+    told = {
+        name: node.reducer.figures(world.now)
+        for name, node in world.nodes.items()
+    }
+    assert set(told['entry-0']) | set(told['agent-0']) == set(measures.FIGURES)
+    assert told['entry-0']['jobs_open'] == 1.0
+    assert told['entry-0']['jobs_waiting'] == 1.0
+    assert told['entry-0']['workers_usable'] == 1.0
+    assert told['agent-0']['runs'] == 10.0
+    assert told['agent-0']['free_cores'] == 4.0
+    assert told['agent-0']['worker_open'] == 1.0
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -1,6 +1,8 @@
 import pathlib
 import re
 
+from agatepick.repeatable import measures
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CALLS = (
     r"(?:core\.note|run_note)\(\s*'(\w+)'",
@@ -22,3 +24,9 @@
     page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
     listed = set(re.findall(r'`(\w+)`', page.partition('## Events')[2]))
     assert listed == found
+
+
+def test_the_page_explains_each_figure():
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    for name, meaning in measures.FIGURES.items():
+        assert re.search(rf'\| `{name}` \| \w+ \| {meaning} \|', page), name
