Find free ports in one place of the tests

Cause: the soak and the tests of the platform each had the same function. Change: it stands with the stand-ins. Measured: tests of the platform green.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import socket
 
 from tornado import httpserver
 from tornado import netutil
@@ -19,6 +20,17 @@
     return server, f'127.0.0.1:{sock.getsockname()[1]}'
 
 
+def free_ports(count):
+    """Ports that nothing listens at now."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(('127.0.0.1', 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
 class Store:
     """Rows with versions, a feed, lost history and outages.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,7 +26,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -236,7 +235,7 @@
         self.role = role
         self.name = f'{role}-{number}'
         self.zone = ZONES[number % len(ZONES)]
-        self.ports = _free_ports(4)
+        self.ports = platform_standins.free_ports(4)
         self.store = Proxy(soak.store.address)
         self.links = Proxy(f'127.0.0.1:{self.ports[3]}')
         self.app = ''
@@ -633,16 +632,6 @@
     ).decode()
 
 
-def _free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 def main():
     """Play seeds in a row; exit status 1 if any promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__.partition('\n')[0])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 
@@ -403,7 +402,7 @@
     def __init__(self, tmp_path):
         self.store = platform_standins.Store()
         self.worker = platform_standins.Worker()
-        self.ports = _free_ports(6)
+        self.ports = platform_standins.free_ports(6)
         self.processes = []
         self._tmp_path = tmp_path
 
@@ -472,16 +471,6 @@
         self.worker.server.stop()
 
 
-def _free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 JOB = {
     'best_effort': True,
     'spec': 'text',
