--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all setup test demo format check-format lint ci lock clean
+.PHONY: all setup test demo demo-platform soak format check-format lint ci lock clean
 
 all: test
 
@@ -25,6 +25,12 @@
 demo: setup
 	$(BIN)/agatepick demo
 
+demo-platform: setup
+	$(BIN)/python -m examples.platform_path
+
+soak: setup
+	$(BIN)/python -m tests.soak --first=1 --count=50
+
 format: setup
 	$(BIN)/ruff format src tests examples
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -230,7 +230,7 @@
 class Process:
     """One entry or agent, its settings and the proxies before it."""
 
-    def __init__(self, soak, role, number):
+    def __init__(self, soak, role, number, app=''):
         self.soak = soak
         self.role = role
         self.name = f'{role}-{number}'
@@ -238,7 +238,7 @@
         self.ports = platform_standins.free_ports(4)
         self.store = Proxy(soak.store.address)
         self.links = Proxy(f'127.0.0.1:{self.ports[3]}')
-        self.app = ''
+        self.app = app
         self.process = None
         self.stopping_at = None
         self.log = open(soak.folder / f'{self.name}.log', 'ab')
@@ -297,7 +297,8 @@
 class Soak:
     """One seed: programs, stand-ins, callers and faults."""
 
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, seed, seconds, folder, faults):
+        self.faults = faults
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
@@ -308,7 +309,8 @@
             Process(self, 'entry', number) for number in range(ENTRIES)
         ]
         self.agents = [
-            Process(self, 'agent', number) for number in range(AGENTS)
+            Process(self, 'agent', number, worker.address)
+            for number, worker in enumerate(self.workers)
         ]
         self.version = 1
         self.extra = []
@@ -335,22 +337,15 @@
 
     async def _run(self, session):
         for agent, worker in zip(self.agents, self.workers, strict=True):
-            agent.app = worker.address
-            agent.write_settings()
             self._spawn(self._announce(session, agent, worker))
-        for agent in self.agents:
-            # Started without its worker's address, which is known only now.
-            agent.send(signal.SIGKILL)
-            agent.process.wait()
-            agent.start()
         for process in [*self.entries, *self.agents]:
             self._spawn(self._keep_running(process))
         await self._served(session, 30.0)
         callers = [self._spawn(self._call_on(session)) for _ in range(CALLERS)]
         end = _now() + self.seconds
         while _now() < end:
-            fault = self.rng.choice(FAULTS)
-            self._spawn(fault(self))
+            if self.faults:
+                self._spawn(self.rng.choice(self.faults)(self))
             await asyncio.sleep(self.rng.uniform(0.1, 2.0))
         await self._heal()
         await self._served(session, SETTLE_SECONDS)
@@ -611,11 +606,14 @@
 )
 
 
-def play(seed, seconds, folder):
-    """Play one seed; the promises that were broken, and the answers."""
+def play(seed, seconds, folder, faults=FAULTS):
+    """Play one seed; the promises that were broken, and the answers.
+
+    :param faults: what may happen; with none it is a calm day.
+    """
 
     async def main():
-        soak = Soak(seed, seconds, pathlib.Path(folder))
+        soak = Soak(seed, seconds, pathlib.Path(folder), faults)
         broken = await soak.play()
         return broken, dict(soak.checks.answered)
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,6 +7,7 @@
 
 from agatepick.cmd import client
 from agatepick.conf import settings_files
+from examples import platform_path
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 FILES = sorted(EXAMPLES.rglob('*.toml'))
@@ -38,3 +39,11 @@
     embed = importlib.util.module_from_spec(spec)
     spec.loader.exec_module(embed)
     assert asyncio.run(embed.main()) == [3, 60]
+
+
+def test_the_platform_s_path_runs_on_stand_ins(capsys):
+    assert platform_path.main() == 0
+    told = capsys.readouterr().out.splitlines()
+    assert told[-1] == 'promises broken: 0'
+    assert 'job_admitted' in told[0]
+    assert any(line.startswith('cause: ') for line in told)
