Give the ends of an entry's runs a module of their own

Change: outcomes.py takes what agents report of runs, owned.py keeps the registry of jobs; code is moved, not changed.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -15,6 +15,7 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
+from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned
 from agatepick.repeatable import placing
 from agatepick.repeatable import pool
@@ -28,10 +29,6 @@
 WATCH_SECONDS = 0.05
 """How often runs are looked at that take too long, and jobs that wait."""
 
-STALE_RUN_STEP = 64
-"""A worker that has seen this run number or a higher one belongs to an
-earlier owner of the job; numbers go on well above what it can have used."""
-
 PLACE_SECONDS = 0.05
 """How often waiting tasks are looked at though neither a job nor room came:
 a worker may have become fresh again, and wants are repeated."""
@@ -58,13 +55,20 @@
         self._pool = pool.Pool(rng)
         self._estimator = estimating.Estimator()
         self._waiting = owned.Waiting()
+        self._jobs = owned.Jobs()
         self._admission = admitting.Admission(
             self._pool, self._estimator, self._waiting, rng
         )
         self._placing = placing.Placing(self._pool, self._estimator)
+        self._outcomes = outcomes.Outcomes(
+            self._jobs,
+            self._waiting,
+            self._estimator,
+            self._admission.freed,
+            self._end_job,
+        )
         self._stragglers = stragglers.Stragglers(self._pool, self._estimator)
         self._calls: dict[int, owned.OwnedJob] = {}
-        self._jobs: dict[types.JobKey, owned.OwnedJob] = {}
         self._watched_at = 0.0
         self._changed = False
         self._placed_at = 0.0
@@ -85,7 +89,7 @@
         }
         self._takes: dict[type, _Take] = {
             messages.Room: self._take_room,
-            messages.RunReports: self._take_reports,
+            messages.RunReports: self._outcomes.take_reports,
             messages.Renewal: self._take_renewal,
         }
 
@@ -133,12 +137,12 @@
         """Jobs of a queue of which no task has started."""
         return sum(
             job.spec.route.name == route and not job.begun
-            for job in self._open_jobs()
+            for job in self._jobs.open()
         )
 
     def figures(self, now: float) -> dict[str, float]:
         """What it knows and has at this moment; see ``measures.FIGURES``."""
-        jobs_open = self._open_jobs()
+        jobs_open = self._jobs.open()
         usable = [worker for worker in self._pool if worker.usable(now)]
         waits = [now - job.arrived_at for job in jobs_open if not job.begun]
         return {
@@ -180,7 +184,7 @@
             event.call, spec, now, self._admission.latest(spec, now), longest
         )
         self._calls[event.call] = job
-        self._jobs[spec.key] = job
+        self._jobs.add(job)
         job.release()
         self._waiting.add(job)
         return [
@@ -281,28 +285,10 @@
             ),
             *[events.Reply(call, answer) for call in job.calls],
         ]
-        effects += self._stop_runs(job, job.placed())
-        self._forget(job)
+        effects += owned.stop_runs(job, job.placed())
+        self._jobs.forget(job)
         return effects
 
-    def _forget(self, job: owned.OwnedJob) -> None:
-        if job.answered and not job.placed():
-            if self._jobs.get(job.spec.key) is job:
-                del self._jobs[job.spec.key]
-
-    def _stop_runs(
-        self, job: owned.OwnedJob, indexes: list[int]
-    ) -> list[object]:
-        by_agent: dict[types.PeerName, list[messages.RunRef]] = {}
-        for index in indexes:
-            record = job.records[index]
-            record.stopping = True
-            by_agent.setdefault(record.agent, []).append(job.ref(index))
-        return [
-            core.Send(agent, messages.StopRuns(tuple(refs)))
-            for agent, refs in by_agent.items()
-        ]
-
     # Agents
 
     def _on_peer_up(self, event: core.PeerUp, now: float) -> list[object]:
@@ -352,7 +338,7 @@
         if worker.over(now) and worker.placed:
             # Its lease may have run out: what was there is settled first,
             # and only then may new runs be covered.
-            effects = self._all_over(worker, 'lease_over', now)
+            effects = self._outcomes.all_over(worker, 'lease_over', now)
         else:
             effects = []
         worker.renewed_at = now
@@ -369,146 +355,6 @@
         self._placing.take_room(worker, room)
         return []
 
-    def _take_reports(
-        self, worker: pool.Worker, message: messages.RunReports, now: float
-    ) -> list[object]:
-        effects: list[object] = []
-        known: set[pool.Key] = set()
-        for report in message.reports:
-            known.add((report.job, report.index))
-            effects += self._take_report(worker, report, now)
-        if not message.whole:
-            return effects
-        for key in list(worker.placed):
-            if key not in known:
-                effects += self._run_over(worker, key, 'unknown_there', now)
-        return effects
-
-    def _take_report(
-        self, worker: pool.Worker, report: messages.RunReport, now: float
-    ) -> list[object]:
-        key = (report.job, report.index)
-        job = self._jobs.get(report.job)
-        if job is None or report.index >= len(job.records):
-            return []
-        record = job.records[report.index]
-        if record.agent != worker.name or record.run != report.run:
-            return []
-        if record.state is not owned.TaskState.PLACED:
-            return []
-        if report.state == types.RunState.RUNNING:
-            if record.stopping:
-                return self._stop_runs(job, [report.index])
-            return []
-        placed = worker.placed.pop(key, None)
-        if placed is not None and report.state != types.RunState.REFUSED:
-            worker.add_back(placed.needs)
-        if report.state == types.RunState.FINISHED:
-            return self._run_finished(worker, job, report, now)
-        if report.state == types.RunState.FAILED:
-            return self._run_failed(worker, job, report, now)
-        if report.state == types.RunState.REFUSED:
-            return self._run_refused(worker, job, report, now)
-        return self._again(job, report.index, report.reason, now)
-
-    def _run_finished(
-        self,
-        worker: pool.Worker,
-        job: owned.OwnedJob,
-        report: messages.RunReport,
-        now: float,
-    ) -> list[object]:
-        task = job.spec.tasks[report.index]
-        self._admission.freed.add(task.needs.cpu, report.seconds, now)
-        self._estimator.observe(job.spec, task, report.seconds)
-        job.end(report.index, report.seconds)
-        if job.answered:
-            self._forget(job)
-            return []
-        if not job.open:
-            return self._end_job(job, jobs.Answer(jobs.Verdict.COMPLETE), now)
-        if job.release():
-            self._waiting.add(job)
-        return []
-
-    def _run_failed(
-        self,
-        worker: pool.Worker,
-        job: owned.OwnedJob,
-        report: messages.RunReport,
-        now: float,
-    ) -> list[object]:
-        record = job.records[report.index]
-        record.failures += 1
-        record.avoid = record.avoid | {worker.name}
-        effects: list[object] = []
-        if record.failures >= job.spec.route.max_attempts:
-            record.state = owned.TaskState.ENDED
-            if not job.answered:
-                answer = jobs.Answer(jobs.Verdict.FAILED, 'task_failed')
-                effects += self._end_job(job, answer, now)
-            return effects
-        return effects + self._again(job, report.index, 'failed', now)
-
-    def _run_refused(
-        self,
-        worker: pool.Worker,
-        job: owned.OwnedJob,
-        report: messages.RunReport,
-        now: float,
-    ) -> list[object]:
-        record = job.records[report.index]
-        if report.reason == 'stale_run':
-            record.run += STALE_RUN_STEP
-        elif report.reason == 'unwell':
-            record.avoid = record.avoid | {worker.name}
-        else:
-            # It is fuller than was known; the next news tells how full.
-            worker.fill()
-        return self._again(job, report.index, report.reason, now)
-
-    def _again(
-        self, job: owned.OwnedJob, index: int, reason: str, now: float
-    ) -> list[object]:
-        """A run is over without an end that counts: the task waits again."""
-        if job.answered:
-            job.records[index].state = owned.TaskState.ENDED
-            self._forget(job)
-            return []
-        job.wait_again(index)
-        self._waiting.add(job)
-        return [
-            core.note(
-                'task_waits_again',
-                job=job.spec.key,
-                index=index,
-                run=job.records[index].run,
-                reason=reason,
-            )
-        ]
-
-    def _run_over(
-        self, worker: pool.Worker, key: pool.Key, reason: str, now: float
-    ) -> list[object]:
-        placed = worker.placed.pop(key)
-        job = self._jobs.get(key[0])
-        if job is None or key[1] >= len(job.records):
-            return []
-        record = job.records[key[1]]
-        if record.agent != worker.name or record.run != placed.run:
-            return []
-        if record.state is not owned.TaskState.PLACED:
-            return []
-        return self._again(job, key[1], reason, now)
-
-    def _all_over(
-        self, worker: pool.Worker, reason: str, now: float
-    ) -> list[object]:
-        effects: list[object] = []
-        for key in list(worker.placed):
-            effects += self._run_over(worker, key, reason, now)
-        return effects
-
     # Placing
 
     def _place(self, now: float) -> list[object]:
@@ -531,10 +377,6 @@
             effects += self._place(now)
         return effects + self._finish(now)
 
-    def _open_jobs(self) -> list[owned.OwnedJob]:
-        """Jobs whose callers wait, each once."""
-        return [job for job in self._jobs.values() if not job.answered]
-
     def _watch(self, now: float) -> list[object]:
         if now < self._watched_at + WATCH_SECONDS:
             return []
@@ -543,9 +385,9 @@
         self._admission.advance(now)
         for worker in [*self._pool, *self._past]:
             if worker.placed and worker.over(now):
-                effects += self._all_over(worker, 'agent_silent', now)
+                effects += self._outcomes.all_over(worker, 'agent_silent', now)
         self._past = [one for one in self._past if one.placed]
-        for job in self._open_jobs():
+        for job in self._jobs.open():
             effects += self._watch_job(job, now)
         return effects
 
@@ -562,7 +404,7 @@
             )
             return self._end_job(job, answer, now)
         found = self._stragglers.find(job, now)
-        stops = self._stop_runs(job, [one.index for one in found])
+        stops = owned.stop_runs(job, [one.index for one in found])
         return [*[one.note for one in found], *stops]
 
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
@@ -572,7 +414,7 @@
     def _finish(self, now: float) -> list[object]:
         effects: list[object] = []
         if self._stopping.gives_up(now):
-            for job in self._open_jobs():
+            for job in self._jobs.open():
                 verdict = jobs.Verdict.GIVEN_UP
                 if not job.begun:
                     verdict = jobs.Verdict.NOT_RUN
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import jobs
 from agatepick import types
@@ -132,6 +133,32 @@
         ]
 
 
+class Jobs:
+    """All jobs that an entry owns, until their runs are over too."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[types.JobKey, OwnedJob] = {}
+
+    def get(self, key: types.JobKey) -> OwnedJob | None:
+        """A job by its key."""
+        return self._by_key.get(key)
+
+    def add(self, job: OwnedJob) -> None:
+        """A job was let in."""
+        self._by_key[job.spec.key] = job
+
+    def forget(self, job: OwnedJob) -> None:
+        """Drop a job, if it is answered and all its runs are over."""
+        if not job.answered or job.placed():
+            return
+        if self._by_key.get(job.spec.key) is job:
+            del self._by_key[job.spec.key]
+
+    def open(self) -> list[OwnedJob]:
+        """Jobs whose callers wait, each once."""
+        return [job for job in self._by_key.values() if not job.answered]
+
+
 class Waiting:
     """Jobs with waiting tasks, by latest start."""
 
@@ -158,3 +185,16 @@
 
 def _latest(job: OwnedJob) -> float:
     return job.latest
+
+
+def stop_runs(job: OwnedJob, indexes: list[int]) -> list[object]:
+    """Tell agents to end the runs of some of a job's tasks."""
+    by_agent: dict[types.PeerName, list[messages.RunRef]] = {}
+    for index in indexes:
+        record = job.records[index]
+        record.stopping = True
+        by_agent.setdefault(record.agent, []).append(job.ref(index))
+    return [
+        core.Send(agent, messages.StopRuns(tuple(refs)))
+        for agent, refs in by_agent.items()
+    ]
