Start nothing before the operator's rows were read

Change: an agent is closed until it has read the operator's rows once in its life; an entry without a desired state already refuses. Ruled out: the longer wait for changes at agents, as the row was read at once when the store was back. Cost: agents that start while the store is away serve nobody until it returns.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -53,7 +53,10 @@
         self._reports = reports.Reports()
         self._orders = orders.Orders(self._room, self._health, self._reports)
         self._serving = serving.Serving(cfg.name)
-        self._closed: frozenset[str] = frozenset()
+        # None until the operator's rows were read: an agent that starts
+        # while the store is away doesn't know whether its zone is closed.
+        # It would start tasks in a zone that was taken out long ago.
+        self._closed: frozenset[str] | None = None
         self._stopping_at: float | None = None
         self._renewed_at = 0.0
         self._handlers: dict[type, core.Handler] = {
@@ -275,15 +278,17 @@
             worker is not None
             and not worker.draining
             and self._stopping_at is None
+            and self._closed is not None
             and self._cfg.zone not in self._closed
             and not self._orders.closing(now)
         )
 
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
-        before, self._closed = self._closed, event.zones
-        if (self._cfg.zone in before) == (self._cfg.zone in event.zones):
-            return []
+        before = self._cfg.zone in (self._closed or ())
         closed = self._cfg.zone in event.zones
+        self._closed = event.zones
+        if before == closed:
+            return []
         return [core.note('zone', zone=self._cfg.zone, closed=closed)]
 
     # Time
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -150,6 +150,7 @@
         Else all processes are connected.
         """
         self.listed = listed
+        self.store_away = False
         self.dialled = set()
         self.rng = random.Random(seed)
         self.now = START
@@ -208,6 +209,8 @@
         else:
             table = routes.RouteTable(1, (ROUTE,))
             self.feed(name, events.RoutesRead(table))
+        if name in self.workers and not self.store_away:
+            self.feed(name, events.ZonesClosed(frozenset()))
         self._tick(name, node.life)
         self._beat(name, node.life)
         if self.listed and name in self.workers:
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -191,6 +191,27 @@
     assert not world.double
 
 
+def test_an_agent_that_knows_no_operator_s_row_starts_nothing():
+    """An agent is restarted while the store is away and its zone is closed.
+
+    It can't know that; were it to start tasks, work would go on in a zone
+    that operators took out long ago.
+    """
+    world = played(entries=1, agents=1)
+    world.store_away = True
+    world.kill('agent-0', back_after=0.3)
+    world.run(3.0)
+    world.submit(repeatable_world.a_job('j', 1, expected=0.2))
+    world.run(0.1)
+    assert not world.workers['agent-0'].runs
+    assert not world.ever_started
+    world.feed('agent-0', events.ZonesClosed(frozenset({'other'})))
+    world.run(0.5)
+    world.submit(repeatable_world.a_job('k', 1, expected=0.2))
+    world.run(1.0)
+    assert world.answers['k'].verdict is COMPLETE
+
+
 def test_a_caller_who_leaves_frees_the_room():
     """A caller gives up; going on with its tasks would keep others waiting."""
     world = played(entries=1, agents=1)
