Serve all programs' metrics by one page

Cause: reading the change again; the platform's programs and the older ones each had a handler for /metrics with the same header and body, and the content type stood twice. Change: telemetry.metrics.application serves a text that it is given; the gauges are set by whoever gives it, so the hook that refreshed them is gone. Behaviour stays: the test of two scrapes keeps its assertions.

--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -27,6 +27,7 @@
 from agatepick.repeatable import process
 from agatepick.repeatable import workerapi
 from agatepick.telemetry import logs
+from agatepick.telemetry import metrics
 
 LOG = logs.logger(__name__)
 
@@ -138,18 +139,6 @@
     await client.close()
 
 
-class Metrics(web.RequestHandler):
-    """The metrics of this process, as text."""
-
-    def initialize(self, found: measures.Measures) -> None:
-        self._found = found
-
-    def get(self) -> None:
-        """All of them."""
-        self.set_header('Content-Type', measures.CONTENT_TYPE)
-        self.finish(self._found.text())
-
-
 def _process(
     cfg: settings.NodeSettings,
     role: str,
@@ -175,10 +164,7 @@
 def _serve_metrics(
     cfg: settings.NodeSettings, found: measures.Measures
 ) -> None:
-    app = web.Application(
-        [(r'/metrics', Metrics, {'found': found})],
-        log_function=lambda handler: None,
-    )
+    app = metrics.application(found.text)
     host = cfg.links.rpartition(':')[0]
     try:
         _serve(app, f'{host}:{METRICS_PORT}')
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -19,8 +19,6 @@
 MAX_REASONS = 64
 """Reasons counted apart; more would mean that one holds a free text."""
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
-
 
 FIGURES = {
     'jobs_open': 'jobs whose callers wait for an answer',
--- a/src/agatepick/runtime/processes.py
+++ b/src/agatepick/runtime/processes.py
@@ -165,7 +165,9 @@
     def _serve_metrics(self) -> None:
         sockets = _bind(self._metrics_at.listen)
         self.metrics_address = _address(sockets)
-        self._metrics_http = metrics.server(self.metrics, self._set_gauges)
+        self._metrics_http = httpserver.HTTPServer(
+            metrics.application(self._metrics_text)
+        )
         self._metrics_http.add_sockets(sockets)
 
     def _hello(self) -> messages.Hello:
@@ -184,12 +186,13 @@
         self.timeline.add(effect)
         self.metrics.noted(effect)
 
-    def _set_gauges(self) -> None:
+    def _metrics_text(self) -> bytes:
         traffic = self.links.traffic
         self.metrics.gauge('links_messages_out', traffic.messages_out)
         self.metrics.gauge('links_messages_in', traffic.messages_in)
         self.metrics.gauge('links_bytes_out', traffic.bytes_out)
         self.metrics.gauge('links_bytes_in', traffic.bytes_in)
+        return self.metrics.text()
 
 
 class EntryProcess(Process):
--- a/src/agatepick/telemetry/metrics.py
+++ b/src/agatepick/telemetry/metrics.py
@@ -9,13 +9,10 @@
 import typing
 
 import prometheus_client
-from tornado import httpserver
 from tornado import web
 
 from agatepick import core
 
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
-
 SECONDS = (0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
 """Upper edges of the buckets: most tasks take 50 ms to a second."""
 
@@ -142,28 +139,21 @@
 
 
 class _Page(web.RequestHandler):
-    def initialize(
-        self, found: Metrics, refresh: typing.Callable[[], None]
-    ) -> None:
-        self._found = found
-        self._refresh = refresh
+    def initialize(self, text: typing.Callable[[], bytes]) -> None:
+        self._text = text
 
     def get(self) -> None:
         """All metrics."""
-        self._refresh()
-        self.set_header('Content-Type', CONTENT_TYPE)
-        self.finish(self._found.text())
+        self.set_header('Content-Type', prometheus_client.CONTENT_TYPE_LATEST)
+        self.finish(self._text())
 
 
-def server(
-    found: Metrics, refresh: typing.Callable[[], None]
-) -> httpserver.HTTPServer:
-    """Serves the metrics as text at ``/metrics``; listens nowhere yet.
+def application(text: typing.Callable[[], bytes]) -> web.Application:
+    """Serves metrics at ``/metrics``.
 
-    :param refresh: called before each answer, to set the gauges.
+    :param text: called for each answer; all metrics as of that moment.
     """
-    parts = {'found': found, 'refresh': refresh}
-    app = web.Application(
-        [(r'/metrics', _Page, parts)], log_function=lambda handler: None
+    return web.Application(
+        [(r'/metrics', _Page, {'text': text})],
+        log_function=lambda handler: None,
     )
-    return httpserver.HTTPServer(app)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import parser
 import pytest
+from tornado import httpserver
 from tornado import netutil
 
 from agatepick import core
@@ -42,9 +43,12 @@
     async def main():
         found = metrics.Metrics()
         counted = iter((5, 7))
-        server = metrics.server(
-            found, lambda: found.gauge('links_bytes_in', next(counted))
-        )
+
+        def text():
+            found.gauge('links_bytes_in', next(counted))
+            return found.text()
+
+        server = httpserver.HTTPServer(metrics.application(text))
         (sock,) = netutil.bind_sockets(0, '127.0.0.1')
         server.add_sockets([sock])
         url = f'http://127.0.0.1:{sock.getsockname()[1]}/metrics'
