Know the worker at once after a restart

Cause: after a kill or a loss of power an agent is back within a second, but learns what its worker is from the next announcement only, up to 1.5 s later. Change: the agent keeps a row of what its worker announced, and its next life uses it once the worker has answered under its id.

--- /dev/null
+++ b/src/agatepick/platform/kept.py
@@ -0,0 +1,150 @@
+"""What the worker beside an agent is, kept in the store.
+
+What goes wrong without it: after a kill or a loss of power an agent is back
+within a second, and its worker lives, but announces itself only every 1.5 s.
+Until then callers meet entries that can start nothing.  So each agent keeps
+a row of what its worker announced, and its next life uses it as soon as the
+worker itself has answered under the id that the row names.
+"""
+
+import asyncio
+import random
+import typing
+
+import msgspec
+
+from agatepick import exceptions
+from agatepick.platform import rows
+from agatepick.platform import worker
+from agatepick.repeatable import workerapi
+from agatepick.telemetry import logs
+from agatepick import types
+
+LOG = logs.logger(__name__)
+
+TABLE = 'agatepick-workers'
+
+RETRY_SECONDS = 0.5
+"""Pause before a row is written again.  It is needed at the next start of
+this process only."""
+
+ASK_SECONDS = 0.15
+"""Pause between two questions to a worker that doesn't answer: machines that
+got their power back start their worker up to 0.2 s after the agent."""
+
+GIVE_UP_SECONDS = 1.5
+"""The worker's own announcement comes within this."""
+
+
+class _Row(msgspec.Struct, frozen=True):
+    """A worker as it was announced; ``name`` is its id, without its life."""
+
+    name: str
+    pool: str
+    cpu: float
+    mem_mb: int
+    gpu: int
+    labels: tuple[str, ...] = ()
+
+
+class Kept:
+    """The row of one agent's worker.
+
+    :param key: the same in each life of the agent.
+    """
+
+    def __init__(
+        self, store: rows.RowStore, key: str, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._rng = rng
+        self._wanted: bytes | None = None
+        self._changed = asyncio.Event()
+
+    def keep(self, effect: workerapi.KeepWorker) -> None:
+        """Carry out the agent's effect; :meth:`write_on` writes the row."""
+        found = effect.worker
+        self._wanted = None if found is None else _encode(found)
+        self._changed.set()
+
+    async def write_on(self) -> None:
+        """Write the newest that is to be kept, for ever."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            try:
+                await self._write(self._wanted)
+            except exceptions.StoreError as exc:
+                logs.warning(LOG, 'worker_not_kept', reason=exc.show())
+                self._changed.set()
+                pause = RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+                await asyncio.sleep(pause)
+
+    async def recall(
+        self,
+        client: worker.WorkerClient,
+        feed: typing.Callable[[object], None],
+    ) -> None:
+        """Tell the agent what its worker is, if that answers.
+
+        The row alone proves nothing: the worker may be gone, or another one
+        may live at its address, which answers to its own id only.
+        """
+        try:
+            found = await self._read()
+        except exceptions.StoreError as exc:
+            logs.info(LOG, 'worker_not_recalled', reason=exc.show())
+            return
+        if found is None:
+            return
+        loop = asyncio.get_running_loop()
+        end = loop.time() + GIVE_UP_SECONDS
+        while loop.time() < end:
+            born = await client.born(found.name)
+            if born:
+                feed(_seen(found, born, client.address))
+                return
+            await asyncio.sleep(ASK_SECONDS)
+
+    async def _write(self, value: bytes | None) -> None:
+        if value is None:
+            await self._store.remove(TABLE, self._key)
+        else:
+            await self._store.write(TABLE, self._key, value)
+
+    async def _read(self) -> _Row | None:
+        value = await self._store.read_row(TABLE, self._key)
+        if value is None:
+            return None
+        try:
+            return msgspec.json.decode(value, type=_Row)
+        except msgspec.MsgspecError as exc:
+            logs.warning(LOG, 'kept_unreadable', key=self._key, reason=exc)
+            return None
+
+
+def _encode(seen: workerapi.WorkerSeen) -> bytes:
+    return msgspec.json.encode(
+        _Row(
+            worker.id_of(seen.life),
+            seen.pool,
+            seen.capacity.cpu,
+            seen.capacity.memory_mb,
+            seen.capacity.accelerators,
+            seen.labels,
+        )
+    )
+
+
+def _seen(found: _Row, born: int, address: str) -> workerapi.WorkerSeen:
+    return workerapi.WorkerSeen(
+        life=worker.life_of(found.name, born),
+        born=born,
+        sequence=workerapi.NOT_ANNOUNCED,
+        pool=found.pool,
+        capacity=types.Needs(found.cpu, found.mem_mb, found.gpu),
+        labels=found.labels,
+        draining=False,
+        address=address,
+    )
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -16,6 +16,7 @@
 from agatepick.platform import desired
 from agatepick.platform import following
 from agatepick.platform import ingress
+from agatepick.platform import kept
 from agatepick.platform import members
 from agatepick.platform import rows
 from agatepick.platform import settings
@@ -84,7 +85,8 @@
     front = ingress.Front(reducer, own.feed, own.clock)
     own.handle(events.Reply, front.reply)
     own.listen(cfg.links)
-    _serve(ingress.application(front), cfg.front)
+    callers = ingress.application(front)
+    own.handle(events.TakeCallers, lambda _: _serve(callers, cfg.front))
     _serve(ingress.ready_application(front), cfg.ready)
     own.begin()
     store = rows.RowStore(cfg.store)
@@ -115,11 +117,15 @@
     own.handle(workerapi.StartRun, client.start)
     own.handle(workerapi.StopRun, client.stop)
     own.handle(workerapi.Watch, client.watch)
+    store = rows.RowStore(cfg.store)
+    known = kept.Kept(store, cfg.worker, rng)
+    own.handle(workerapi.KeepWorker, known.keep)
     app = announcements.application(own.feed, client.worker_clock)
     _serve(app, cfg.control)
     own.begin()
-    store = rows.RowStore(cfg.store)
     works = [
+        known.recall(client, own.feed),
+        known.write_on(),
         following.follow(
             store,
             desired.TABLE,
--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -83,6 +83,21 @@
             # The range begins with ``from`` itself.
             params['from'] = page.rows[-1].key + '\0'
 
+    async def read_row(self, table: str, key: str) -> bytes | None:
+        """One row's value; ``None`` if there is no such row.
+
+        :raises agatepick.exceptions.StoreError: if it can't be had.
+        """
+        params: dict[str, str | int] = {
+            'table': table,
+            'part': '',
+            'from': key,
+            'target': key + '\0',
+            'limit': 1,
+        }
+        page = await self._get('/v1/rows-get', params, READ_SECONDS)
+        return page.rows[0].value if page.rows else None
+
     async def changes(self, table: str, after: int, wait: float) -> Rows:
         """Rows changed after a version, as soon as there are any.
 
@@ -112,6 +127,14 @@
         }
         await self._transact({'expected': [], 'set_keys': [row]})
 
+    async def remove(self, table: str, key: str) -> None:
+        """Drop a row; done again it changes nothing more.
+
+        :raises agatepick.exceptions.StoreError: if it may not be done.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        await self._transact({'expected': [], 'remove': [row]})
+
     async def _transact(self, body: dict[str, typing.Any]) -> None:
         data = msgspec.json.encode({'set_keys': [], 'remove': [], **body})
         status, _ = await self._call(
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -111,6 +111,7 @@
         clock: types.Clock,
         feed: typing.Callable[[object], None],
     ):
+        self.address = address
         self._url = f'http://{address}'
         self._clock = clock
         self._feed = feed
@@ -148,6 +149,31 @@
             body['until_ms'] = self.worker_clock.until(effect.lease_seconds)
         self._spawn(self._watch(effect, body))
 
+    async def born(self, name: str) -> int:
+        """When the worker was born, in milliseconds.
+
+        0 if no worker answers to that id.  Nothing is done there: no lease
+        is extended, and ends are told again later.
+        """
+        body = {'fencing_token': FENCE, 'last_seen': 0, 'wait_ms': 0}
+        try:
+            status, data = await self._post(
+                '/v1/hold', life_of(name, 0), body, ORDER_SECONDS
+            )
+            if status != 200:
+                return 0
+            lists = msgspec.json.decode(data, type=_Lists)
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as exc:
+            logs.info(LOG, 'worker_unanswered', reason=repr(exc))
+            return 0
+        self.worker_clock.sample(lists.clock_ms, lists.born)
+        return lists.born
+
     async def _start(
         self, effect: workerapi.StartRun, body: dict[str, typing.Any]
     ) -> None:
@@ -250,7 +276,7 @@
         except (msgspec.MsgspecError, IndexError) as exc:
             logs.warning(LOG, 'lists_unreadable', reason=exc)
             return workerapi.WatchFailed(effect.life)
-        life = life_of(_id_of(effect.life), lists.born)
+        life = life_of(id_of(effect.life), lists.born)
         if lists.born and life != effect.life:
             self.worker_clock.sample(lists.clock_ms, lists.born)
             return workerapi.WorkerReborn(effect.life, life, lists.born)
@@ -264,7 +290,7 @@
         body: dict[str, typing.Any],
         seconds: float,
     ) -> tuple[int, bytes]:
-        headers = {**rows.JSON, 'X-Target-Instance': _id_of(life)}
+        headers = {**rows.JSON, 'X-Target-Instance': id_of(life)}
         async with self._session.post(
             self._url + path,
             data=msgspec.json.encode(body),
@@ -297,5 +323,6 @@
     return f'{name}@{born}'
 
 
-def _id_of(life: str) -> str:
+def id_of(life: str) -> str:
+    """The worker's id, which it may have in several lives."""
     return life.rpartition('@')[0]
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -15,6 +15,7 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
+from agatepick.repeatable import opening
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned
 from agatepick.repeatable import placing
@@ -75,6 +76,7 @@
         self._gone_at: dict[types.PeerName, float] = {}
         self._past: list[pool.Worker] = []
         self._stopping = stopping.Stopping()
+        self._opening = opening.Opening()
         self.routes: routes.RouteTable | None = None
         self._handlers: dict[type, core.Handler] = {
             core.Received: self._on_received,
@@ -281,6 +283,8 @@
                 reason=answer.reason or 'done',
                 seconds=f'{now - job.arrived_at:.3f}',
                 began=_passed(job.arrived_at, job.begun_at),
+                all_began=_passed(job.arrived_at, job.last_start()),
+                slowest=f'{job.slowest():.3f}',
                 late=f'{now - job.ends_by:.3f}',
             ),
             *[events.Reply(call, answer) for call in job.calls],
@@ -372,11 +376,20 @@
             elif now > at + GONE_SECONDS and not worker.placed:
                 del self._gone_at[name]
                 self._pool.remove(name)
-        effects = self._watch(now)
+        effects = self._take_callers(now) + self._watch(now)
         if self._changed or now >= self._placed_at + PLACE_SECONDS:
             effects += self._place(now)
         return effects + self._finish(now)
 
+    def _take_callers(self, now: float) -> list[object]:
+        if not self._opening.opens(self.ready(now), now):
+            return []
+        usable = sum(worker.usable(now) for worker in self._pool)
+        return [
+            core.note('callers_taken', workers=usable),
+            events.TakeCallers(),
+        ]
+
     def _watch(self, now: float) -> list[object]:
         if now < self._watched_at + WATCH_SECONDS:
             return []
--- a/src/agatepick/repeatable/orders.py
+++ b/src/agatepick/repeatable/orders.py
@@ -70,6 +70,7 @@
         self._ended_told = 0
         self._lease_until = 0.0
         self._strangers_at = 0.0
+        self._kept: workerapi.WorkerSeen | None = None
 
     # The worker's life
 
@@ -93,6 +94,7 @@
                     'worker_draining', life=event.life, now=event.draining
                 )
             )
+        effects += self._keep(event)
         self.worker = event
         self._room.resize(event.capacity)
         return effects
@@ -106,16 +108,37 @@
             return []
         # What it is now, its next announcement tells.
         found = dataclasses.replace(
-            worker, life=event.new_life, born=event.born, sequence=-1
+            worker,
+            life=event.new_life,
+            born=event.born,
+            sequence=workerapi.NOT_ANNOUNCED,
         )
         return self._new_life(found, now)
 
+    def _keep(self, seen: workerapi.WorkerSeen) -> list[object]:
+        """Let the next life of this process know the worker at once.
+
+        What goes wrong without it: after a kill or a loss of power the agent
+        has a worker and doesn't know what it is until the next announcement,
+        up to 1.5 s later, and callers meet entries that can start nothing.
+        A worker that drains is forgotten: the next life must not use it.
+        """
+        kept = None
+        if not seen.draining:
+            kept = dataclasses.replace(seen, sequence=workerapi.NOT_ANNOUNCED)
+        if kept == self._kept:
+            return []
+        self._kept = kept
+        return [workerapi.KeepWorker(kept)]
+
     def left(self, event: workerapi.WorkerLeft, now: float) -> list[object]:
         """The worker says that it ends."""
         if self.worker is None or self.worker.life != event.life:
             return []
         self.worker = None
+        self._kept = None
         return [
+            workerapi.KeepWorker(None),
             core.note('worker_left', life=event.life),
             *self._worker_gone('worker_left', now),
         ]
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -124,6 +124,17 @@
         self._left[step] -= 1
         self.open -= 1
 
+    def last_start(self) -> float | None:
+        """When the last of its tasks was sent to a worker, once all were."""
+        if any(record.run == 0 for record in self.records):
+            return None
+        return max(record.placed_at for record in self.records)
+
+    def slowest(self) -> float:
+        """Seconds of the longest run that has ended well."""
+        found = [max(seconds) for seconds in self.seconds.values()]
+        return max(found, default=0.0)
+
     def placed(self) -> list[int]:
         """Tasks with a run that isn't known to be over."""
         return [
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -11,6 +11,11 @@
 from agatepick import types
 
 
+NOT_ANNOUNCED = -1
+"""Sequence of what is known of a worker without an announcement of its
+present life; any announcement is newer."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerSeen:
     """Event: a worker told of itself.
@@ -31,6 +36,16 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepWorker:
+    """Effect: keep what the worker is for this process's next life.
+
+    :param worker: what to keep; ``None`` if there is none to use any more.
+    """
+
+    worker: WorkerSeen | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerLeft:
     """Event: a worker said that it ends now."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -140,11 +140,14 @@
     def get(self):
         rows = self.store.since(self.get_argument('table'), 0)
         begin = self.get_argument('from', '', strip=False)
+        end = self.get_argument('target', '', strip=False)
         rows = sorted(
             (
                 row
                 for row in rows
-                if 'deleted' not in row and row['key'] >= begin
+                if 'deleted' not in row
+                and row['key'] >= begin
+                and (not end or row['key'] < end)
             ),
             key=lambda row: row['key'],
         )
@@ -286,6 +289,10 @@
         worker.lives.append(self.request.headers['X-Target-Instance'])
         stream = self.request.connection.stream
         worker.connections.add(stream.socket.getpeername())
+        if worker.lives[-1] != worker.name:
+            self.set_status(421)
+            self.finish({})
+            return
         if worker.silent:
             await asyncio.sleep(5.0)
         if 'until_ms' in body:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -106,3 +106,30 @@
     answered(given, workerapi.StartResult.STARTED, NOW + 0.002)
     given.unlisted(workerapi.WatchFailed('w@1', refused=True), NOW + 0.01)
     assert given.runs == {}
+
+
+def announced(sequence, draining=False):
+    return workerapi.WorkerSeen(
+        'w@1', 1, sequence, 'p', CAPACITY, (), draining, ''
+    )
+
+
+def test_what_a_worker_is_is_kept_once(given):
+    """Each announcement would else cost a write to the store."""
+    assert not of_kind(given.seen(announced(2), NOW), workerapi.KeepWorker)
+
+
+def test_a_worker_that_drains_is_not_kept(given):
+    """The next life of this process would start tasks at it."""
+    effects = given.seen(announced(2, draining=True), NOW)
+    assert of_kind(effects, workerapi.KeepWorker) == [
+        workerapi.KeepWorker(None)
+    ]
+    effects = given.seen(announced(3), NOW)
+    (found,) = of_kind(effects, workerapi.KeepWorker)
+    assert found.worker.life == 'w@1'
+
+
+def test_a_worker_that_left_is_not_kept(given):
+    effects = given.left(workerapi.WorkerLeft('w@1'), NOW)
+    assert workerapi.KeepWorker(None) in effects
