--- a/src/agatepick/cmd/command_tree.py
+++ b/src/agatepick/cmd/command_tree.py
@@ -227,14 +227,26 @@
         self._zone(zone, 'in', entry, based_on, wait, json)
 
     @_text
-    def explain(self, job: str, *files: str) -> None:
-        """Tell what happened to one request, from logs of all processes.
+    def explain(self, *words: str, summary: bool | str = False) -> None:
+        """Tell what happened to a request, from logs of all processes.
 
-        :param job: the request's id.
-        :param files: logs; standard input if none is named.
+        :param words: the request's id, and files; standard input if none is
+            named.
+        :param summary: all are files: count what went wrong, by second,
+            queue and cause.
         """
+        if summary:
+            # The word after the option is taken for its value.
+            first = (summary,) if isinstance(summary, str) else ()
+            words = (*first, *words)
+            self._run = functools.partial(_other, 'cmd.summary', 'show', words)
+            return
+        if not words:
+            raise exceptions.BadUsage(
+                'name a request, or give --summary', step='explain'
+            )
         self._run = functools.partial(
-            _other, 'cmd.explain', 'explain', job, files
+            _other, 'cmd.explain', 'explain', words[0], words[1:]
         )
 
     @_text
--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -16,7 +16,7 @@
 
 _PAIR = re.compile(r'([A-Za-z_][\w.]*)=("(?:[^"\\]|\\.)*"|\S*)')
 
-_ENDS = ('job_ended', 'job_refused')
+ENDS = ('job_ended', 'job_refused')
 
 CAUSES = {
     'overloaded': 'more work waited than could start in its time',
@@ -84,13 +84,13 @@
 
 def cause(found: list[Line]) -> str:
     """Why the request ended as it did, or ended late."""
-    ends = [line for line in found if line.event in _ENDS]
+    ends = [line for line in found if line.event in ENDS]
     if not ends:
         return _lost(found)
     end = ends[-1].fields
     reason = end.get('reason', '')
-    if end.get('verdict') == 'complete' and _number(end, 'late') > 0.0:
-        return f'late by {end["late"]} s: {_delay(found, end)}'
+    if end.get('verdict') == 'complete' and number(ends[-1], 'late') > 0.0:
+        return f'late by {end["late"]} s: {delay(found, ends[-1]).text}'
     known = CAUSES.get(reason, 'not a reason known here')
     return f'{reason}: {known}'
 
@@ -104,52 +104,74 @@
     return f'{text}; its runs were ended by {agents}'
 
 
-def _delay(found: list[Line], end: dict[str, str]) -> str:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delay:
+    """What held a job up that ended well.
+
+    :param word: for programs.
+    :param text: for people.
+    """
+
+    word: str
+    text: str
+
+
+def delay(found: list[Line], end: Line) -> Delay:
     """What held a job up that ended well."""
     for line in found:
         if line.event in DELAYS:
             # An agent's peer is the entry; an entry's is the agent.
             stuck = line.event == 'run_stuck'
             where = line.fields.get('peer', '') if stuck else line.process
-            return f'{line.event} ({where}): {DELAYS[line.event]}'
+            text = f'{line.event} ({where}): {DELAYS[line.event]}'
+            return Delay(line.event, text)
     begun = [line for line in found if line.event == 'job_admitted']
-    slack = _number(begun[-1].fields, 'slack') if begun else 0.0
-    if _number(end, 'began') > slack:
-        return f'it waited {end["began"]} s for room, its slack was {slack} s'
-    return 'its tasks took longer than expected'
-
-
-def _number(fields: dict[str, str], name: str) -> float:
+    slack = number(begun[-1], 'slack') if begun else 0.0
+    for field, word, what in (
+        ('began', 'waited', 'it'),
+        ('all_began', 'waited_for_last', 'its last task'),
+    ):
+        if number(end, field) > slack:
+            waited = end.fields[field]
+            text = f'{what} waited {waited} s for room, its slack was'
+            return Delay(word, f'{text} {slack} s')
+    return Delay('slow', 'its tasks took longer than expected')
+
+
+def number(line: Line, name: str) -> float:
+    """A field of a line as a number; 0 if it has none."""
     try:
-        return float(fields.get(name, ''))
+        return float(line.fields.get(name, ''))
     except ValueError:
         return 0.0
 
 
 def explain(job: str, files: tuple[str, ...]) -> commands.Output:
     """The story of a request, from files or standard input."""
-    found: list[Line] = []
-    for name in files or ('-',):
-        try:
-            found += _read(name, job)
-        except OSError as exc:
-            raise exceptions.BadUsage(
-                f'{name}: {exc.strerror}', step='explain'
-            ) from exc
+    found = story(read(files), job)
     if not found:
         raise exceptions.BadUsage(
             f'no line names the request {job}', step='explain'
         )
-    found.sort(key=lambda line: line.at)
     text = [line.show(found[0].at) for line in found]
     return commands.Output('\n'.join([*text, f'cause: {cause(found)}']))
 
 
-def _read(name: str, job: str) -> list[Line]:
-    if name == '-':
-        return story(sys.stdin, job)
-    with open(name, encoding='utf-8', errors='replace') as file:
-        return story(file, job)
+def read(files: tuple[str, ...]) -> typing.Iterator[str]:
+    """The lines of some files; of standard input if none is named.
+
+    :raises agatepick.exceptions.BadUsage: if one can't be read.
+    """
+    if not files:
+        yield from sys.stdin
+    for name in files:
+        try:
+            with open(name, encoding='utf-8', errors='replace') as file:
+                yield from file
+        except OSError as exc:
+            raise exceptions.BadUsage(
+                f'{name}: {exc.strerror}', step='explain'
+            ) from exc
 
 
 def _plain(value: str) -> str:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -612,12 +613,19 @@
     :param faults: what may happen; with none it is a calm day.
     """
 
+    folder = pathlib.Path(folder)
+
     async def main():
-        soak = Soak(seed, seconds, pathlib.Path(folder), faults)
+        soak = Soak(seed, seconds, folder, faults)
         broken = await soak.play()
         return broken, dict(soak.checks.answered)
 
-    return asyncio.run(main())
+    broken, answered = asyncio.run(main())
+    if broken:
+        # Beside the logs of all processes, or it couldn't be traced later.
+        lines = [f'{one.promise}: {one.detail}\n' for one in broken]
+        (folder / 'broken.txt').write_text(''.join(lines))
+    return broken, answered
 
 
 def _now():
@@ -639,16 +647,20 @@
     parser.add_argument('--logs', default='')
     args = parser.parse_args()
     failed = 0
+    logs = pathlib.Path(args.logs or tempfile.gettempdir())
+    logs.mkdir(parents=True, exist_ok=True)
     for seed in range(args.first, args.first + args.count):
-        folder = args.logs and pathlib.Path(args.logs) / str(seed)
-        folder = folder or pathlib.Path(tempfile.mkdtemp())
-        folder.mkdir(parents=True, exist_ok=True)
+        # Of its own each time: a later run must not replace what shows why
+        # an earlier one failed.
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=logs)
         broken, answered = play(seed, args.seconds, folder)
         print(f'seed={seed} broken={len(broken)} answers={answered}')
         for one in broken[:5]:
             print(f'  {one.promise}: {one.detail} (logs in {folder})')
         sys.stdout.flush()
         failed += bool(broken)
+        if not broken:
+            shutil.rmtree(folder)
     print(f'{args.count - failed} passed, {failed} failed')
     return 1 if failed else 0
 
