--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -53,10 +53,6 @@
 """Time given to agents to come after the start of this process: they find it
 in the store within 0.3 s, and a worker announces itself every 1.5 s."""
 
-LATE_FACTOR = 3.0
-"""Times its objective up to which an answer is still of some use, by the
-users' pages."""
-
 MIN_RETRY_SECONDS = 1.0
 """Retry-After is told in whole seconds."""
 
@@ -235,22 +231,6 @@
         if arrived_at >= self._reached_since:
             self.margin.began(in_time)
 
-    def gives_up_at(self, job: owned.OwnedJob) -> float:
-        """Instant at which a job that has not begun is refused.
-
-        That is its latest start, as what waits on for a late answer would
-        take room from what can still be in time.  But jobs that came before
-        any worker was there wait on behind all others: after a loss of power
-        most callers are late already, workers have room at once, and a
-        refusal is final to them.
-        """
-        if job.arrived_at >= self._reached_since:
-            return job.latest
-        expected = job.ends_by - job.latest
-        useful = LATE_FACTOR * (job.ends_by - job.arrived_at) - expected
-        waited = min(useful, START_SECONDS)
-        return max(job.latest, job.arrived_at + waited)
-
     def spread_retry(self) -> float:
         """Seconds until a caller may come back, when no queue tells them."""
         return 1.0 + self._rng.uniform(0.0, RETRY_SPREAD_SECONDS)
@@ -283,7 +263,7 @@
         # share served fell from 0.76 to 0.72 on a day of overload.
         needed = 0.0
         for job in self._waiting.in_order():
-            if job.overdue or not job.begun and job.latest > latest:
+            if not job.begun and job.latest > latest:
                 break
             needed += sum(
                 job.spec.tasks[index].needs.cpu for index in job.waiting
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -403,8 +403,6 @@
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
         if not job.begun and now >= job.latest:
-            job.overdue = True
-        if not job.begun and now >= self._admission.gives_up_at(job):
             self._admission.began(job.arrived_at, False)
             after = self._admission.spread_retry()
             answer = jobs.Answer(
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -52,8 +52,6 @@
     :ivar latest: instant at which it must begin to end in its objective.
     :ivar ends_by: end of its objective, by its expected seconds.
     :ivar begun_at: when its first task was sent to a worker.
-    :ivar overdue: it can't end in its objective any more, and goes behind
-        all that can.
     :ivar calls: requests that wait for its answer; more than one if a caller
         handed it in again.
     """
@@ -74,7 +72,6 @@
         self.records = [TaskRecord() for _ in spec.tasks]
         self.waiting: collections.deque[int] = collections.deque()
         self.begun_at: float | None = None
-        self.overdue = False
         self.answered = False
         self.open = len(spec.tasks)
         self.seconds: dict[int, list[float]] = {}
@@ -189,8 +186,6 @@
 class Waiting:
     """Jobs with waiting tasks: those that have begun, then by latest start.
 
-    Those that are overdue come last, also once they have begun.
-
     Load pattern: more work than the workers can do, in jobs of several
     tasks.  By latest start alone a wide job that has begun waits for its
     last places behind each that is more urgent by a millisecond, and both
@@ -222,8 +217,8 @@
         return self._jobs
 
 
-def _place(job: OwnedJob) -> tuple[bool, bool, float]:
-    return job.overdue, not job.begun, job.latest
+def _place(job: OwnedJob) -> tuple[bool, float]:
+    return not job.begun, job.latest
 
 
 def stop_runs(job: OwnedJob, indexes: list[int]) -> list[object]:
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -34,10 +34,6 @@
 core spent all its time on that."""
 
 
-OVERDUE_SLACK_SECONDS = 10.0
-"""Slack that is told for jobs that can't be in time any more: longer than
-any job's that can, so that no other entry's is held up by them."""
-
 NO_WANT = messages.Want(0, types.Needs(), 0.0)
 
 
@@ -234,8 +230,5 @@
         job.spec.tasks[index].needs for job in blocked for index in job.waiting
     ]
     least = min(needs, key=lambda one: one.cpu)
-    slack = min(
-        OVERDUE_SLACK_SECONDS if job.overdue else job.latest - now
-        for job in blocked
-    )
-    return messages.Want(len(needs), least, slack)
+    latest = min(job.latest for job in blocked)
+    return messages.Want(len(needs), least, latest - now)
