--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -10,6 +10,8 @@
 from tornado import web
 
 CALM = 'calm'
+MUTE_SECONDS = 60.0
+"""Longer than any caller waits."""
 
 
 def serve(app):
@@ -36,6 +38,7 @@
 
     :ivar mode: ``calm``, ``busy`` (503), ``many`` (429) or ``lost`` (writes
         are done and not answered).
+    :ivar mute: calls that get no answer, from now on.
     :ivar page: rows that one answer holds at most.
     :ivar between_pages: called after each answer to a read.
     """
@@ -46,6 +49,7 @@
         self.forgotten = 0
         self.dropped = {}
         self.mode = CALM
+        self.mute = 0
         self.page = 500
         self.between_pages = lambda: None
         self.calls = []
@@ -118,8 +122,11 @@
     def initialize(self, store):
         self.store = store
 
-    def prepare(self):
+    async def prepare(self):
         self.store.calls.append(self.request.path)
+        if self.store.mute:
+            self.store.mute -= 1
+            await asyncio.sleep(MUTE_SECONDS)
         status = {'busy': 503, 'many': 429}.get(self.store.mode)
         if status:
             self.set_status(status)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -208,6 +208,38 @@
     run(main)
 
 
+def test_a_call_that_gets_no_answer_is_soon_made_again(monkeypatch):
+    """A process starts while the store is away in part, or not there yet.
+
+    Were the first call waited for as long as a slow store may take, callers
+    would wait for a second beyond the store's return.
+    """
+    monkeypatch.setattr(rows, 'FIRST_CALL_SECONDS', 0.05)
+    monkeypatch.setattr(rows, 'CALL_SECONDS', 30.0)
+
+    async def main():
+        store = platform_standins.Store()
+        store.put('op', 'a', b'1')
+        store.mute = 1
+        followed = Followed(store)
+        await followed.until(lambda rows: rows == {'a': b'1'})
+        await followed.end()
+
+    run(main)
+
+
+def test_a_slow_store_is_given_more_time_after_each_failure():
+    patience = rows.Patience()
+    before = patience.seconds
+    patience.failed()
+    assert patience.seconds == 2.0 * before
+    for _ in range(5):
+        patience.failed()
+    assert patience.seconds == rows.CALL_SECONDS
+    patience.answered()
+    assert patience.seconds == before
+
+
 def test_an_entry_lists_itself_though_answers_are_lost():
     """Writes are done and not answered: done again, they change nothing."""
 
