--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -8,7 +8,8 @@
 before it need beyond those that are free, and from the cores that come free a
 second: this entry's share of the workers over the usual run time, or what its
 own runs freed of late if that is more.  A job that would start too late is
-refused at once; where nothing waits before it, it never is.  One that was let
+refused at once; where nothing waits before it, it never is.  What is too
+late is learnt from those that were let in (:class:`Margin`).  One that was let
 in and sees its latest start pass before any task began is refused too: the
 prediction was wrong, and an answer now lets its caller go elsewhere.
 """
@@ -35,15 +36,15 @@
 wait begin in time.  Its own run time is known to within a third."""
 
 LEAST_SHARE = 0.05
-"""The same while they don't: under twice the load that fills the workers it
-comes down to this, and only what starts almost at once is let in."""
+"""The same while they don't, however long: then only what starts almost at
+once is let in."""
 
 RAISE = 1.02
 CUT = 0.7
 """Factors on that part after a job that began in time, and after one that
-didn't.  They balance at one late job in nineteen: at five times the worth of
-a late answer, one job refused for each late one that is spared would pay up
-to that."""
+didn't.  They balance at one late start in nineteen, whatever the part is:
+fewer would cost many refusals, and to callers a refusal is worse than a late
+answer."""
 
 CUT_OFF_SECONDS = 0.8
 """Time without any agent after which jobs are refused at once: a broken
@@ -133,7 +134,7 @@
 
     With a fixed part of 0.7 a third of all jobs were late at 1.15 times the
     load that fills the workers, and callers got 0.65 of what they were owed;
-    with this a tenth and 0.78.  A fixed part of 0.1 gives 0.80 there, but
+    with this a tenth and 0.76.  A fixed part of 0.1 gives 0.80 there, but
     refuses 3.4% at 0.8 times that load, where this refuses 0.4%
     (``tests/test_busy_world.py``).
 
