--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -98,3 +98,17 @@
     first, second = a_worker('a'), a_worker('b')
     avoid = frozenset({'a'})
     assert pick([first, second], TASK, avoid) is second
+
+
+def test_a_nearly_full_fast_worker_comes_after_a_slower_one_with_room():
+    """Another entry may have taken its last place since the last news."""
+    nearly_full = a_worker('fast', free=7.0)
+    roomy = a_worker('slow', free=40.0, cost=1.3)
+    assert pick([nearly_full, roomy], TASK, NOBODY) is roomy
+    assert pick([nearly_full], TASK, NOBODY) is nearly_full
+
+
+def test_of_workers_with_room_the_faster_is_taken():
+    fast = a_worker('fast', free=20.0)
+    slow = a_worker('slow', free=64.0, cost=1.3)
+    assert pick([slow, fast], TASK, NOBODY) is fast
