--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -192,7 +192,10 @@
         self, method: str, path: str, seconds: float, body: bytes = b''
     ) -> tuple[int, bytes]:
         call = path.partition('?')[0]
-        if self._client is None or self._client.address != self.address:
+        if self._client is not None and self._client.address != self.address:
+            # The settings name another address now.
+            await self.close()
+        if self._client is None:
             self._client = httpcalls.Client(self.address, MAX_CONNECTIONS)
         try:
             answer = await self._client.call(method, path, seconds, body, JSON)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -240,6 +240,24 @@
     assert patience.seconds == before
 
 
+def test_another_address_of_the_store_is_used_from_the_next_call_on():
+    """The settings file names another address while the process runs."""
+
+    async def main():
+        before, after = platform_standins.Store(), platform_standins.Store()
+        before.put('op', 'a', b'1')
+        after.put('op', 'a', b'2')
+        client = rows.RowStore(before.address)
+        found = await client.read('op')
+        assert [row.value for row in found.rows] == [b'1']
+        client.address = after.address
+        found = await client.read('op')
+        assert [row.value for row in found.rows] == [b'2']
+        await client.close()
+
+    run(main)
+
+
 def test_an_entry_lists_itself_though_answers_are_lost():
     """Writes are done and not answered: done again, they change nothing."""
 
