Start nothing beside a run of an agent's earlier life

Cause, found by reading: each start extends the lease of all that runs at the worker. An agent that is back before its worker's lease ran out, and knows its worker at once, would start tasks beside runs of its former life; were their stops lost, these would outlive the time after which their entry starts the task elsewhere. No run of a task was seen doubled for it. Change: nothing is started before a list of the worker shows none of these. Also removed: rooms that came with reports of ended runs.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -99,9 +99,7 @@
         effects = self._orders.enforce(now)
         effects += handler(event, now)
         effects += self._orders.watch(now)
-        told = self._reports.flush(now)
-        self._telling.owe(one.peer for one in told)
-        effects += told
+        effects += self._reports.flush(now)
         self._orders.look_at_health(now)
         effects += self._telling.share(
             self._orders.worker, self._open(now), self._owners, now
--- a/src/agatepick/repeatable/orders.py
+++ b/src/agatepick/repeatable/orders.py
@@ -34,6 +34,9 @@
 MAX_STARTS = 3
 """Times that one run's start is sent."""
 
+NEVER_TOLD = -1
+"""Stands for the last end that was told while no list has come yet."""
+
 BEAT_SECONDS = 6.0
 """Silence after which a worker is taken for gone: three announcements and
 some more, at 1.5 s each."""
@@ -70,6 +73,12 @@
         self._ended_told = 0
         self._lease_until = 0.0
         self._strangers_at = 0.0
+        # Whether no run of an earlier life of this process is left at the
+        # worker.  Each start extends the lease of all that runs there: were
+        # tasks started beside such a run whose stop got lost, it would
+        # outlive the time after which its entry starts its task elsewhere,
+        # and a caller's quote would be filed twice.
+        self._alone = False
         self._kept: workerapi.WorkerSeen | None = None
 
     # The worker's life
@@ -158,7 +167,8 @@
         self._ended_seen = 0
         # What an earlier life of this process started there goes on until
         # its lease runs out, and takes room meanwhile: ask for it.
-        self._ended_told = -1
+        self._ended_told = NEVER_TOLD
+        self._alone = False
         self._watching.reset(now)
         until = now + leases.LONGEST_OVER_SECONDS
         self._lease_until = max(self._lease_until, until)
@@ -314,19 +324,26 @@
             return []
         busy = bool(self.runs)
         silent = self._watching.silent(now)
-        if not busy and not silent and self._ended_told == self._ended_seen:
+        told = self._ended_told == self._ended_seen and self._alone
+        if told and not busy and not silent:
             return []
         lease = 0.0
         if busy and not silent and self._renewing(now):
             lease = leases.WORKER_SECONDS
             self._extend_lease(now)
-        wait = watching.WAIT_SECONDS if busy else 0.0
+        first = self._ended_told == NEVER_TOLD
+        waits = busy or not self._alone and not first
+        wait = watching.WAIT_SECONDS if waits else 0.0
         self._watching.asked(wait, now)
         return [workerapi.Watch(worker.life, self._ended_seen, lease, wait)]
 
     def closing(self, now: float) -> bool:
-        """Whether the worker is silent for too long to be given more."""
-        return self._watching.closing(now)
+        """Whether nothing more should be started at the worker.
+
+        It is silent for too long, or may still run what an earlier life of
+        this process has started there.
+        """
+        return not self._alone or self._watching.closing(now)
 
     def _renewing(self, now: float) -> bool:
         return any(
@@ -407,6 +424,7 @@
             if one.name not in self.runs
             or self.runs[one.name].ref.run != one.run
         ]
+        self._alone = self._alone or not strangers
         if not strangers or now < self._strangers_at + STRANGER_SECONDS:
             return []
         self._strangers_at = now
--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -52,11 +52,11 @@
         )
         self._reports.setdefault(owner, []).append(report)
 
-    def flush(self, now: float) -> list[core.Send]:
+    def flush(self, now: float) -> list[object]:
         """The messages that bring all reports on their way."""
         if not self._reports:
             return []
-        effects: list[core.Send] = []
+        effects: list[object] = []
         for owner, reports in self._reports.items():
             kept = self._kept.setdefault(owner, collections.deque())
             kept.extend((now, report) for report in reports)
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -1,7 +1,5 @@
 """What entries are told of the worker and of its room."""
 
-import typing
-
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
@@ -43,17 +41,6 @@
         self._told: messages.Room | None = None
         self._told_at = 0.0
         self._due = False
-        self._owed: set[types.PeerName] = set()
-
-    def owe(self, entries: typing.Iterable[types.PeerName]) -> None:
-        """Tell some entries of the room with their runs' reports.
-
-        What goes wrong without it: an entry counts the room of a run that
-        ended as its own again, while it was granted to another that waited.
-        Near saturation 22% of all starts were refused for that, and 7% are
-        now (``tests/test_busy_world.py``).
-        """
-        self._owed.update(entries)
 
     def share(
         self,
@@ -74,15 +61,14 @@
         effects = self._grant(owners, now) if is_open else []
         news = self.describe(_NOBODY)
         self._due = news != self._told
-        told = self._due and now >= self._told_at + self._pause()
-        if told:
-            self._told, self._told_at, self._due = news, now, False
+        if not self._due or now < self._told_at + self._pause():
+            return effects
+        self._told, self._told_at, self._due = news, now, False
         effects += [
             core.Send(owner.name, self.describe(owner))
             for owner in owners.values()
-            if owner.connected and (told or owner.name in self._owed)
+            if owner.connected
         ]
-        self._owed.clear()
         return effects
 
     def next_at(self) -> float | None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -133,3 +133,46 @@
 def test_a_worker_that_left_is_not_kept(given):
     effects = given.left(workerapi.WorkerLeft('w@1'), NOW)
     assert workerapi.KeepWorker(None) in effects
+
+
+def listed(life='w@1', running=(), ended=()):
+    return workerapi.Watched(life, NOW + 1.0, tuple(running), tuple(ended))
+
+
+def test_nothing_starts_beside_a_run_of_an_earlier_life():
+    """The agent was killed and is back before its worker's lease ran out.
+
+    Each start extends the lease of all that runs there.  A run of the former
+    life whose stop got lost would go on, while its task starts elsewhere.
+    """
+    found = orders.Orders(
+        sharing.Sharing(), health.Health(), reports.Reports()
+    )
+    found.seen(announced(1), NOW)
+    assert found.closing(NOW)
+    (first,) = found.watch(NOW)
+    assert (first.wait_seconds, first.lease_seconds) == (0.0, 0.0)
+    old = workerapi.RunningAt('j.0', 1)
+    effects = found.listed(listed(running=[old]), NOW + 0.01)
+    assert effects == [workerapi.StopRun('w@1', 'j.0', 1)]
+    assert found.closing(NOW + 0.01)
+    (again,) = found.watch(NOW + 0.01)
+    assert again.wait_seconds > 0.0
+    assert again.lease_seconds == 0.0
+    found.listed(listed(), NOW + 0.05)
+    assert not found.closing(NOW + 0.05)
+    assert found.watch(NOW + 0.05) == []
+
+
+def test_a_stop_that_got_lost_is_told_again_until_the_run_is_gone():
+    found = orders.Orders(
+        sharing.Sharing(), health.Health(), reports.Reports()
+    )
+    found.seen(announced(1), NOW)
+    old = workerapi.RunningAt('j.0', 1)
+    stops = 0
+    pause = 1.1 * orders.STRANGER_SECONDS
+    for step in range(1, 5):
+        effects = found.listed(listed(running=[old]), NOW + step * pause)
+        stops += len(of_kind(effects, workerapi.StopRun))
+    assert stops == 4
