Tell at once that a worker may be used

Cause: a worker that came up is told as closed, and as open a few ms later when its first list came; the second news waited for up to 30 ms. Found by reading; not measured on its own.

--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -61,7 +61,11 @@
         effects = self._grant(owners, now) if is_open else []
         news = self.describe(_NOBODY)
         self._due = news != self._told
-        if not self._due or now < self._told_at + self._pause():
+        # Whether runs may be started at all changes rarely and is told at
+        # once: after a restart callers wait for just that.
+        switched = self._told is not None and news.open != self._told.open
+        waits = now < self._told_at + self._pause() and not switched
+        if not self._due or waits:
             return effects
         self._told, self._told_at, self._due = news, now, False
         effects += [
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -45,3 +45,20 @@
     callers' jobs would start over and over.
     """
     assert 1.0 <= news_heard(agents) * agents <= 380.0
+
+
+def test_that_a_worker_may_be_used_is_told_at_once():
+    """A worker came up, and its first list shows that nothing runs there.
+
+    After a loss of power all callers wait for that, and the news of its
+    room, a moment before, must not hold it up.
+    """
+    room = sharing.Sharing()
+    tells = telling.Telling(1, room, health.Health())
+    owners = {'entry': runs.Owner('entry', 1)}
+    assert tells.share(None, False, owners, NOW)
+    room.resize(TASK)
+    assert tells.share(None, False, owners, NOW + 0.001) == []
+    (told,) = tells.share(None, True, owners, NOW + 0.002)
+    assert told.message.open
+    assert told.message.free == TASK
