Send a job's payload once to each agent, not with each start

Counted on with --no-cpu: of 75 cores a worker, 12 in use and 61 kept by grants from second 9 on, for good. The answers to grants came four grants late (more than 200 ms) though neither side was busy: entries sent 200 to 214 KB/s of start messages over a link of 250 KB/s, against 9 to 65 KB/s before the burst. Each start carried its job's payload (0.3 to 4 KB), once for each task and once more for each of some 700 starts a second that were refused for room; so grants lapsed, starts were refused, and that kept the link full. Ruled out: processor time (--no-cpu collapses alike), room lost in the agents' accounts (taken room equals the runs' needs, and the worker's lists).

--- a/src/agatepick/net/messages.capnp
+++ b/src/agatepick/net/messages.capnp
@@ -247,9 +247,13 @@
   index @1 :UInt32;
   run @2 :UInt32;
   name @3 :Text;
-  payload @4 :Data;
-  needs @5 :Needs;
-  expected @6 :Float64;
+  needs @4 :Needs;
+  expected @5 :Float64;
+}
+
+struct Payload {
+  job @0 :Text;
+  data @1 :Data;
 }
 
 struct StartRuns {
@@ -257,6 +261,7 @@
   grant @1 :UInt64;
   runs @2 :List(RunSpec);
   want @3 :Want;
+  payloads @4 :List(Payload);
 }
 
 struct RunRef {
--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -350,11 +350,18 @@
     index: int
     run: int
     name: str
-    payload: bytes
     needs: types.Needs
     expected: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Payload:
+    """What each task of a repeatable job is given."""
+
+    job: str
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRuns:
     """Runs to start now.
@@ -362,12 +369,14 @@
     :param number: counts these messages on one connection, from 1.
     :param grant: number of the :class:`Room` that it answers, or 0.
     :param want: what still waits; it replaces an earlier :class:`Want`.
+    :param payloads: of jobs whose payload the receiver doesn't have yet.
     """
 
     number: int
     grant: int
     runs: tuple[RunSpec, ...]
     want: Want = Want(0, types.Needs(), 0.0)
+    payloads: tuple[Payload, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -163,6 +163,7 @@
         owner.connected = True
         owner.leaving = False
         owner.taken = 0
+        owner.recent.clear()
         self._room.join(hello.name)
         return [
             core.note('entry_up', peer=hello.name),
@@ -219,19 +220,29 @@
         if message.grant:
             self._room.returned(owner.name, message.grant)
         self._room.want(owner.name, message.want, now)
+        fresh = {one.job: one.data for one in message.payloads}
+        for job, data in fresh.items():
+            owner.recent.add(job, data)
         effects: list[object] = []
         for spec in message.runs:
-            effects += self._start(owner, spec, now)
+            payload = fresh.get(spec.job, owner.recent.get(spec.job))
+            effects += self._start(owner, spec, payload, now)
         return effects
 
     def _start(
-        self, owner: runs.Owner, spec: messages.RunSpec, now: float
+        self,
+        owner: runs.Owner,
+        spec: messages.RunSpec,
+        payload: bytes | None,
+        now: float,
     ) -> list[object]:
         ref = messages.RunRef(spec.job, spec.index, spec.run)
+        if payload is None:
+            return self._orders.refuse(owner, ref, reports.NO_PAYLOAD)
         reason = self._refusal(owner, spec, now)
         if reason:
             return self._orders.refuse(owner, ref, reason)
-        return self._orders.start(owner, spec, now)
+        return self._orders.start(owner, spec, payload, now)
 
     def _refusal(
         self, owner: runs.Owner, spec: messages.RunSpec, now: float
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -316,6 +316,7 @@
         worker.fill()
         worker.number = 0
         worker.sent.clear()
+        worker.recent.clear()
         self._placing.forget(hello.name)
         return [core.note('agent_up', peer=hello.name)]
 
--- a/src/agatepick/repeatable/orders.py
+++ b/src/agatepick/repeatable/orders.py
@@ -201,14 +201,18 @@
     # Starts and stops
 
     def start(
-        self, owner: runs.Owner, spec: messages.RunSpec, now: float
+        self,
+        owner: runs.Owner,
+        spec: messages.RunSpec,
+        payload: bytes,
+        now: float,
     ) -> list[object]:
         """Start a run for which room was taken."""
         ref = messages.RunRef(spec.job, spec.index, spec.run)
         run = runs.Run(
             ref,
             spec.name,
-            spec.payload,
+            payload,
             spec.needs,
             owner,
             now,
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -14,6 +14,7 @@
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned
 from agatepick.repeatable import pool
+from agatepick.repeatable import reports
 from agatepick import types
 
 STALE_RUN_STEP = 64
@@ -141,6 +142,8 @@
             record.run += STALE_RUN_STEP
         elif report.reason == 'unwell':
             record.avoid = record.avoid | {worker.name}
+        elif report.reason == reports.NO_PAYLOAD:
+            worker.recent.clear()
         else:
             # It is fuller than was known; the next news tells how full.
             worker.fill()
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -46,6 +46,7 @@
         self._pool = workers
         self._estimator = estimator
         self._sends: dict[types.PeerName, list[messages.RunSpec]] = {}
+        self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
         self._granted: dict[types.PeerName, messages.Room] = {}
         self._told: dict[str, _Told] = {}
 
@@ -141,13 +142,17 @@
         record.stopping = False
         job.begin(now)
         worker.bind((job.spec.key, index), record.run, task.needs)
+        if job.spec.key not in worker.recent:
+            worker.recent.add(job.spec.key, job.spec.payload)
+            self._payloads.setdefault(worker.name, []).append(
+                messages.Payload(job.spec.key, job.spec.payload)
+            )
         self._sends.setdefault(worker.name, []).append(
             messages.RunSpec(
                 job.spec.key,
                 index,
                 record.run,
                 task.name,
-                job.spec.payload,
                 task.needs,
                 expected(self._estimator, job, index),
             )
@@ -169,6 +174,7 @@
                         grant.grant if grant else 0,
                         tuple(self._sends.get(name, ())),
                         wants.get(worker.pool, NO_WANT),
+                        tuple(self._payloads.get(name, ())),
                     ),
                 )
             )
@@ -176,6 +182,7 @@
                 # What wasn't used goes to others.
                 worker.fill()
         self._sends.clear()
+        self._payloads.clear()
         return effects
 
     def _tell_want(
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -17,6 +17,7 @@
 
 from agatepick.net import messages
 from agatepick.repeatable import leases
+from agatepick.repeatable import payloads
 from agatepick import types
 
 FRESH_SECONDS = 0.43
@@ -71,6 +72,7 @@
     :ivar sent: room taken by start messages that ``room`` doesn't count.
     :ivar renewed_at: when this entry last renewed its lease there.
     :ivar placed: its runs there, by task.
+    :ivar recent: payloads that its agent has.
     """
 
     name: types.PeerName
@@ -86,6 +88,9 @@
     number: int = 0
     renewed_at: float = 0.0
     placed: dict[Key, Placed] = dataclasses.field(default_factory=dict)
+    recent: payloads.Recent = dataclasses.field(
+        default_factory=payloads.Recent
+    )
 
     def usable(self, now: float) -> bool:
         """Whether runs may be sent there."""
--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -13,6 +13,9 @@
 from agatepick.repeatable import runs
 from agatepick import types
 
+NO_PAYLOAD = 'payload'
+"""Why a run is refused whose payload the agent doesn't have."""
+
 KEPT_SECONDS = 5.0
 """How long reports are kept for an entry whose connection broke."""
 
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -5,6 +5,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
+from agatepick.repeatable import payloads
 from agatepick import types
 
 
@@ -17,6 +18,7 @@
     :ivar agents: agents that it listens to.
     :ivar leaving: it gets no more room here.
     :ivar gone: another life has taken its place.
+    :ivar recent: payloads that it has sent on this connection.
     """
 
     name: types.PeerName
@@ -27,6 +29,9 @@
     connected: bool = True
     leaving: bool = False
     gone: bool = False
+    recent: payloads.Recent = dataclasses.field(
+        default_factory=payloads.Recent
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/busy_world.py
+++ b/tests/busy_world.py
@@ -10,6 +10,7 @@
 import random
 
 from agatepick import core
+from agatepick.net import messages
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
 from agatepick.repeatable import routes
@@ -34,6 +35,7 @@
     :param width: tasks of a job, in the mean.
     :param seconds: run time of a task at a fast worker, in the mean.
     :param worth: of one job of mean size that is answered in time.
+    :param payload: bytes that go to the worker with each task.
     """
 
     name: str
@@ -42,6 +44,7 @@
     seconds: float
     worth: float
     priority: int
+    payload: int
 
     @property
     def route(self):
@@ -57,14 +60,17 @@
 
 
 QUEUES = (
-    Queue('wide', 0.245, 8, 0.12, 0.0291, 0),
-    Queue('long', 0.044, 4, 1.8, 0.16, 2),
-    Queue('quick', 0.711, 2, 0.4, 0.01, 1),
+    Queue('wide', 0.245, 8, 0.12, 0.0291, 0, 1000),
+    Queue('long', 0.044, 4, 1.8, 0.16, 2, 2400),
+    Queue('quick', 0.711, 2, 0.4, 0.01, 1, 300),
 )
 CORES = 3.1
 
-WORK = sum(one.share * one.width * one.seconds * CORES for one in QUEUES)
-"""Core-seconds of a job at fast workers, in the mean."""
+SECONDS = sum(one.share * one.width * one.seconds for one in QUEUES)
+"""Seconds that all tasks of a job run at fast workers, in the mean."""
+
+FRAME_BYTES = 70
+"""What a message takes on a link beside its own bytes."""
 
 
 @dataclasses.dataclass
@@ -117,12 +123,29 @@
 class Busy(repeatable_world.World):
     """Entries, agents and workers, and the callers of some seconds.
 
+    :param cores: that a task takes in the mean.
+    :param sizes: cores of a fast and of a slow worker.
+    :param link: bytes a second that an entry's own link carries.
+    :param listed: whether agents pick the entries that they serve.
     :ivar callers: all that have come, by job.
     :ivar starts: runs that entries asked agents for.
     :ivar full: starts that agents refused for want of room.
     """
 
-    def __init__(self, seed=0, entries=3, agents=11):
+    def __init__(
+        self,
+        seed=0,
+        entries=3,
+        agents=11,
+        cores=CORES,
+        sizes=(32.0, 48.0),
+        link=math.inf,
+        listed=False,
+    ):
+        self.task_cores = cores
+        self.sizes = sizes
+        self.link = link
+        self.link_free_at = {}
         self.tasks = {}
         self.callers = {}
         self.true_seconds = {}
@@ -130,14 +153,14 @@
         self.full = 0
         self.messages = 0
         self.load_rng = random.Random(seed)
-        super().__init__(entries, agents, seed)
+        super().__init__(entries, agents, seed, listed)
 
     def _make_worker(self, index):
         slow = index % 3 == 2
         return Worker(
             self,
             f'w-{index}',
-            48.0 if slow else 32.0,
+            self.sizes[slow],
             SLOW_FACTOR if slow else 1.0,
         )
 
@@ -156,7 +179,7 @@
 
     def load(self, share, seconds):
         """Let jobs come that fill a share of the workers for some seconds."""
-        rate = share * self.cores / WORK
+        rate = share * self.cores / (SECONDS * self.task_cores)
         at = self.load_rng.expovariate(rate)
         while at < seconds:
             self.later(at, self._come)
@@ -174,7 +197,7 @@
         width = max(1, round(queue.width * rng.lognormvariate(-0.08, 0.4)))
         mean = queue.seconds * rng.lognormvariate(-0.08, 0.4)
         guess = mean * rng.lognormvariate(0.0, 0.4)
-        cpu = CORES * rng.uniform(0.8, 1.2)
+        cpu = self.task_cores * rng.uniform(0.8, 1.2)
         tasks = tuple(
             jobs.Task(f'{key}.{index}', 0, types.Needs(cpu, 64, 0), guess)
             for index in range(width)
@@ -187,7 +210,7 @@
         spec = jobs.Job(
             key,
             queue.route,
-            b'{}',
+            bytes(queue.payload),
             tasks,
             (frozenset(),),
             self.now + 15.0,
@@ -201,6 +224,16 @@
         )
         self.submit(spec)
 
+    def delay(self, node, message):
+        seconds = super().delay(node, message)
+        if node.name in self.workers or math.isinf(self.link):
+            return seconds
+        # All that a machine sends goes through its one link, in order.
+        size = len(messages.encode(message)) + FRAME_BYTES
+        free_at = max(self.now, self.link_free_at.get(node.name, 0.0))
+        self.link_free_at[node.name] = free_at + size / self.link
+        return seconds + self.link_free_at[node.name] - self.now
+
     def seconds(self, task):
         return self.true_seconds[task]
 
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -380,6 +380,10 @@
         if pair in self.cuts:
             self._break(pair)
 
+    def delay(self, node, message):
+        """Seconds until a message that a process sends now arrives."""
+        return DELAY
+
     def _deliver(self, pair, connection, to, sender, message):
         if self.connected.get(pair) == connection and pair not in self.cuts:
             self.feed(to, core.Received(sender, message))
@@ -393,7 +397,7 @@
                 connection = self.connected.get(pair)
                 if connection is not None and pair not in self.cuts:
                     self.later(
-                        DELAY,
+                        self.delay(node, effect.message),
                         self._deliver,
                         pair,
                         connection,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,7 +13,7 @@
 NOW = 50.0
 NEEDS = types.Needs(6.0, 64, 0)
 CAPACITY = types.Needs(64.0, 4096, 0)
-SPEC = messages.RunSpec('j', 0, 1, 'j.0', b'', NEEDS, 0.2)
+SPEC = messages.RunSpec('j', 0, 1, 'j.0', NEEDS, 0.2)
 REF = messages.RunRef('j', 0, 1)
 UNKNOWN = workerapi.StartResult.UNKNOWN
 
@@ -28,7 +28,7 @@
     )
     room.take(NEEDS)
     owner = runs.Owner('e', 1, valid_until=NOW + 60.0)
-    found.start(owner, SPEC, NOW)
+    found.start(owner, SPEC, b'', NOW)
     return found
 
 
