Keep room only for what waits, as long as answers take; admit by the trip

Cause: a grant kept all of a worker's free room for one entry, also for a single task, and twelve agents did so at once. Now as much as its tasks need. Cause: a grant lasted 50 ms however long its entry's answers took; with a full link each start came too late, was refused and sent again. Now 1.5 round trips of the last renewal, 0.25 s at most. Cause: jobs were let in while orders took longer than their slack.

--- a/src/agatepick/net/messages.capnp
+++ b/src/agatepick/net/messages.capnp
@@ -240,6 +240,7 @@
   count @0 :UInt32;
   least @1 :Needs;
   slack @2 :Float64;
+  total @3 :Needs;
 }
 
 struct RunSpec {
@@ -290,6 +291,7 @@
 
 struct Renewal {
   sent @0 :Float64;
+  trip @1 :Float64;
 }
 
 struct Renewed {
--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -330,11 +330,13 @@
 
     :param least: needs of the smallest of them.
     :param slack: seconds until the most urgent should have started.
+    :param total: needs of all of them together.
     """
 
     count: int
     least: types.Needs
     slack: float
+    total: types.Needs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -375,7 +377,7 @@
     number: int
     grant: int
     runs: tuple[RunSpec, ...]
-    want: Want = Want(0, types.Needs(), 0.0)
+    want: Want = Want(0, types.Needs(), 0.0, types.Needs())
     payloads: tuple[Payload, ...] = ()
 
 
@@ -421,9 +423,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Renewal:
-    """An agent asks an entry to renew the lease on its runs."""
+    """An agent asks an entry to renew the lease on its runs.
+
+    :param trip: seconds from the last one until its answer.
+    """
 
     sent: float
+    trip: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -17,6 +17,7 @@
 import dataclasses
 import math
 import random
+import statistics
 
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
@@ -102,15 +103,20 @@
     :param needed: cores of the tasks that start before it.
     :param free: cores that are free for them now.
     :param rate: cores that come free a second.
+    :param trip: seconds that an order takes to an agent and back: long while
+        the entry's link or processor is full, when more jobs would only make
+        all wait longer.
     """
 
     needed: float
     free: float
     rate: float
+    trip: float = 0.0
 
     def wait(self) -> float:
         """Seconds until the job starts."""
-        return max(0.0, self.needed - self.free) / max(self.rate, 0.001)
+        queue = max(0.0, self.needed - self.free) / max(self.rate, 0.001)
+        return queue + self.trip
 
 
 def in_time(load: Load, slack: float, share: float) -> bool:
@@ -276,4 +282,7 @@
             share += worker.room.capacity.cpu / max(1, worker.room.entries)
         steady = USED_SHARE * share / self.freed.usual_seconds()
         rate = max(steady, self.freed.a_second(now)) if workers else 0.0
-        return Load(needed, free, rate)
+        trip = (
+            statistics.median(one.trip for one in workers) if workers else 0.0
+        )
+        return Load(needed, free, rate, trip)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -205,6 +205,8 @@
         until = message.sent + leases.OWNER_SECONDS
         owner.valid_until = max(owner.valid_until, until)
         owner.agents = message.agents
+        owner.trip = now - message.sent
+        self._room.answers_within(owner.name, owner.trip)
         return []
 
     def _take_want(
@@ -309,7 +311,7 @@
         if now >= self._renewed_at + leases.RENEW_SECONDS:
             self._renewed_at = now
             effects += [
-                core.Send(owner.name, messages.Renewal(now))
+                core.Send(owner.name, messages.Renewal(now, owner.trip))
                 for owner in self._owners.values()
                 if owner.connected
             ]
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -348,6 +348,7 @@
         else:
             effects = []
         worker.renewed_at = now
+        worker.trip = message.trip
         return [
             *effects,
             core.Send(
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -7,7 +7,9 @@
 """
 
 import dataclasses
+import functools
 import math
+import operator
 
 from agatepick import core
 from agatepick.net import messages
@@ -34,7 +36,7 @@
 core spent all its time on that."""
 
 
-NO_WANT = messages.Want(0, types.Needs(), 0.0)
+NO_WANT = messages.Want(0, types.Needs(), 0.0, types.Needs())
 
 
 class Placing:
@@ -238,4 +240,5 @@
     ]
     least = min(needs, key=lambda one: one.cpu)
     latest = min(job.latest for job in blocked)
-    return messages.Want(len(needs), least, latest - now)
+    total = functools.reduce(operator.add, needs)
+    return messages.Want(len(needs), least, latest - now, total)
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -72,6 +72,7 @@
     :ivar sent: room taken by start messages that ``room`` doesn't count.
     :ivar renewed_at: when this entry last renewed its lease there.
     :ivar placed: its runs there, by task.
+    :ivar trip: seconds that the last renewal took, there and back.
     :ivar recent: payloads that its agent has.
     """
 
@@ -87,6 +88,7 @@
     )
     number: int = 0
     renewed_at: float = 0.0
+    trip: float = 0.0
     placed: dict[Key, Placed] = dataclasses.field(default_factory=dict)
     recent: payloads.Recent = dataclasses.field(
         default_factory=payloads.Recent
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -16,6 +16,7 @@
     :ivar valid_until: end of the lease on its runs.
     :ivar taken: number of its last start message.
     :ivar agents: agents that it listens to.
+    :ivar trip: seconds from the last renewal until its answer.
     :ivar leaving: it gets no more room here.
     :ivar gone: another life has taken its place.
     :ivar recent: payloads that it has sent on this connection.
@@ -27,6 +28,7 @@
     taken: int = 0
     agents: int = 1
     connected: bool = True
+    trip: float = 0.0
     leaving: bool = False
     gone: bool = False
     recent: payloads.Recent = dataclasses.field(
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -9,8 +9,8 @@
 
 So room that nobody waits for is open to all, and an entry just takes it.  An
 entry that finds none says so with the urgency of its first task; freed room
-is then kept for the most urgent entry alone, all of it, for as long as its
-answer takes.  What it doesn't use goes to the next.
+is then kept for the most urgent entry alone, as much of it as its tasks need,
+for as long as its answer takes.  What it doesn't use goes to the next.
 """
 
 import dataclasses
@@ -22,6 +22,12 @@
 """How long room is kept for an entry: the slowest round trip between zones
 is 3 ms, and a busy entry's turn of its loop takes up to 30 ms."""
 
+GRANT_TRIPS = 1.5
+"""How long it is kept for one whose answers take longer, in round trips."""
+
+MOST_GRANT_SECONDS = 0.25
+"""An entry that stands still must not keep a worker idle."""
+
 WANT_SECONDS = 1.0
 """How long a want holds; entries repeat theirs every 0.25 s."""
 
@@ -35,6 +41,7 @@
     grant: int = 0
     granted: types.Needs = types.Needs()
     granted_at: float = 0.0
+    patience: float = GRANT_SECONDS
 
     def urgency(self) -> float:
         """Instant by which its first task should have started."""
@@ -90,6 +97,18 @@
             share.want = want if want.count else None
             share.wanted_at = now
 
+    def answers_within(self, entry: types.PeerName, trip: float) -> None:
+        """An entry answered after so many seconds.
+
+        What goes wrong without it: an entry's link is full, each of its
+        answers comes after the grant has lapsed, and its starts are refused
+        and sent again, which keeps the link full.
+        """
+        share = self._shares.get(entry)
+        if share is not None:
+            patience = max(GRANT_SECONDS, GRANT_TRIPS * trip)
+            share.patience = min(patience, MOST_GRANT_SECONDS)
+
     def returned(self, entry: types.PeerName, grant: int) -> None:
         """An entry answered a grant; what it starts is counted apart."""
         share = self._shares.get(entry)
@@ -125,7 +144,7 @@
     def next_expiry(self) -> float | None:
         """Instant at which a grant runs out."""
         ends = [
-            share.granted_at + GRANT_SECONDS
+            share.granted_at + share.patience
             for share in self._shares.values()
             if share.grant
         ]
@@ -135,6 +154,8 @@
         self, name: types.PeerName, room: types.Needs, now: float
     ) -> Grant:
         share = self._shares[name]
+        assert share.want is not None
+        room = room.at_most(share.want.total)
         self._granted += 1
         share.grant = self._granted
         share.granted = room
@@ -145,7 +166,7 @@
 
     def _expire(self, now: float) -> None:
         for share in self._shares.values():
-            if share.grant and now >= share.granted_at + GRANT_SECONDS:
+            if share.grant and now >= share.granted_at + share.patience:
                 share.grant = 0
             if share.want and now >= share.wanted_at + WANT_SECONDS:
                 share.want = None
--- a/src/agatepick/types.py
+++ b/src/agatepick/types.py
@@ -83,6 +83,14 @@
             max(0, self.accelerators - other.accelerators),
         )
 
+    def at_most(self, other: 'Needs') -> 'Needs':
+        """The lesser of the two, for each resource."""
+        return Needs(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def fits(self, other: 'Needs') -> bool:
         """Whether these needs fit into ``other``."""
         return (
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -19,6 +19,16 @@
     assert not admitting.in_time(load, 1.0, admitting.MOST_SHARE)
 
 
+def test_a_job_is_refused_while_orders_take_too_long():
+    """An entry's link is full; cores are free, but no order reaches them.
+
+    Each job that is let in makes all wait longer, and none begins in time.
+    """
+    load = admitting.Load(needed=0.0, free=60.0, rate=10.0, trip=0.4)
+    assert not admitting.in_time(load, slack=0.3, share=1.0)
+    assert admitting.in_time(load, slack=0.5, share=1.0)
+
+
 def test_callers_that_are_refused_together_come_back_apart():
     """A burst is refused; with one time for all it would come back whole."""
     rng = random.Random(1)
