Take a message with one read and one turn; place only while something waits

Cause: an entry's and an agent's time goes to small messages (4,114 received for 201 jobs at an entry). Each took three turns of the loop and three reads: the socket's event, the coroutine that waits for bytes, and the queued write. Connections are protocols now, which take frames where they are read. And a round of placing followed each message, though seven of eight had no job to place; agents worked out what to tell after each event.

--- a/src/agatepick/net/links.py
+++ b/src/agatepick/net/links.py
@@ -11,14 +11,11 @@
 import dataclasses
 import logging
 import random
+import socket
 import ssl
 import struct
 import typing
 
-from tornado import iostream
-from tornado import tcpclient
-from tornado import tcpserver
-
 from agatepick import core
 from agatepick import exceptions
 from agatepick.net import messages
@@ -45,9 +42,7 @@
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
 READ_BYTES = 64 * 1024
-"""Most that is read at once.  A busy peer's frames come many at a time: to
-read each by two calls took 0.1 ms a message, a third of an entry's time at
-1,000 messages a second."""
+"""Most that is read at once: a busy peer's frames come many at a time."""
 YIELD_SECONDS = 0.25
 """Two entries dial each other.  The one with the greater name waits so long
 first; else both would connect at once and each end the other's connection."""
@@ -110,31 +105,75 @@
         self.bytes_in += size
 
 
-class Connection:
-    """One framed stream to one peer."""
+class Connection(asyncio.BufferedProtocol):
+    """One framed stream to one peer.
+
+    It is a protocol, not a stream that a coroutine reads: a message then
+    takes one turn of the loop and one call of the kernel, where a coroutine
+    takes three of each, and small messages are most of what an entry does.
+
+    :param buffer: where bytes are read to; connections of one loop share it,
+        as nothing runs between the read and :meth:`buffer_updated`.
+    :param made: called once it is connected.
+    """
 
     def __init__(
         self,
-        stream: iostream.IOStream,
         traffic: Traffic,
+        buffer: bytearray,
+        made: typing.Callable[['Connection'], None],
         stamps: Stamps | None = None,
     ):
-        self.stream = stream
+        self.transport: asyncio.Transport | None = None
         self.hello: messages.Hello | None = None
         self.heard_at = 0.0
+        self.closed = False
+        loop = asyncio.get_running_loop()
+        self.lost: asyncio.Future[None] = loop.create_future()
+        self._first: asyncio.Future[messages.Message] = loop.create_future()
+        self._early: list[messages.Message] = []
+        self._take: typing.Callable[[messages.Message], None] = self._wait
         self._sampled_at = 0.0
         self._traffic = traffic
+        self._buffer = buffer
+        self._made = made
         self._stamps = stamps
         self._unread = b''
         self._at = 0
         self._unsent: list[bytes] = []
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection has come about."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+        self._made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended, by either side or by :meth:`close`."""
+        self.closed = True
+        if not self._first.done():
+            self._first.set_exception(exc or ConnectionResetError('closed'))
+            # Nobody may wait for it any more.
+            self._first.exception()
+        if not self.lost.done():
+            self.lost.set_result(None)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Where the next bytes go."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come."""
+        more = bytes(memoryview(self._buffer)[:nbytes])
+        self._unread = self._unread[self._at :] + more
+        self._at = 0
+        self._guard(self._take_frames)
+
     def send(self, message: messages.Message) -> None:
-        """Queue a message; a closed stream drops it.
+        """Queue a message; a closed connection drops it.
 
         What is queued in one turn of the loop leaves by one write.
         """
-        if self.stream.closed():
+        if self.closed:
             return
         stamp = 0 if self._stamps is None else self._stamps.stamp()
         data = messages.encode(message, stamp)
@@ -147,22 +186,26 @@
     def close(self) -> None:
         """Send what is queued, as far as the peer takes it, and close."""
         self._flush()
-        self.stream.close()
+        self._end()
 
-    def _flush(self) -> None:
-        if not self._unsent:
-            return
-        data = b''.join(self._unsent)
-        self._unsent.clear()
-        try:
-            fut = self.stream.write(data)
-        except iostream.StreamBufferFullError:
-            self.stream.close()
-            return
-        except iostream.StreamClosedError:
-            return
-        # The reader notices a closed stream; nobody awaits this future.
-        fut.add_done_callback(lambda done: done.exception())
+    async def first(self, seconds: float) -> messages.Message:
+        """The first message of the peer.
+
+        :raises OSError: if the connection ends before.
+        :raises TimeoutError: if none comes in time.
+        """
+        async with asyncio.timeout(seconds):
+            return await self._first
+
+    async def serve(
+        self, take: typing.Callable[[messages.Message], None]
+    ) -> None:
+        """Hand on each further message until the connection ends."""
+        early, self._early = self._early, []
+        self._take = take
+        for message in early:
+            self._guard(lambda: take(message))
+        await self.lost
 
     def ping(self, now: float) -> None:
         """Ask for a sign of life and a clock sample."""
@@ -183,19 +226,47 @@
         if now - pong.sent <= SAMPLE_TRIP_SECONDS:
             self._sampled_at = now
 
-    async def receive(self) -> messages.Message:
-        """The next message.
+    def _wait(self, message: messages.Message) -> None:
+        """Keep what comes before the connection is served."""
+        if self._first.done():
+            self._early.append(message)
+        else:
+            self._first.set_result(message)
 
-        :raises tornado.iostream.StreamClosedError: at the end.
-        :raises agatepick.exceptions.BadMessage: for bytes that are none.
-        """
-        while True:
+    def _guard(self, step: typing.Callable[[], None]) -> None:
+        """Take a step; a message that can't be taken ends the connection."""
+        try:
+            step()
+        except exceptions.AgatepickError as exc:
+            # Also what a reducer raises for a message it can't take.
+            exc.peer = self.hello.name if self.hello else ''
+            LOG.warning('event=bad_message reason="%s"', exc.show())
+            self.close()
+
+    def _flush(self) -> None:
+        if not self._unsent or self.closed or self.transport is None:
+            return
+        data = b''.join(self._unsent)
+        self._unsent.clear()
+        waiting = self.transport.get_write_buffer_size()
+        if waiting + len(data) > MAX_UNSENT_BYTES:
+            LOG.warning('event=peer_reads_nothing unsent=%s', waiting)
+            self._end()
+            return
+        self.transport.write(data)
+
+    def _end(self) -> None:
+        self.closed = True
+        if self.transport is not None:
+            # Not closed gracefully: that would wait for a silent peer.
+            self.transport.abort()
+
+    def _take_frames(self) -> None:
+        while not self.closed:
             data = self._next_frame()
-            if data is not None:
-                return self._decode(data)
-            more = await self.stream.read_bytes(READ_BYTES, partial=True)
-            self._unread = self._unread[self._at :] + more
-            self._at = 0
+            if data is None:
+                return
+            self._take(self._decode(data))
 
     def _next_frame(self) -> bytes | None:
         """The next whole frame of what has been read, if there is one."""
@@ -221,7 +292,7 @@
         return stamped.message
 
 
-class Links(tcpserver.TCPServer):
+class Links:
     """All connections of one process.
 
     :param hello: returns the process's own Hello, with what it says now.
@@ -240,14 +311,12 @@
         stamps: Stamps | None = None,
         pace: Pace = Pace(),
     ):
-        super().__init__(
-            ssl_options=server_tls, max_buffer_size=MAX_FRAME_BYTES * 2
-        )
         self.traffic = Traffic()
         self._hello = hello
         self._feed = feed
         self._clock = clock
         self._rng = rng
+        self._server_tls = server_tls
         self._client_tls = client_tls
         self._delay = delay
         self._stamps = stamps
@@ -256,7 +325,10 @@
         self._open: set[Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
         self._waiting: dict[types.PeerName, asyncio.Event] = {}
-        self._client = tcpclient.TCPClient()
+        self._buffer = bytearray(READ_BYTES)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sockets: list[socket.socket] = []
+        self._servers: list[asyncio.Server] = []
         self._heartbeat: asyncio.Task[None] | None = None
 
     def begin(self) -> None:
@@ -264,11 +336,20 @@
         loop = asyncio.get_running_loop()
         self._heartbeat = loop.create_task(self._beat())
 
+    def add_sockets(self, sockets: typing.Iterable[socket.socket]) -> None:
+        """Take connections of peers on listening sockets."""
+        for sock in sockets:
+            self._sockets.append(sock)
+            self._run(self._accept(sock))
+
     def end(self) -> None:
         """Close everything at once."""
-        self.stop()
-        for task in self._dials.values():
+        for task in [*self._dials.values(), *self._tasks]:
             task.cancel()
+        for server in self._servers:
+            server.close()
+        for sock in self._sockets:
+            sock.close()
         if self._heartbeat is not None:
             self._heartbeat.cancel()
         for conn in list(self._open):
@@ -312,32 +393,43 @@
         if conn is not None:
             conn.close()
 
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: typing.Any
-    ) -> None:
-        """Serve one accepted connection to its end."""
-        conn = self._connection(stream)
+    async def _accept(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: self._connection(self._accepted),
+            sock=sock,
+            ssl=self._server_tls,
+        )
+        self._servers.append(server)
+
+    def _accepted(self, conn: Connection) -> None:
+        assert conn.transport is not None
+        address = str(conn.transport.get_extra_info('peername'))
         conn.send(self._hello())
-        if await self._greet(conn, str(address)):
+        self._run(self._serve_accepted(conn, address))
+
+    async def _serve_accepted(self, conn: Connection, address: str) -> None:
+        if await self._greet(conn, address):
             await self._serve(conn)
 
-    def _connection(self, stream: iostream.IOStream) -> Connection:
-        stream.set_nodelay(True)
-        stream.max_write_buffer_size = MAX_UNSENT_BYTES
-        conn = Connection(stream, self.traffic, self._stamps)
+    def _run(self, coroutine: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _connection(
+        self, made: typing.Callable[[Connection], None]
+    ) -> Connection:
+        conn = Connection(self.traffic, self._buffer, made, self._stamps)
         conn.heard_at = self._clock.now()
         self._open.add(conn)
-        stream.set_close_callback(lambda: self._open.discard(conn))
+        conn.lost.add_done_callback(lambda done: self._open.discard(conn))
         return conn
 
     async def _greet(self, conn: Connection, address: str) -> bool:
         try:
-            hello = await asyncio.wait_for(conn.receive(), self._pace.dial)
-        except (
-            iostream.StreamClosedError,
-            exceptions.BadMessage,
-            TimeoutError,
-        ) as exc:
+            hello = await conn.first(self._pace.dial)
+        except (OSError, TimeoutError) as exc:
             LOG.info('event=greet_failed peer=%s reason=%r', address, exc)
             conn.close()
             return False
@@ -352,17 +444,9 @@
         hello = conn.hello
         assert hello is not None
         self._take_over(conn, hello)
-        try:
-            while True:
-                message = await conn.receive()
-                self._received(conn, hello.name, message)
-        except iostream.StreamClosedError:
-            pass
-        except exceptions.AgatepickError as exc:
-            # Also what a reducer raises for a message it can't take.
-            exc.peer = hello.name
-            LOG.warning('event=bad_message reason="%s"', exc.show())
-            conn.close()
+        await conn.serve(
+            lambda message: self._received(conn, hello.name, message)
+        )
         self._lost(conn, hello)
 
     def _take_over(self, conn: Connection, hello: messages.Hello) -> None:
@@ -440,22 +524,22 @@
     async def _connect(
         self, peer: types.PeerName, host: str, port: int
     ) -> Connection | None:
+        loop = asyncio.get_running_loop()
         try:
-            stream = await self._client.connect(
-                host,
-                port,
-                ssl_options=self._client_tls,
-                max_buffer_size=MAX_FRAME_BYTES * 2,
-                timeout=self._pace.dial,
-            )
+            async with asyncio.timeout(self._pace.dial):
+                _, conn = await loop.create_connection(
+                    lambda: self._connection(lambda made: None),
+                    host,
+                    port,
+                    ssl=self._client_tls,
+                )
         except (OSError, TimeoutError) as exc:
-            cause = getattr(exc, 'real_error', None) or exc
             # Nothing listens there: the process that did is gone.
-            dead = isinstance(cause, ConnectionRefusedError)
-            LOG.info('event=dial_failed peer=%s reason=%r', peer, cause)
+            dead = isinstance(exc, ConnectionRefusedError)
+            LOG.info('event=dial_failed peer=%s reason=%r', peer, exc)
             self._feed(core.PeerDown(peer, 0, dead))
             return None
-        return self._connection(stream)
+        return conn
 
     async def _beat(self) -> None:
         while True:
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -104,7 +104,7 @@
         if handler is None:
             return [core.note('unexpected_event', kind=type(event).__name__)]
         effects: list[object] = handler(event, now)
-        if self._changed:
+        if self._changed and self._may_place():
             # Placed once all that has come by now is taken: a round for
             # each message took 0.4 ms, and a busy entry takes hundreds of
             # messages in a turn of its loop.
@@ -113,6 +113,14 @@
             effects.append(core.WakeAt(now + WATCH_SECONDS))
         return effects
 
+    def _may_place(self) -> bool:
+        """Whether a round of placing could send anything.
+
+        Most news and reports come while nothing waits; a turn of the loop
+        and a round for each would be a tenth of a calm entry's time.
+        """
+        return bool(self._waiting) or self._placing.owes_answer
+
     def ready(self, now: float) -> bool:
         """Whether the balancer should send callers here.
 
@@ -380,7 +388,8 @@
                 del self._gone_at[name]
                 self._pool.remove(name)
         effects = self._watch(now)
-        if self._changed or now >= self._placed_at + PLACE_SECONDS:
+        due = self._changed or now >= self._placed_at + PLACE_SECONDS
+        if due and self._may_place():
             effects += self._place(now)
         return effects + self._finish(now)
 
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -199,6 +199,9 @@
         self._jobs: list[OwnedJob] = []
         self._queued: set[types.JobKey] = set()
 
+    def __bool__(self) -> bool:
+        return bool(self._jobs)
+
     def add(self, job: OwnedJob) -> None:
         """Queue a job, unless it is queued already."""
         if job.spec.key in self._queued:
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -58,6 +58,11 @@
             self._granted[worker.name] = room
         worker.take_room(room)
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether an agent keeps room for us until we answer."""
+        return bool(self._granted)
+
     def forget(self, name: types.PeerName) -> None:
         """An agent's connection ended, and with it what it granted."""
         self._granted.pop(name, None)
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -59,9 +59,13 @@
 
 
 class Sharing:
-    """A worker's room, what is taken of it, and who waits for it."""
+    """A worker's room, what is taken of it, and who waits for it.
+
+    :ivar changes: counts the changes of what is free.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         self._capacity = types.Needs()
         self._used = types.Needs()
         self._shares: dict[types.PeerName, Share] = {}
@@ -79,6 +83,7 @@
     def resize(self, capacity: types.Needs) -> None:
         """The worker has another size now."""
         self._capacity = capacity
+        self.changes += 1
 
     def join(self, entry: types.PeerName) -> None:
         """An entry connected."""
@@ -87,6 +92,7 @@
     def leave(self, entry: types.PeerName) -> None:
         """An entry is gone, with its want and its grant."""
         self._shares.pop(entry, None)
+        self.changes += 1
 
     def want(
         self, entry: types.PeerName, want: messages.Want, now: float
@@ -114,23 +120,26 @@
         share = self._shares.get(entry)
         if share is not None and share.grant == grant:
             share.grant = 0
+            self.changes += 1
 
     def take(self, needs: types.Needs) -> bool:
         """Take room for a run, if there is enough."""
         if not needs.fits(self.free):
             return False
         self._used = self._used + needs
+        self.changes += 1
         return True
 
     def give_back(self, needs: types.Needs) -> None:
         """A run is over."""
         self._used = self._used - needs
+        self.changes += 1
 
     def grants(self, now: float) -> list[Grant]:
         """Keep free room for those that wait, the most urgent first."""
         self._expire(now)
         found: list[Grant] = []
-        while True:
+        while any(share.want for share in self._shares.values()):
             free = self.free
             waiting = [
                 (share.urgency(), name)
@@ -140,6 +149,7 @@
             if not waiting:
                 return found
             found.append(self._grant(min(waiting)[1], free, now))
+        return found
 
     def next_expiry(self) -> float | None:
         """Instant at which a grant runs out."""
@@ -157,6 +167,7 @@
         assert share.want is not None
         room = room.at_most(share.want.total)
         self._granted += 1
+        self.changes += 1
         share.grant = self._granted
         share.granted = room
         share.granted_at = now
@@ -168,6 +179,7 @@
         for share in self._shares.values():
             if share.grant and now >= share.granted_at + share.patience:
                 share.grant = 0
+                self.changes += 1
             if share.want and now >= share.wanted_at + WANT_SECONDS:
                 share.want = None
 
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -38,9 +38,11 @@
         self._entries = 0
         self._agents = 1
         self._cost = 1.0
+        self._news: messages.Room | None = None
         self._told: messages.Room | None = None
         self._told_at = 0.0
         self._due = False
+        self._seen: object = None
 
     def share(
         self,
@@ -59,13 +61,21 @@
         if abs(cost - self._cost) >= COST_STEP:
             self._cost = cost
         effects = self._grant(owners, now) if is_open else []
-        news = self.describe(_NOBODY)
-        self._due = news != self._told
+        # Looked at only when something has changed: most events change
+        # nothing of it, and news for each took a tenth of an agent's time.
+        seen = (self._room.changes, worker, is_open, self._entries, self._cost)
+        if seen != self._seen:
+            self._seen = seen
+            self._news = self.describe(_NOBODY)
+            self._due = self._news != self._told
+        news = self._news
+        if news is None or not self._due:
+            return effects
         # Whether runs may be started at all changes rarely and is told at
         # once: after a restart callers wait for just that.
         switched = self._told is not None and news.open != self._told.open
         waits = now < self._told_at + self._pause() and not switched
-        if not self._due or waits:
+        if waits:
             return effects
         self._told, self._told_at, self._due = news, now, False
         effects += [
--- a/tests/test_clockwatch.py
+++ b/tests/test_clockwatch.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from agatepick.config import clockwatch
 from agatepick.net import links
 from agatepick.net import messages
@@ -47,11 +49,15 @@
     Its clock is known too roughly to rely on; without a second ping soon,
     its grants and starts would be refused for as long as a sample is kept.
     """
-    conn = links.Connection(None, links.Traffic())
-    conn.heard_at = NOW
-    conn.sampled(pong(NOW, trip=0.5), NOW)
-    assert conn.needs_ping(NOW)
-    conn.sampled(pong(NOW, trip=0.01), NOW)
-    assert not conn.needs_ping(NOW + 0.5)
-    conn.heard_at = NOW + links.SAMPLE_SECONDS
-    assert conn.needs_ping(NOW + links.SAMPLE_SECONDS)
+
+    async def main():
+        conn = links.Connection(links.Traffic(), bytearray(), print)
+        conn.heard_at = NOW
+        conn.sampled(pong(NOW, trip=0.5), NOW)
+        assert conn.needs_ping(NOW)
+        conn.sampled(pong(NOW, trip=0.01), NOW)
+        assert not conn.needs_ping(NOW + 0.5)
+        conn.heard_at = NOW + links.SAMPLE_SECONDS
+        assert conn.needs_ping(NOW + links.SAMPLE_SECONDS)
+
+    asyncio.run(main())
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from tornado import netutil
 
 from agatepick import core
 from agatepick.net import links
@@ -34,10 +35,9 @@
         self.changed.set()
 
     def listen(self, port: int = 0) -> int:
-        self.links.bind(port, '127.0.0.1')
-        self.links.start()
-        (sock,) = self.links._sockets.values()
-        return sock.getsockname()[1]
+        sockets = netutil.bind_sockets(port, '127.0.0.1')
+        self.links.add_sockets(sockets)
+        return sockets[0].getsockname()[1]
 
     async def wait_for(self, kind: type, where=lambda event: True):
         async with asyncio.timeout(10):
@@ -49,6 +49,21 @@
                 await self.changed.wait()
 
 
+class Transport:
+    """Notes what is written."""
+
+    def __init__(self, transport, writes):
+        self._transport = transport
+        self._writes = writes
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+    def write(self, data):
+        self._writes.append(data)
+        self._transport.write(data)
+
+
 def run(main):
     return asyncio.run(main())
 
@@ -153,9 +168,8 @@
         await left.wait_for(core.PeerUp)
         await right.wait_for(core.PeerUp)
         writes = []
-        stream = left.links._peers['b'].stream
-        write = stream.write
-        stream.write = lambda data: writes.append(data) or write(data)
+        conn = left.links._peers['b']
+        conn.transport = Transport(conn.transport, writes)
         for number in range(20):
             left.links.send('b', messages.Ask(number))
         await right.wait_for(
@@ -199,3 +213,38 @@
         right.links.end()
 
     run(main)
+
+
+def test_a_message_takes_one_read():
+    """An entry hears hundreds of small messages a second, one at a time.
+
+    A coroutine that reads a stream takes three reads and three turns of the
+    loop for each: 165 to 185 us of processor time for a message sent and
+    received, and 92 to 107 us with one of each.
+    """
+
+    async def main():
+        left, right = Node('a'), Node('b')
+        port = right.listen()
+        left.links.dial('b', f'127.0.0.1:{port}')
+        await left.wait_for(core.PeerUp)
+        await right.wait_for(core.PeerUp)
+        left.links.send('b', messages.Ask(99))
+        await right.wait_for(
+            core.Received, lambda e: e.message == messages.Ask(99)
+        )
+        conn = right.links._peers['a']
+        reads = []
+        get_buffer = conn.get_buffer
+        conn.get_buffer = lambda hint: reads.append(hint) or get_buffer(hint)
+        for number in range(20):
+            left.links.send('b', messages.Ask(number))
+            await right.wait_for(
+                core.Received,
+                lambda e, number=number: e.message == messages.Ask(number),
+            )
+        assert len(reads) <= 21
+        left.links.end()
+        right.links.end()
+
+    run(main)
