--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -3,19 +3,22 @@
 Tornado's own clients open a connection for each call, which a worker's
 agent can't afford: 13,000 a minute.  aiohttp keeps them open, but to import
 it took 0.2 of the 0.55 s of processor time that a program needs to start, and
-after a loss of power callers wait for just that.  So tornado's implementation
-of the protocol, which the server side loads anyway, is used with connections
-that are kept here.
+after a loss of power callers wait for just that.  So connections are kept
+here, and httptools reads the answers: calls of its worker are most of what an
+agent does, and a parser in Python would be half of each.
 """
 
 import asyncio
 import dataclasses
-import socket
 import typing
 
-from tornado import http1connection
-from tornado import httputil
-from tornado import iostream
+import httptools
+
+READ_BYTES = 64 * 1024
+"""Most that is read at once."""
+
+CONTINUED_BELOW = 200
+"""Statuses below this announce the answer that follows."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,7 +39,8 @@
     def __init__(self, address: str, connections: int) -> None:
         self.address = address
         self._free = asyncio.Semaphore(connections)
-        self._idle: list[iostream.IOStream] = []
+        self._idle: list[_Connection] = []
+        self._buffer = bytearray(READ_BYTES)
 
     async def call(
         self,
@@ -54,115 +58,135 @@
         :raises TimeoutError: if the time is over.
         :raises OSError: if the connection broke, or the answer is no HTTP.
         """
-        fields = httputil.HTTPHeaders(dict(headers or {}))
-        fields['Host'] = self.address
+        lines = [f'{method} {path} HTTP/1.1', f'Host: {self.address}']
+        lines += [
+            f'{name}: {value}' for name, value in (headers or {}).items()
+        ]
         if body or method != 'GET':
-            fields['Content-Length'] = str(len(body))
-        line = httputil.RequestStartLine(method, path, '')
-        req = _Request(line, fields, body)
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        data = head.encode('latin-1') + body
         async with asyncio.timeout(seconds):
             async with self._free:
-                return await self._exchange(req)
+                return await self._exchange(method == 'GET', data)
 
     def close(self) -> None:
         """Close the connections that no call uses."""
-        for stream in self._idle:
-            stream.set_close_callback(None)
-            stream.close()
+        for conn in self._idle:
+            conn.close()
         self._idle.clear()
 
-    async def _exchange(self, req: '_Request') -> Response:
-        if req.line.method == 'GET' and self._idle:
+    async def _exchange(self, repeatable: bool, data: bytes) -> Response:
+        if repeatable and self._idle:
             # The server may be closing the connection just now.
             try:
-                return await self._once(req)
-            except iostream.StreamClosedError:
+                return await self._once(data)
+            except ConnectionError:
                 self.close()
-        return await self._once(req)
+        return await self._once(data)
 
-    async def _once(self, req: '_Request') -> Response:
-        stream = await self._take()
-        answer = _Answer()
-        kept = False
+    async def _once(self, data: bytes) -> Response:
+        conn = await self._take()
         try:
-            conn = http1connection.HTTP1Connection(stream, True)
-            conn.write_headers(req.line, req.fields, req.body)
-            conn.finish()
-            await conn.read_response(answer)
-            kept = answer.whole and answer.keeps and not stream.closed()
+            return await conn.ask(data)
         finally:
-            if kept:
-                self._keep(stream)
+            if conn.reusable:
+                self._idle.append(conn)
             else:
-                stream.close()
-        if not answer.whole:
-            raise iostream.StreamClosedError(stream.error)
-        return Response(answer.status, b''.join(answer.parts))
+                conn.close()
 
-    async def _take(self) -> iostream.IOStream:
+    async def _take(self) -> '_Connection':
         while self._idle:
-            stream = self._idle.pop()
-            stream.set_close_callback(None)
-            if not stream.closed():
-                return stream
+            conn = self._idle.pop()
+            if conn.reusable:
+                return conn
         host, _, port = self.address.rpartition(':')
-        stream = iostream.IOStream(socket.socket())
-        try:
-            await stream.connect((host, int(port)))
-        except iostream.StreamClosedError as exc:
-            raise exc.real_error or exc from exc
-        except BaseException:
-            stream.close()
-            raise
-        stream.set_nodelay(True)
-        return stream
-
-    def _keep(self, stream: iostream.IOStream) -> None:
-        self._idle.append(stream)
-        stream.set_close_callback(lambda: self._drop(stream))
-
-    def _drop(self, stream: iostream.IOStream) -> None:
-        """The server closed a connection that no call uses."""
-        if stream in self._idle:
-            self._idle.remove(stream)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Request:
-    """What is sent, as tornado takes it."""
-
-    line: httputil.RequestStartLine
-    fields: httputil.HTTPHeaders
-    body: bytes
+        loop = asyncio.get_running_loop()
+        _, conn = await loop.create_connection(
+            lambda: _Connection(self._buffer), host, int(port)
+        )
+        return conn
 
 
-class _Answer(httputil.HTTPMessageDelegate):
-    """Collects one answer.
+class _Connection(asyncio.BufferedProtocol):
+    """One connection; it takes one call at a time.
 
-    :ivar whole: whether all of it has come.
-    :ivar keeps: whether the server takes another call by this connection.
+    :param buffer: where bytes are read to; connections of one loop share it,
+        as nothing runs between the read and :meth:`buffer_updated`.
+    :ivar reusable: whether the server takes another call by it.
     """
 
-    def __init__(self) -> None:
-        self.status = 0
-        self.parts: list[bytes] = []
-        self.whole = False
-        self.keeps = True
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        assert isinstance(start_line, httputil.ResponseStartLine)
-        self.status = start_line.code
-        self.keeps = (
-            start_line.version == 'HTTP/1.1'
-            and headers.get('Connection', '').lower() != 'close'
-        )
-
-    def data_received(self, chunk: bytes) -> None:
-        self.parts.append(chunk)
+    def __init__(self, buffer: bytearray) -> None:
+        self.reusable = False
+        self._buffer = buffer
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._parts: list[bytes] = []
+        self._answer: asyncio.Future[Response] | None = None
+
+    def ask(self, data: bytes) -> asyncio.Future[Response]:
+        """Send a request; the future has its answer."""
+        assert self._transport is not None
+        self.reusable = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._parts = []
+        self._answer = asyncio.get_running_loop().create_future()
+        if self._transport.is_closing():
+            self._fail(ConnectionResetError('closed by the server'))
+        else:
+            self._transport.write(data)
+        return self._answer
 
-    def finish(self) -> None:
-        self.whole = True
+    def close(self) -> None:
+        """End the connection and what is asked by it."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    # What the loop calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection has come about."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
+        self.reusable = False
+        self._fail(exc or ConnectionResetError('closed by the server'))
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Where the next bytes go."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come."""
+        if self._parser is None:
+            # Nothing was asked: whoever answers all the same isn't sound.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(bytes(memoryview(self._buffer)[:nbytes]))
+        except httptools.HttpParserError as exc:
+            self._fail(OSError(f'no HTTP answer: {exc}'))
+            self.close()
+
+    # What the parser calls
+
+    def on_body(self, body: bytes) -> None:
+        """A part of the answer's body."""
+        self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """All of the answer has come."""
+        assert self._parser is not None
+        status = self._parser.get_status_code()
+        if status < CONTINUED_BELOW:
+            return
+        self.reusable = self._parser.should_keep_alive()
+        self._parser = None
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(Response(status, b''.join(self._parts)))
+
+    def _fail(self, exc: Exception) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(exc)
