Hold only the wait for cores to the learnt share of a job's slack

Cause, found by reading: with the round trip counted into the share (down to 0.05), an entry on a slow machine, whose orders take 10 ms or more, would refuse every short job beside idle workers once a burst had made its share low; none would begin, and the share, which rises with jobs that begin in time, would stay there. The test of it fails on the code before.

Now the wait for cores is held to the share, and the whole wait to the slack.

--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -115,17 +115,24 @@
 
     def wait(self) -> float:
         """Seconds until the job starts."""
-        queue = max(0.0, self.needed - self.free) / max(self.rate, 0.001)
-        return queue + self.trip
+        return self.queue() + self.trip
+
+    def queue(self) -> float:
+        """Seconds of them that it waits for cores."""
+        return max(0.0, self.needed - self.free) / max(self.rate, 0.001)
 
 
 def in_time(load: Load, slack: float, share: float) -> bool:
     """Whether a job starts soon enough.
 
     :param slack: seconds until it should have started.
-    :param share: part of them that the wait may take up.
+    :param share: part of them that the wait for cores may take up.  The round
+        trip isn't held to it: an entry whose share is low, and whose orders
+        take a while, would let nobody in and learn nothing any more.
     """
-    return load.wait() <= share * max(slack, 0.0)
+    slack = max(slack, 0.0)
+    in_queue = load.queue() <= share * slack
+    return in_queue and load.wait() <= slack
 
 
 class Margin:
--- a/tests/test_admitting.py
+++ b/tests/test_admitting.py
@@ -29,6 +29,16 @@
     assert admitting.in_time(load, slack=0.5, share=1.0)
 
 
+def test_a_slow_round_trip_alone_never_shuts_an_entry():
+    """A small machine's orders take 30 ms, and a burst made its share low.
+
+    Held to that share, the trip alone would have each job refused; none
+    would begin, and the share would stay low for good beside idle workers.
+    """
+    load = admitting.Load(needed=0.0, free=60.0, rate=10.0, trip=0.03)
+    assert admitting.in_time(load, slack=0.13, share=admitting.LEAST_SHARE)
+
+
 def test_callers_that_are_refused_together_come_back_apart():
     """A burst is refused; with one time for all it would come back whole."""
     rng = random.Random(1)
