--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -1,11 +1,11 @@
 """HTTP calls to one server over connections that stay open.
 
 Tornado's own clients open a connection for each call, which a worker's
-agent can't afford: 13,000 a minute.  aiohttp keeps them open, but to import
-it took 0.2 of the 0.55 s of processor time that a program needs to start, and
-after a loss of power callers wait for just that.  So connections are kept
-here, and httptools reads the answers: calls of its worker are most of what an
-agent does, and a parser in Python would be half of each.
+agent can't afford.  aiohttp keeps them open, but to import it takes a third
+of the time that a program needs to start, and after a loss of power callers
+wait for just that.  So connections are kept here, and httptools reads the
+answers: calls of its worker are most of what an agent does, and a parser in
+Python would be most of each.
 """
 
 import asyncio
--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -145,12 +145,6 @@
     began too late through waiting makes the next ones be refused sooner, as
     then their callers at least know at once.
 
-    With a fixed part of 0.7 a third of all jobs were late at 1.15 times the
-    load that fills the workers, and callers got 0.65 of what they were owed;
-    with this a tenth and 0.76.  A fixed part of 0.1 gives 0.80 there, but
-    refuses 3.4% at 0.8 times that load, where this refuses 0.4%
-    (``tests/test_busy_world.py``).
-
     :ivar share: part of the slack.
     """
 
@@ -269,9 +263,8 @@
         )
 
     def _load(self, spec: jobs.Job, latest: float, now: float) -> Load:
-        # The job's own cores don't count: with them, wide urgent jobs were
-        # refused while they would have got all that came free, and their
-        # share served fell from 0.76 to 0.72 on a day of overload.
+        # The job's own cores don't count: with them, wide urgent jobs would
+        # be refused while they could get all that comes free.
         needed = 0.0
         for job in self._waiting.in_order():
             if not job.begun and job.latest > latest:
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -105,9 +105,8 @@
             return [core.note('unexpected_event', kind=type(event).__name__)]
         effects: list[object] = handler(event, now)
         if self._changed and self._may_place():
-            # Placed once all that has come by now is taken: a round for
-            # each message took 0.4 ms, and a busy entry takes hundreds of
-            # messages in a turn of its loop.
+            # Placed once all that has come by now is taken: a busy entry
+            # takes hundreds of messages in a turn of its loop.
             effects.append(core.WakeAt(now))
         elif self._calls:
             effects.append(core.WakeAt(now + WATCH_SECONDS))
@@ -116,8 +115,8 @@
     def _may_place(self) -> bool:
         """Whether a round of placing could send anything.
 
-        Most news and reports come while nothing waits; a turn of the loop
-        and a round for each would be a tenth of a calm entry's time.
+        Most news and reports come while nothing waits; a calm entry would
+        spend a turn of its loop and a round on each.
         """
         return bool(self._waiting) or self._placing.owes_answer
 
--- a/src/agatepick/repeatable/leases.py
+++ b/src/agatepick/repeatable/leases.py
@@ -21,8 +21,7 @@
 renewal was sent.  One renewal may be lost."""
 
 RENEW_SECONDS = 0.2
-"""Pause between an agent's renewals, a bit less than half of the lease.  At
-0.13 s an entry with 52 agents spent a tenth of its time on renewals."""
+"""Pause between an agent's renewals, a bit less than half of the lease."""
 
 WORKER_SECONDS = 0.65
 """How far ahead an agent extends its worker's lease.  The worker's bound is
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -79,9 +79,8 @@
                 return owned.stop_runs(job, [report.index])
             return []
         # Its place counts as free with the next news only: the agent may
-        # have granted it to another entry that waits.  Counted at once, 22%
-        # of all starts were refused for room near saturation, and 8% now
-        # (tests/test_busy_world.py).
+        # have granted it to another entry that waits, and would refuse what
+        # is started there.
         worker.placed.pop(key, None)
         if report.state == types.RunState.FINISHED:
             return self._run_finished(worker, job, report, now)
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -194,10 +194,7 @@
     Load pattern: more work than the workers can do, in jobs of several
     tasks.  By latest start alone a wide job that has begun waits for its
     last places behind each that is more urgent by a millisecond, and both
-    are late.  At 1.15 times the load that fills the workers callers got 0.65
-    of what they were owed with this, 0.58 without, while admission let too
-    many in; since it learns, the difference is within the noise
-    (``tests/test_busy_world.py``).
+    are late.
     """
 
     def __init__(self) -> None:
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -20,8 +20,7 @@
 
 WANT_SECONDS = 0.25
 """How often an entry repeats what it waits for; agents forget a want after
-four times that.  With 52 agents two thirds of a busy entry's messages were
-wants while it repeated them every 0.1 s, and took them back."""
+four times that."""
 
 URGENT_SECONDS = 0.05
 """A first task that is more urgent than what was told by this much is told
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -43,10 +43,8 @@
 average."""
 
 TIGHT_STEPS = 2
-"""How far a nearly full worker is put behind the others.  With all entries
-filling the fast workers to the last place, 12% of all starts were refused at
-three fifths of the load that fills the workers; with this 5%
-(``tests/test_busy_world.py``)."""
+"""How far a nearly full worker is put behind the others: entries that all
+fill the fast workers to the last place meet there, and are refused."""
 
 Key = tuple[types.JobKey, int]
 
@@ -181,8 +179,7 @@
 class Candidates:
     """Workers that tasks of one kind may go to, in one round of placing.
 
-    What is the same for all tasks of a round is worked out once: for each
-    task anew it took half of an entry's time with 50 workers.
+    What is the same for all tasks of a round is worked out once.
     """
 
     def __init__(self, workers: list[Worker], rng: random.Random) -> None:
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -9,14 +9,13 @@
 from agatepick import types
 
 TELL_SECONDS = 0.03
-"""Least pause between two broadcasts of free room.  A worker of 10 places
-with 0.3 s a task frees one every 30 ms; telling each at once took a third of
-all messages and changed nothing in what callers got."""
+"""Least pause between two broadcasts of free room: about as often as a full
+worker frees a place."""
 
 NEWS_SECONDS = 0.0027
 """That pause for each agent that the busiest entry listens to, so that no
 entry hears more than 370 broadcasts a second, however many agents there are.
-With 52 agents an entry of half a core would hear 1,700 a second else."""
+"""
 
 COST_STEP = 0.2
 """Change of a worker's cost that is worth a message."""
@@ -62,7 +61,7 @@
             self._cost = cost
         effects = self._grant(owners, now) if is_open else []
         # Looked at only when something has changed: most events change
-        # nothing of it, and news for each took a tenth of an agent's time.
+        # nothing of it.
         seen = (self._room.changes, worker, is_open, self._entries, self._cost)
         if seen != self._seen:
             self._seen = seen
