Write the want of an entry that waits for nothing once

Cause: the default of a start message and the constant in placing were the same value written out twice, and the new field had to be added to both. Behaviour unchanged; the tests of messages, placing and leases pass as they were.

--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -339,6 +339,10 @@
     total: types.Needs
 
 
+NO_WANT = Want(0, types.Needs(), 0.0, types.Needs())
+"""Nothing waits."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunSpec:
     """One run of a task of a repeatable job.
@@ -377,7 +381,7 @@
     number: int
     grant: int
     runs: tuple[RunSpec, ...]
-    want: Want = Want(0, types.Needs(), 0.0, types.Needs())
+    want: Want = NO_WANT
     payloads: tuple[Payload, ...] = ()
 
 
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -35,9 +35,6 @@
 core spent all its time on that."""
 
 
-NO_WANT = messages.Want(0, types.Needs(), 0.0, types.Needs())
-
-
 class Placing:
     """One entry's starts and wants."""
 
@@ -179,7 +176,7 @@
                         worker.number,
                         grant.grant if grant else 0,
                         tuple(self._sends.get(name, ())),
-                        wants.get(worker.pool, NO_WANT),
+                        wants.get(worker.pool, messages.NO_WANT),
                         tuple(self._payloads.get(name, ())),
                     ),
                 )
