--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -118,4 +118,4 @@
     room = dataclasses.replace(room, taken=1)
     placer.take_room(worker, room)
     (starts,) = sent(placer.place([job], NOW + 0.02), messages.StartRuns)['a']
-    assert starts.want == placing.NO_WANT
+    assert starts.want == messages.NO_WANT
