--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -64,17 +64,23 @@
         self._transport.write(data)
 
 
+async def connected():
+    """Two nodes, ``a`` and ``b``, with a connection."""
+    left, right = Node('a'), Node('b')
+    port = right.listen()
+    left.links.dial('b', f'127.0.0.1:{port}')
+    await left.wait_for(core.PeerUp)
+    await right.wait_for(core.PeerUp)
+    return left, right
+
+
 def run(main):
     return asyncio.run(main())
 
 
 def test_messages_go_both_ways_over_one_connection():
     async def main():
-        left, right = Node('a'), Node('b')
-        port = right.listen()
-        left.links.dial('b', f'127.0.0.1:{port}')
-        await left.wait_for(core.PeerUp)
-        await right.wait_for(core.PeerUp)
+        left, right = await connected()
         left.links.send('b', messages.Goodbye('x'))
         right.links.send('a', messages.Ask(3))
         got = await right.wait_for(
@@ -162,11 +168,7 @@
     """
 
     async def main():
-        left, right = Node('a'), Node('b')
-        port = right.listen()
-        left.links.dial('b', f'127.0.0.1:{port}')
-        await left.wait_for(core.PeerUp)
-        await right.wait_for(core.PeerUp)
+        left, right = await connected()
         writes = []
         conn = left.links._peers['b']
         conn.transport = Transport(conn.transport, writes)
@@ -199,11 +201,7 @@
     """
 
     async def main():
-        left, right = Node('a'), Node('b')
-        port = right.listen()
-        left.links.dial('b', f'127.0.0.1:{port}')
-        await left.wait_for(core.PeerUp)
-        await right.wait_for(core.PeerUp)
+        left, right = await connected()
         left.links.send('b', messages.Goodbye('x'))
         left.links.hangup('b')
         await right.wait_for(
@@ -224,11 +222,7 @@
     """
 
     async def main():
-        left, right = Node('a'), Node('b')
-        port = right.listen()
-        left.links.dial('b', f'127.0.0.1:{port}')
-        await left.wait_for(core.PeerUp)
-        await right.wait_for(core.PeerUp)
+        left, right = await connected()
         left.links.send('b', messages.Ask(99))
         await right.wait_for(
             core.Received, lambda e: e.message == messages.Ask(99)
