Read from sockets by one class, for links and for HTTP calls

Cause: the two protocols of this change each had the shared buffer, its size, the read and the abort. They are in net/reading.py now.

--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -14,8 +14,7 @@
 
 import httptools
 
-READ_BYTES = 64 * 1024
-"""Most that is read at once."""
+from agatepick.net import reading
 
 CONTINUED_BELOW = 200
 """Statuses below this announce the answer that follows."""
@@ -40,7 +39,7 @@
         self.address = address
         self._free = asyncio.Semaphore(connections)
         self._idle: list[_Connection] = []
-        self._buffer = bytearray(READ_BYTES)
+        self._buffer = reading.new_buffer()
 
     async def call(
         self,
@@ -108,64 +107,52 @@
         return conn
 
 
-class _Connection(asyncio.BufferedProtocol):
+class _Connection(reading.Reader):
     """One connection; it takes one call at a time.
 
-    :param buffer: where bytes are read to; connections of one loop share it,
-        as nothing runs between the read and :meth:`buffer_updated`.
     :ivar reusable: whether the server takes another call by it.
     """
 
     def __init__(self, buffer: bytearray) -> None:
+        super().__init__(buffer)
         self.reusable = False
-        self._buffer = buffer
-        self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._parts: list[bytes] = []
         self._answer: asyncio.Future[Response] | None = None
 
     def ask(self, data: bytes) -> asyncio.Future[Response]:
         """Send a request; the future has its answer."""
-        assert self._transport is not None
+        assert self.transport is not None
         self.reusable = False
         self._parser = httptools.HttpResponseParser(self)
         self._parts = []
         self._answer = asyncio.get_running_loop().create_future()
-        if self._transport.is_closing():
+        if self.transport.is_closing():
             self._fail(ConnectionResetError('closed by the server'))
         else:
-            self._transport.write(data)
+            self.transport.write(data)
         return self._answer
 
     def close(self) -> None:
         """End the connection and what is asked by it."""
         self.reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort()
 
     # What the loop calls
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The connection has come about."""
-        self._transport = typing.cast(asyncio.Transport, transport)
-
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection has ended."""
         self.reusable = False
         self._fail(exc or ConnectionResetError('closed by the server'))
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Where the next bytes go."""
-        return self._buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """So many bytes have come."""
+    def received(self, data: bytes) -> None:
+        """Hand on what has come to the parser."""
         if self._parser is None:
             # Nothing was asked: whoever answers all the same isn't sound.
             self.close()
             return
         try:
-            self._parser.feed_data(bytes(memoryview(self._buffer)[:nbytes]))
+            self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(OSError(f'no HTTP answer: {exc}'))
             self.close()
--- a/src/agatepick/net/links.py
+++ b/src/agatepick/net/links.py
@@ -19,6 +19,7 @@
 from agatepick import core
 from agatepick import exceptions
 from agatepick.net import messages
+from agatepick.net import reading
 from agatepick import types
 
 LOG = logging.getLogger(__name__)
@@ -41,8 +42,6 @@
 """A sample with a longer round trip is too wide to be kept that long."""
 REDIAL_FIRST_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
-READ_BYTES = 64 * 1024
-"""Most that is read at once: a busy peer's frames come many at a time."""
 YIELD_SECONDS = 0.25
 """Two entries dial each other.  The one with the greater name waits so long
 first; else both would connect at once and each end the other's connection."""
@@ -105,15 +104,10 @@
         self.bytes_in += size
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(reading.Reader):
     """One framed stream to one peer.
 
-    It is a protocol, not a stream that a coroutine reads: a message then
-    takes one turn of the loop and one call of the kernel, where a coroutine
-    takes three of each, and small messages are most of what an entry does.
-
-    :param buffer: where bytes are read to; connections of one loop share it,
-        as nothing runs between the read and :meth:`buffer_updated`.
+    :param buffer: as for :class:`~agatepick.net.reading.Reader`.
     :param made: called once it is connected.
     """
 
@@ -124,7 +118,7 @@
         made: typing.Callable[['Connection'], None],
         stamps: Stamps | None = None,
     ):
-        self.transport: asyncio.Transport | None = None
+        super().__init__(buffer)
         self.hello: messages.Hello | None = None
         self.heard_at = 0.0
         self.closed = False
@@ -135,7 +129,6 @@
         self._take: typing.Callable[[messages.Message], None] = self._wait
         self._sampled_at = 0.0
         self._traffic = traffic
-        self._buffer = buffer
         self._made = made
         self._stamps = stamps
         self._unread = b''
@@ -144,7 +137,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection has come about."""
-        self.transport = typing.cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self._made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -157,14 +150,9 @@
         if not self.lost.done():
             self.lost.set_result(None)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Where the next bytes go."""
-        return self._buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """So many bytes have come."""
-        more = bytes(memoryview(self._buffer)[:nbytes])
-        self._unread = self._unread[self._at :] + more
+    def received(self, data: bytes) -> None:
+        """Take each whole frame of what has come."""
+        self._unread = self._unread[self._at :] + data
         self._at = 0
         self._guard(self._take_frames)
 
@@ -257,9 +245,7 @@
 
     def _end(self) -> None:
         self.closed = True
-        if self.transport is not None:
-            # Not closed gracefully: that would wait for a silent peer.
-            self.transport.abort()
+        self.abort()
 
     def _take_frames(self) -> None:
         while not self.closed:
@@ -325,7 +311,7 @@
         self._open: set[Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
         self._waiting: dict[types.PeerName, asyncio.Event] = {}
-        self._buffer = bytearray(READ_BYTES)
+        self._buffer = reading.new_buffer()
         self._tasks: set[asyncio.Task[None]] = set()
         self._sockets: list[socket.socket] = []
         self._servers: list[asyncio.Server] = []
