Pause between attempts at whatever fails

Cause: the list of a worker was asked for again at once after a failure, so a worker that resets its connections was asked 2,000 times a second until it counted as silent, each time over a new connection and with a line logged. The other retries were looked through. A store that drops its history at each call, or answers before its wait, was asked as fast as it answered (97,258 calls in a second of the test); a task that all workers refuse as unwell went round among them (804 starts of five tasks in a second); a peer that takes connections and hangs up at once was dialled 16 times a second. Starts and stops without an answer, wants and the calls of kept rows had pauses.

Change: decisions.backoff counts failures in a row and spreads doubling pauses; lists, followed tables, rows that are written, and dials use it, and a task rests after its second refusal by unwell workers. A list that fails while another is out no longer makes a third be asked for.

--- a/src/agatepick/net/links.py
+++ b/src/agatepick/net/links.py
@@ -17,6 +17,7 @@
 import typing
 
 from agatepick import core
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick.net import messages
 from agatepick.net import reading
@@ -40,8 +41,10 @@
 clocks that drift apart by 500 parts in a million differ by 8 ms more then."""
 SAMPLE_TRIP_SECONDS = 0.1
 """A sample with a longer round trip is too wide to be kept that long."""
-REDIAL_FIRST_SECONDS = 0.05
-REDIAL_MAX_SECONDS = 1.0
+REDIAL_PAUSES = backoff.Pauses(first=0.075, most=1.5)
+STEADY_SECONDS = 1.0
+"""A connection that has lasted this long counts as a success: a peer that
+takes connections and ends them at once is dialled with growing pauses."""
 YIELD_SECONDS = 0.25
 """Two entries dial each other.  The one with the greater name waits so long
 first; else both would connect at once and each end the other's connection."""
@@ -468,13 +471,14 @@
         self._feed(core.Received(peer, message))
 
     async def _keep(self, peer: types.PeerName, address: str) -> None:
-        pause = REDIAL_FIRST_SECONDS
+        redial = backoff.Backoff(REDIAL_PAUSES, self._rng)
         while True:
+            began_at = self._clock.now()
             await self._until_lost(peer)
-            if await self._dial_once(peer, address):
-                pause = REDIAL_FIRST_SECONDS
-            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
-            pause = min(pause * 2, REDIAL_MAX_SECONDS)
+            served = await self._dial_once(peer, address)
+            if served and self._clock.now() >= began_at + STEADY_SECONDS:
+                redial.succeeded()
+            await asyncio.sleep(redial.failed())
 
     async def _dial_once(self, peer: types.PeerName, address: str) -> bool:
         """Connect and serve; ``False`` if no connection came about."""
--- a/src/agatepick/platform/following.py
+++ b/src/agatepick/platform/following.py
@@ -4,15 +4,23 @@
 import random
 import typing
 
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick.platform import rows
 from agatepick.telemetry import logs
 
 LOG = logs.logger(__name__)
 
-RETRY_SECONDS = 0.3
-"""Pause after a failed call.  A store that is back is in step within two
-seconds; 15 processes ask 50 times a second meanwhile, of 2,000 it serves."""
+FAILED_PAUSES = backoff.Pauses(first=0.15, most=0.3)
+"""After failed calls.  All must be in step within two seconds of the store's
+return."""
+
+GONE_PAUSES = backoff.Pauses(first=0.1, most=1.0)
+"""After the store has dropped the changes that were asked for."""
+
+LEAST_SECONDS = 0.1
+"""Least time from one call to the next, for a store that answers before the
+wait is over."""
 
 Snapshot = dict[str, bytes]
 
@@ -33,29 +41,36 @@
     newest = -1
     away = False
     patience = rows.Patience()
+    failed = backoff.Backoff(FAILED_PAUSES, rng)
+    gone = backoff.Backoff(GONE_PAUSES, rng)
+    loop = asyncio.get_running_loop()
     while True:
+        next_at = loop.time() + LEAST_SECONDS
         try:
             if version < 0:
                 page = await store.read(table, patience.seconds)
                 if page.row_version < newest:
                     # A read that lags behind what is known already.
-                    await asyncio.sleep(RETRY_SECONDS)
+                    await asyncio.sleep(failed.failed())
                     continue
                 found = {}
             else:
                 page = await store.changes(table, version, wait)
+                gone.succeeded()
         except rows.HistoryGone:
             logs.info(LOG, 'store_history_gone', table=table, after=version)
             version = -1
+            await asyncio.sleep(gone.failed())
             continue
         except exceptions.StoreError as exc:
             if not away:
                 logs.warning(LOG, 'store_lost', table=table, reason=exc.show())
             away = True
             patience.failed()
-            await asyncio.sleep(RETRY_SECONDS * rng.uniform(0.5, 1.0))
+            await asyncio.sleep(failed.failed())
             continue
         patience.answered()
+        failed.succeeded()
         if away:
             logs.info(LOG, 'store_regained', table=table)
             away = False
@@ -68,3 +83,4 @@
                 found[row.key] = row.value
         if changed:
             take(dict(found))
+        await asyncio.sleep(max(0.0, next_at - loop.time()))
--- a/src/agatepick/platform/kept.py
+++ b/src/agatepick/platform/kept.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick.platform import rows
 from agatepick.platform import worker
@@ -24,9 +25,9 @@
 
 TABLE = 'agatepick-workers'
 
-RETRY_SECONDS = 0.5
-"""Pause before a row is written again.  It is needed at the next start of
-this process only."""
+FAILED_PAUSES = backoff.Pauses(first=0.5, most=2.0)
+"""Before a row is written again.  It is needed at the next start of this
+process only."""
 
 ASK_SECONDS = 0.15
 """Pause between two questions to a worker that doesn't answer, or to the
@@ -59,7 +60,7 @@
     ) -> None:
         self._store = store
         self._key = key
-        self._rng = rng
+        self._failed = backoff.Backoff(FAILED_PAUSES, rng)
         self._wanted: bytes | None = None
         self._changed = asyncio.Event()
 
@@ -79,8 +80,9 @@
             except exceptions.StoreError as exc:
                 logs.warning(LOG, 'worker_not_kept', reason=exc.show())
                 self._changed.set()
-                pause = RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
-                await asyncio.sleep(pause)
+                await asyncio.sleep(self._failed.failed())
+            else:
+                self._failed.succeeded()
 
     async def recall(
         self,
--- a/src/agatepick/platform/members.py
+++ b/src/agatepick/platform/members.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick.platform import following
 from agatepick.platform import rows
@@ -14,8 +15,8 @@
 LOG = logs.logger(__name__)
 
 TABLE = 'agatepick-entries'
-RETRY_SECONDS = 0.5
-"""Pause before an entry tries again to list itself."""
+FAILED_PAUSES = backoff.Pauses(first=0.4, most=0.8)
+"""Before an entry tries again to list itself."""
 
 
 class _Member(msgspec.Struct, frozen=True):
@@ -46,13 +47,14 @@
     """List an entry, however long the store is away."""
     value = msgspec.json.encode(_Member(address, zone))
     patience = rows.Patience()
+    failed = backoff.Backoff(FAILED_PAUSES, rng)
     while True:
         try:
             await store.write(TABLE, name, value, patience.seconds)
         except exceptions.StoreError as exc:
             patience.failed()
             logs.warning(LOG, 'enlist_failed', reason=exc.show())
-            await asyncio.sleep(RETRY_SECONDS * rng.uniform(0.5, 1.5))
+            await asyncio.sleep(failed.failed())
             continue
         logs.info(LOG, 'enlisted', address=address)
         return
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -8,6 +8,7 @@
 import typing
 
 from agatepick import core
+from agatepick.decisions import backoff
 from agatepick.net import messages
 from agatepick.repeatable import admitting
 from agatepick.repeatable import estimating
@@ -21,6 +22,12 @@
 """A worker that has seen this run number or a higher one belongs to an
 earlier owner of the job; numbers go on well above what it can have used."""
 
+REFUSED_PAUSES = backoff.Pauses(first=0.05, most=0.5)
+"""Before a task is sent again that workers wouldn't take, from the second
+refusal on.  Were all of them unwell, it would go round among them."""
+
+_WORKERS_OWN = frozenset({'stale_run', 'unwell'})
+"""Refusals that news of the worker's room say nothing of."""
 
 EndJob = typing.Callable[[owned.OwnedJob, jobs.Answer, float], list[object]]
 
@@ -137,6 +144,11 @@
         now: float,
     ) -> list[object]:
         record = job.records[report.index]
+        if report.reason in _WORKERS_OWN:
+            record.refusals += 1
+            if record.refusals > 1:
+                pause = REFUSED_PAUSES.after(record.refusals - 1)
+                record.rests_until = now + pause
         if report.reason == 'stale_run':
             record.run += STALE_RUN_STEP
         elif report.reason == 'unwell':
--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -34,6 +34,8 @@
     :ivar failures: runs that ended as failed.
     :ivar avoid: agents at which it failed or was late.
     :ivar stopping: its run was told to end.
+    :ivar refusals: starts in a row that a worker wouldn't take.
+    :ivar rests_until: when it may be sent to a worker again.
     """
 
     state: TaskState = TaskState.BLOCKED
@@ -43,6 +45,8 @@
     placed_at: float = 0.0
     stopping: bool = False
     moves: int = 0
+    refusals: int = 0
+    rests_until: float = 0.0
     avoid: frozenset[types.PeerName] = frozenset()
 
 
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -93,8 +93,12 @@
         least: dict[tuple[str, str], float] = {}
         for job in waiting:
             left: list[int] = []
+            resting: list[int] = []
             while job.waiting:
                 index = job.waiting.popleft()
+                if now < job.records[index].rests_until:
+                    resting.append(index)
+                    continue
                 task = job.spec.tasks[index]
                 kind = (job.spec.route.pool, task.label)
                 if kind not in candidates:
@@ -111,6 +115,7 @@
                     continue
                 self._bind(job, index, worker, now)
             job.waiting.extend(left)
+            job.waiting.extend(resting)
             if left:
                 blocked.append(job)
             if len(blocked) >= MAX_BLOCKED:
--- a/src/agatepick/repeatable/watching.py
+++ b/src/agatepick/repeatable/watching.py
@@ -6,8 +6,14 @@
 late though the worker is sound.  So a list that stays out is asked for once
 more while the first may still come, and how long the worker has been silent
 is told by time, not by counting failures.
+
+A worker that goes down and up by turns fails each list at once.  Without
+pauses it would be asked thousands of times a second, each time over a new
+connection.
 """
 
+from agatepick.decisions import backoff
+
 WAIT_SECONDS = 0.08
 """How long a worker may wait with its lists; its lease is extended as often.
 Busy workers end a run every 30 ms, so longer waits would save nothing."""
@@ -30,6 +36,13 @@
 PROBE_SECONDS = 0.5
 """Pause between questions to a silent worker."""
 
+LEAST_SECONDS = 0.005
+"""Least time from one question to the next, for a worker that answers
+without waiting for an end."""
+
+FAILED_PAUSES = backoff.Pauses(first=0.02, most=0.1)
+"""Pauses after lists that failed, while the worker may still be sound."""
+
 
 class Watching:
     """The lists of one worker's life."""
@@ -37,13 +50,16 @@
     def __init__(self) -> None:
         self._asked = 0
         self._ask_at = 0.0
+        self._asked_at = 0.0
         self._since: float | None = None
+        self._backoff = backoff.Backoff(FAILED_PAUSES)
 
     def reset(self, now: float) -> None:
         """Another life of the worker began."""
         self._asked = 0
         self._ask_at = now
         self._since = None
+        self._backoff.succeeded()
 
     def due(self, now: float) -> bool:
         """Whether to ask now."""
@@ -53,6 +69,7 @@
     def asked(self, wait: float, now: float) -> None:
         """The lists were asked for; the worker may wait with them."""
         self._asked += 1
+        self._asked_at = now
         self._ask_at = now + wait + HEDGE_SECONDS
         if self._since is None:
             self._since = now
@@ -61,14 +78,20 @@
         """The lists came."""
         self._asked = max(0, self._asked - 1)
         self._since = None
-        self._ask_at = now
+        self._backoff.succeeded()
+        self._ask_at = max(now, self._asked_at + LEAST_SECONDS)
 
     def failed(self, now: float) -> None:
         """The lists don't come any more."""
         self._asked = max(0, self._asked - 1)
-        self._ask_at = now
+        pause = self._backoff.failed()
         if self.silent(now):
-            self._ask_at += PROBE_SECONDS
+            pause = PROBE_SECONDS
+        if self._asked:
+            # Those that are still out may come.
+            self._ask_at = max(self._ask_at, now + pause)
+        else:
+            self._ask_at = now + pause
 
     def lapse(self, now: float) -> None:
         """Nothing at all is heard of the worker."""
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -61,6 +61,7 @@
         self.ended = []
         self.slowness = 1.0
         self.fails = False
+        self.unwell = False
 
     @property
     def life(self):
@@ -88,6 +89,8 @@
     def start(self, name, run, until):
         self.expire()
         result = workerapi.StartResult
+        if self.unwell:
+            return result.UNWELL
         if until <= self.world.now:
             return result.LATE
         self.extend(until)
