Tell entries of room when it matters to them

Cause: an agent told all its entries of each change of its worker's free room, at most every 30 to 65 ms.

Change: an agent keeps what each entry counts on (told last, less what it has started since, nothing after a refusal or an answered grant) and tells it when that differs by a place where few are left, by a fifth where there are many, or in any way for a quarter of a second.

Way not taken: longer pauses for all news (0.06 s): refused starts rose by a half.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -51,7 +51,9 @@
         self._telling = telling.Telling(incarnation, self._room, self._health)
         self._owners: dict[types.PeerName, runs.Owner] = {}
         self._reports = reports.Reports()
-        self._orders = orders.Orders(self._room, self._health, self._reports)
+        self._orders = orders.Orders(
+            self._room, self._health, self._reports, self._telling.emptied
+        )
         self._serving = serving.Serving(cfg.name)
         # None until the operator's rows were read: an agent that starts
         # while the store is away doesn't know whether its zone is closed.
@@ -139,13 +141,11 @@
             if not owner.connected or owner.leaving == leaving:
                 continue
             owner.leaving = leaving
+            self._telling.leaves()
             if leaving:
                 self._room.leave(owner.name)
             else:
                 self._room.join(owner.name)
-            effects.append(
-                core.Send(owner.name, self._telling.describe(owner))
-            )
         return effects
 
     def _on_peer_up(self, event: core.PeerUp, now: float) -> list[object]:
@@ -165,6 +165,7 @@
         owner.taken = 0
         owner.recent.clear()
         self._room.join(hello.name)
+        self._telling.forget(hello.name)
         return [
             core.note('entry_up', peer=hello.name),
             *effects,
@@ -173,7 +174,6 @@
                 self._reports.whole(owner, self._orders.runs.values(), now),
             ),
             core.Send(hello.name, messages.Renewal(now)),
-            core.Send(hello.name, self._telling.describe(owner)),
         ]
 
     def _on_peer_down(self, event: core.PeerDown, now: float) -> list[object]:
@@ -221,6 +221,7 @@
         owner.taken = message.number
         if message.grant:
             self._room.returned(owner.name, message.grant)
+            self._telling.emptied(owner.name)
         self._room.want(owner.name, message.want, now)
         fresh = {one.job: one.data for one in message.payloads}
         for job, data in fresh.items():
@@ -239,6 +240,7 @@
         now: float,
     ) -> list[object]:
         ref = messages.RunRef(spec.job, spec.index, spec.run)
+        self._telling.asked(owner.name, spec.needs)
         if payload is None:
             return self._orders.refuse(owner, ref, reports.NO_PAYLOAD)
         reason = self._refusal(owner, spec, now)
--- a/src/agatepick/repeatable/orders.py
+++ b/src/agatepick/repeatable/orders.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import typing
 
 from agatepick import core
 from agatepick.net import messages
@@ -52,6 +53,7 @@
 class Orders:
     """What an agent has the worker beside it do.
 
+    :param refused: called with the entry of which a start was refused.
     :ivar worker: the worker's life; ``None`` while there is none.
     :ivar runs: runs that aren't known to be over, by task name.
     """
@@ -61,12 +63,14 @@
         room: sharing.Sharing,
         record: health.Health,
         told: reports.Reports,
+        refused: typing.Callable[[types.PeerName], None],
     ) -> None:
         self.worker: workerapi.WorkerSeen | None = None
         self.runs: dict[str, runs.Run] = {}
         self._room = room
         self._health = record
         self._reports = told
+        self._refused = refused
         self._watching = watching.Watching()
         self._seen_at = 0.0
         self._ended_seen = 0
@@ -285,6 +289,7 @@
         self, owner: runs.Owner, ref: messages.RunRef, reason: str
     ) -> list[object]:
         """Report that a run was not started."""
+        self._refused(owner.name)
         self._reports.add(owner, ref, types.RunState.REFUSED, reason, 0.0)
         return [
             core.note(
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -1,4 +1,14 @@
-"""What entries are told of the worker and of its room."""
+"""What entries are told of the worker and of its room.
+
+Load pattern: many short tasks.  Each start and each end changes what is free;
+were every change told to every entry, the news would be most of what entries
+read, and one with a small processor would have no time for its callers at the
+peak.  So an entry is told when what it counts on differs from what is free by
+enough to matter: by one task where few fit, by more where many do.
+"""
+
+import dataclasses
+import math
 
 from agatepick import core
 from agatepick.net import messages
@@ -9,20 +19,44 @@
 from agatepick import types
 
 TELL_SECONDS = 0.03
-"""Least pause between two broadcasts of free room: about as often as a full
-worker frees a place."""
+"""Least pause between two news to one entry: about as often as a full worker
+frees a place."""
 
 NEWS_SECONDS = 0.0027
 """That pause for each agent that the busiest entry listens to, so that no
-entry hears more than 370 broadcasts a second, however many agents there are.
-"""
+entry hears more than 370 news a second, however many agents there are."""
+
+STALE_SECONDS = 0.25
+"""Longest time for which an entry counts on room that is off by less."""
 
 COST_STEP = 0.2
 """Change of a worker's cost that is worth a message."""
 
+MOST_TASKS = 255
+"""More places than these aren't told apart."""
+
+_LEVELS = tuple(
+    round(2.0 * math.log2(1 + tasks)) for tasks in range(MOST_TASKS + 1)
+)
+"""By places for tasks, steps that are one place wide below four and a fifth
+of all beyond."""
+
 Owners = dict[types.PeerName, runs.Owner]
 
 
+@dataclasses.dataclass(slots=True)
+class _Belief:
+    """What one entry counts on.
+
+    :ivar told: what it was told last.
+    :ivar free: room, after what it has started since.
+    """
+
+    told: messages.Room
+    told_at: float
+    free: types.Needs
+
+
 class Telling:
     """Grants to those that wait for room, and news to all."""
 
@@ -37,11 +71,40 @@
         self._entries = 0
         self._agents = 1
         self._cost = 1.0
-        self._news: messages.Room | None = None
-        self._told: messages.Room | None = None
-        self._told_at = 0.0
-        self._due = False
+        self._size = types.Needs()
+        self._free = types.Needs()
+        self._level = 0
+        self._beliefs: dict[types.PeerName, _Belief] = {}
+        self._changes = 0
         self._seen: object = None
+        self._next_at: float | None = None
+
+    def forget(self, entry: types.PeerName) -> None:
+        """An entry connected anew, and counts on nothing."""
+        self._beliefs.pop(entry, None)
+        self._changes += 1
+
+    def leaves(self) -> None:
+        """Whether an entry gets any more room here has changed."""
+        self._changes += 1
+
+    def asked(self, entry: types.PeerName, needs: types.Needs) -> None:
+        """An entry has sent a start, and counts on that much less."""
+        self._size = needs
+        belief = self._beliefs.get(entry)
+        if belief is not None:
+            belief.free = belief.free - needs
+            self._changes += 1
+
+    def emptied(self, entry: types.PeerName) -> None:
+        """An entry has answered a grant or was refused a start.
+
+        It counts on no room here until it is told of some.
+        """
+        belief = self._beliefs.get(entry)
+        if belief is not None:
+            belief.free = types.Needs()
+            self._changes += 1
 
     def share(
         self,
@@ -50,7 +113,7 @@
         owners: Owners,
         now: float,
     ) -> list[object]:
-        """Grant freed room, and tell all entries what has changed."""
+        """Grant freed room, and tell entries what matters to them."""
         self._worker = worker
         self._open = is_open
         heard = [one.agents for one in owners.values() if one.connected]
@@ -60,42 +123,100 @@
         if abs(cost - self._cost) >= COST_STEP:
             self._cost = cost
         effects = self._grant(owners, now) if is_open else []
-        # Looked at only when something has changed: most events change
-        # nothing of it.
-        seen = (self._room.changes, worker, is_open, self._entries, self._cost)
-        if seen != self._seen:
-            self._seen = seen
-            self._news = self.describe(_NOBODY)
-            self._due = self._news != self._told
-        news = self._news
-        if news is None or not self._due:
+        if not self._news_due(now):
             return effects
-        # Whether runs may be started at all changes rarely and is told at
-        # once: after a restart callers wait for just that.
-        switched = self._told is not None and news.open != self._told.open
-        waits = now < self._told_at + self._pause() and not switched
-        if waits:
-            return effects
-        self._told, self._told_at, self._due = news, now, False
-        effects += [
-            core.Send(owner.name, self.describe(owner))
-            for owner in owners.values()
-            if owner.connected
-        ]
+        self._free = self._room.free
+        self._level = self._level_of(self._free)
+        for owner in owners.values():
+            if owner.connected:
+                effects += self._news(owner, now)
         return effects
 
     def next_at(self) -> float | None:
-        """Instant at which entries are told what has changed."""
-        return self._told_at + self._pause() if self._due else None
+        """Instant at which an entry is told what has changed."""
+        return self._next_at
 
-    def _pause(self) -> float:
-        return max(TELL_SECONDS, NEWS_SECONDS * self._agents)
+    def _news_due(self, now: float) -> bool:
+        """Whether any entry may have to be told something.
 
-    def describe(
-        self,
-        owner: runs.Owner,
-        free: types.Needs | None = None,
-        grant: int = 0,
+        Looked at only when something has changed: most events change nothing
+        of it.
+        """
+        seen = (
+            self._room.changes,
+            self._changes,
+            self._worker,
+            self._open,
+            self._entries,
+            self._cost,
+        )
+        waited = self._next_at is not None and now >= self._next_at
+        if seen == self._seen and not waited:
+            return False
+        self._seen = seen
+        self._next_at = None
+        return True
+
+    def _news(self, owner: runs.Owner, now: float) -> list[object]:
+        due_at = self._due_at(owner)
+        if now < due_at:
+            if self._next_at is None or due_at < self._next_at:
+                self._next_at = due_at
+            return []
+        news = self._describe(owner, self._free)
+        self._beliefs[owner.name] = _Belief(news, now, self._free)
+        return [core.Send(owner.name, news)]
+
+    def _due_at(self, owner: runs.Owner) -> float:
+        """Instant from which an entry is to be told; infinite for not."""
+        belief = self._beliefs.get(owner.name)
+        if belief is None:
+            return 0.0
+        told = belief.told
+        if told.open != (self._open and not owner.leaving):
+            # Whether runs may be started at all changes rarely and is told
+            # at once: after a restart callers wait for just that.
+            return 0.0
+        pause = max(TELL_SECONDS, NEWS_SECONDS * self._agents)
+        if not self._is_as_told(told) or self._matters(belief.free):
+            return belief.told_at + pause
+        if belief.free == self._free:
+            return math.inf
+        return belief.told_at + max(STALE_SECONDS, pause)
+
+    def _matters(self, counted: types.Needs) -> bool:
+        """Whether an entry would decide otherwise if it knew what is free."""
+        if self._size == types.Needs():
+            # Nothing was started here yet: any place may be one.
+            return counted != self._free
+        return self._level_of(counted) != self._level
+
+    def _is_as_told(self, told: messages.Room) -> bool:
+        """Whether all but the free room is what an entry was told."""
+        if told.entries != self._entries or told.cost != self._cost:
+            return False
+        worker = self._worker
+        if worker is None:
+            return not told.pool
+        return (
+            told.pool == worker.pool
+            and told.capacity == worker.capacity
+            and told.labels == worker.labels
+        )
+
+    def _level_of(self, free: types.Needs) -> int:
+        """How many tasks like the last one fit, in steps that matter."""
+        size = self._size
+        ratios = [free.cpu / size.cpu] if size.cpu else []
+        if size.memory_mb:
+            ratios.append(free.memory_mb / size.memory_mb)
+        if size.accelerators:
+            ratios.append(free.accelerators / size.accelerators)
+        tasks = int(min(ratios, default=0.0) + 1e-9)
+        return _LEVELS[max(0, min(tasks, MOST_TASKS))]
+
+    def _describe(
+        self, owner: runs.Owner, free: types.Needs, grant: int = 0
     ) -> messages.Room:
         """The worker and its room, as one entry is told of them."""
         worker = self._worker
@@ -105,7 +226,7 @@
             worker.pool if worker else '',
             worker.labels if worker else (),
             worker.capacity if worker else types.Needs(),
-            self._room.free if free is None else free,
+            free,
             grant,
             owner.taken,
             self._entries,
@@ -116,9 +237,7 @@
         effects: list[object] = []
         for grant in self._room.grants(now):
             owner = owners[grant.entry]
-            room = self.describe(owner, grant.room, grant.number)
+            room = self._describe(owner, grant.room, grant.number)
+            self._beliefs[owner.name] = _Belief(room, now, grant.room)
             effects.append(core.Send(grant.entry, room))
         return effects
-
-
-_NOBODY = runs.Owner('', 0)
--- a/tests/busy_world.py
+++ b/tests/busy_world.py
@@ -5,6 +5,7 @@
 callers say of run times is off by a factor either way.
 """
 
+import collections
 import dataclasses
 import math
 import random
@@ -66,8 +67,25 @@
 )
 CORES = 3.1
 
-SECONDS = sum(one.share * one.width * one.seconds for one in QUEUES)
-"""Seconds that all tasks of a job run at fast workers, in the mean."""
+MOSTLY_WIDE = (
+    dataclasses.replace(QUEUES[0], share=0.7),
+    dataclasses.replace(QUEUES[1], share=0.03),
+    dataclasses.replace(QUEUES[2], share=0.27),
+)
+MOSTLY_LONG = (
+    dataclasses.replace(QUEUES[0], share=0.1),
+    dataclasses.replace(QUEUES[1], share=0.6),
+    dataclasses.replace(QUEUES[2], share=0.3),
+)
+
+CALLER_SECONDS = 0.0005
+"""What a whole processor takes to read a caller's request and answer it."""
+
+MESSAGE_SECONDS = 0.00005
+"""The same for one end of a message, or for any other event."""
+
+ORDER_SECONDS = 0.0001
+"""The same for a call of the worker."""
 
 FRAME_BYTES = 70
 """What a message takes on a link beside its own bytes."""
@@ -127,6 +145,9 @@
     :param sizes: cores of a fast and of a slow worker.
     :param link: bytes a second that an entry's own link carries.
     :param listed: whether agents pick the entries that they serve.
+    :param queues: the kinds of jobs that come.
+    :param processor: part of a processor that each process has; infinite for
+        events that take no time.
     :ivar callers: all that have come, by job.
     :ivar starts: runs that entries asked agents for.
     :ivar full: starts that agents refused for want of room.
@@ -141,7 +162,13 @@
         sizes=(32.0, 48.0),
         link=math.inf,
         listed=False,
+        queues=QUEUES,
+        processor=math.inf,
     ):
+        self.queues = queues
+        self.processor = processor
+        self.busy_until = collections.defaultdict(float)
+        self.queued = collections.defaultdict(collections.deque)
         self.task_cores = cores
         self.sizes = sizes
         self.link = link
@@ -167,7 +194,7 @@
     def start(self, name):
         super().start(name)
         if name not in self.workers:
-            table = tuple(one.route for one in QUEUES)
+            table = tuple(one.route for one in self.queues)
             self.feed(name, events.RoutesRead(routes.RouteTable(2, table)))
 
     @property
@@ -179,7 +206,11 @@
 
     def load(self, share, seconds):
         """Let jobs come that fill a share of the workers for some seconds."""
-        rate = share * self.cores / (SECONDS * self.task_cores)
+        # Seconds that all tasks of a job run at fast workers, in the mean.
+        seconds_a_job = sum(
+            one.share * one.width * one.seconds for one in self.queues
+        )
+        rate = share * self.cores / (seconds_a_job * self.task_cores)
         at = self.load_rng.expovariate(rate)
         while at < seconds:
             self.later(at, self._come)
@@ -187,8 +218,8 @@
 
     def _come(self):
         rng = self.load_rng
-        shares = [one.share for one in QUEUES]
-        self.hand_in(rng.choices(QUEUES, shares)[0])
+        shares = [one.share for one in self.queues]
+        self.hand_in(rng.choices(self.queues, shares)[0])
 
     def hand_in(self, queue):
         """One caller comes."""
@@ -234,6 +265,33 @@
         self.link_free_at[node.name] = free_at + size / self.link
         return seconds + self.link_free_at[node.name] - self.now
 
+    def feed(self, name, event):
+        # A process takes one event after the other.
+        if not self.queued[name] and self.now >= self.busy_until[name]:
+            self._take(name, event)
+            return
+        self.queued[name].append(event)
+        if len(self.queued[name]) == 1:
+            self._take_later(name)
+
+    def _take_later(self, name):
+        seconds = max(0.0, self.busy_until[name] - self.now)
+        self.later(seconds, self._take_next, name)
+
+    def _take_next(self, name):
+        self._take(name, self.queued[name].popleft())
+        if self.queued[name]:
+            self._take_later(name)
+
+    def _take(self, name, event):
+        caller = isinstance(event, events.JobArrived)
+        self._spend(name, CALLER_SECONDS if caller else MESSAGE_SECONDS)
+        super().feed(name, event)
+
+    def _spend(self, name, seconds):
+        since = max(self.now, self.busy_until[name])
+        self.busy_until[name] = since + seconds / self.processor
+
     def seconds(self, task):
         return self.true_seconds[task]
 
@@ -250,6 +308,9 @@
     def _carry(self, node, effect):
         if isinstance(effect, core.Send):
             self.messages += 1
+            self._spend(node.name, MESSAGE_SECONDS)
+        if isinstance(effect, workerapi.StartRun | workerapi.Watch):
+            self._spend(node.name, ORDER_SECONDS)
         if isinstance(effect, core.Note) and effect.name == 'run_refused':
             self.full += ('reason', 'room') in effect.fields
         if isinstance(effect, workerapi.StartRun):
--- /dev/null
+++ b/tests/test_mixes.py
@@ -0,0 +1,95 @@
+"""What callers get when other work comes than was foreseen.
+
+Four entries and sixteen workers in virtual time; workers hold some ten tasks
+of a mix that the decisions know nothing of but what they see.
+"""
+
+import pytest
+
+from tests import busy_world
+
+BEFORE_SECONDS = 2.0
+LOAD_SECONDS = 5.0
+AFTER_SECONDS = 14.0
+
+PROCESSOR = 0.08
+"""Part of a processor that each entry and agent has."""
+
+SEEDS = 3
+
+MIXES = {
+    'as-before': busy_world.QUEUES,
+    'mostly-wide': busy_world.MOSTLY_WIDE,
+    'mostly-long': busy_world.MOSTLY_LONG,
+}
+
+
+def play(queues, share, seed=1, flapping=False, **cfg):
+    """A load of one mix.
+
+    :param flapping: one worker goes down and up by turns.
+    :param cfg: as for :class:`busy_world.Busy`.
+    """
+    cfg = {'sizes': (16.0, 16.0), **cfg}
+    world = busy_world.Busy(
+        seed=seed, entries=4, agents=16, cores=1.4, queues=queues, **cfg
+    )
+    world.run(BEFORE_SECONDS)
+    world.load(share, LOAD_SECONDS)
+    if flapping:
+        one = world.workers['agent-0']
+        for at in range(4):
+            world.later(at + 0.3, setattr, one, 'up', False)
+            world.later(at + 0.9, setattr, one, 'up', True)
+    world.run(AFTER_SECONDS)
+    return world
+
+
+@pytest.mark.parametrize('queues', MIXES.values(), ids=MIXES)
+@pytest.mark.parametrize('share', [0.5, 0.8, 1.15])
+def test_callers_of_any_mix_are_answered_truly(queues, share):
+    world = play(queues, share)
+    assert all(one.answer for one in world.callers.values())
+    assert world.double == []
+    assert world.untrue == []
+
+
+@pytest.mark.parametrize('queues', MIXES.values(), ids=MIXES)
+@pytest.mark.parametrize(('share', 'least'), [(0.5, 0.99), (0.8, 0.95)])
+def test_any_mix_is_served_while_workers_keep_up(queues, share, least):
+    """Work shifts to other jobs, and no setting is changed."""
+    assert play(queues, share).earned() >= least
+
+
+@pytest.mark.parametrize('queues', MIXES.values(), ids=MIXES)
+def test_any_mix_is_served_beside_a_flapping_worker(queues):
+    """One worker of sixteen goes down and up by turns.
+
+    Callers whose tasks it had notice; the others must not.
+    """
+    world = play(queues, 0.5, flapping=True)
+    assert world.earned() >= 0.9
+    assert world.double == []
+
+
+def test_small_workers_are_filled():
+    """Workers of a quarter of the size hold two or three tasks each."""
+    world = play(busy_world.QUEUES, 0.5, sizes=(4.0, 4.0))
+    assert world.earned() >= 0.95
+
+
+@pytest.mark.parametrize(
+    ('name', 'share'), [('as-before', 0.95), ('mostly-wide', 0.7)]
+)
+def test_small_processors_have_time_for_their_callers(name, share):
+    """Each start and each end at a worker changes what is free there.
+
+    An entry that heard of each would do nothing else at the peak, and its
+    callers would be late or refused: they got 0.62 and 0.53 of what they were
+    owed, and 0.87 and 0.76 once entries were told what matters to them.
+    """
+    earned = [
+        play(MIXES[name], share, seed=seed, processor=PROCESSOR).earned()
+        for seed in range(SEEDS)
+    ]
+    assert sum(earned) / SEEDS >= 0.7
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -22,7 +22,9 @@
 def given():
     """Orders to a worker at which one run was started just now."""
     room = sharing.Sharing()
-    found = orders.Orders(room, health.Health(), reports.Reports())
+    found = orders.Orders(
+        room, health.Health(), reports.Reports(), lambda entry: None
+    )
     found.seen(
         workerapi.WorkerSeen('w@1', 1, 1, 'p', CAPACITY, (), False, ''), NOW
     )
@@ -146,7 +148,10 @@
     life whose stop got lost would go on, while its task starts elsewhere.
     """
     found = orders.Orders(
-        sharing.Sharing(), health.Health(), reports.Reports()
+        sharing.Sharing(),
+        health.Health(),
+        reports.Reports(),
+        lambda entry: None,
     )
     found.seen(announced(1), NOW)
     assert found.closing(NOW)
@@ -166,7 +171,10 @@
 
 def test_a_stop_that_got_lost_is_told_again_until_the_run_is_gone():
     found = orders.Orders(
-        sharing.Sharing(), health.Health(), reports.Reports()
+        sharing.Sharing(),
+        health.Health(),
+        reports.Reports(),
+        lambda entry: None,
     )
     found.seen(announced(1), NOW)
     old = workerapi.RunningAt('j.0', 1)
@@ -176,3 +184,23 @@
         effects = found.listed(listed(running=[old]), NOW + step * pause)
         stops += len(of_kind(effects, workerapi.StopRun))
     assert stops == 4
+
+
+def test_a_start_that_the_worker_refuses_is_told_of():
+    """The entry counts on no room here then, and must be told of some.
+
+    Else it would send nothing here any more, whatever is free.
+    """
+    refused = []
+    found = orders.Orders(
+        sharing.Sharing(), health.Health(), reports.Reports(), refused.append
+    )
+    found.seen(announced(1), NOW)
+    owner = runs.Owner('entry', 1)
+    spec = messages.RunSpec('j', 0, 1, 'j.0', types.Needs(), 0.1)
+    (start,) = found.start(owner, spec, b'', NOW)
+    answer = workerapi.StartAnswered(
+        start.life, start.ref, workerapi.StartResult.NO_ROOM
+    )
+    found.start_answered(answer, NOW)
+    assert refused == ['entry']
