--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -38,12 +38,11 @@
 
 ZONES_WAIT_SECONDS = 2.5
 """The same for an agent, which follows closed zones alone: these must be in
-force within 5 s.  With 52 agents and 8 entries it saves two of five calls to
-the store, each of which is paid for."""
+force within 5 s, and each call is paid for."""
 
 LINES_PER_SECOND = 300.0
-"""Most lines that a process writes: three times what an entry writes on the
-heaviest day, 100 a second at 20 jobs."""
+"""Most lines that a process writes; what is beyond is counted and left
+out."""
 
 METRICS_PORT = 9464
 """Port of the metrics, the same as in ``deploy/system.toml``."""
--- a/src/agatepick/repeatable/admitting.py
+++ b/src/agatepick/repeatable/admitting.py
@@ -29,8 +29,14 @@
 shorter than a burst."""
 
 USED_SHARE = 0.92
-"""Part of the workers' cores that tasks fill: 64 cores hold ten tasks of 6.2
-on average, and the rest is too small for another."""
+"""Part of the workers' cores that tasks fill; what is left over at each is
+too small for another."""
+
+USUAL_SECONDS = 0.33
+"""Run time that is assumed while none has ended of late."""
+
+LEAST_USUAL_SECONDS = 0.02
+"""Shorter run times are lost in the time that messages take."""
 
 MOST_SHARE = 0.7
 """Part of a job's slack that its predicted wait may take up, while jobs that
@@ -87,10 +93,10 @@
         return self._cores * self._kept(now) / RATE_SECONDS
 
     def usual_seconds(self) -> float:
-        """Mean run time of late; a third of a second before any ended."""
+        """Mean run time of late."""
         if self._count < 1.0:
-            return 0.33
-        return max(self._seconds / self._count, 0.02)
+            return USUAL_SECONDS
+        return max(self._seconds / self._count, LEAST_USUAL_SECONDS)
 
     def _kept(self, now: float) -> float:
         return math.exp(-max(0.0, now - self._at) / RATE_SECONDS)
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -29,9 +29,8 @@
 take 1.6 times its work, so a task there is late wherever it stands."""
 
 TRIED_COST = 1.8
-"""Cost from which it gets one task at a time.  The slower kind of sound
-workers takes 1.3 times as long, and guesses blur that by 0.15; at 1.45 sound
-workers were left idle and a fifth more jobs were late on a calm minute."""
+"""Cost from which it gets one task at a time.  Below it are workers of a
+slower kind, whose cost guesses of run times blur."""
 
 COST_STEPS = 4.0
 """Steps of cost that are told apart when a worker is chosen: the slower kind
@@ -39,8 +38,7 @@
 
 ROOMY_TASKS = 2.5
 """A worker with room for fewer such tasks is nearly full, and another entry
-may have taken the last place since the news of it came, 15 ms ago on
-average."""
+may have taken the last place since the news of it came."""
 
 TIGHT_STEPS = 2
 """How far a nearly full worker is put behind the others: entries that all
--- a/src/agatepick/repeatable/serving.py
+++ b/src/agatepick/repeatable/serving.py
@@ -1,10 +1,9 @@
 """Which entries an agent serves.
 
 Load pattern: many agents and many entries.  Each pair costs both sides
-renewals, news and wants, whether jobs come or not: with 52 agents at each of
-8 entries of half a core, that was most of what an entry did, and at 9,100
-agents no entry could do anything else.  So an agent serves a few entries
-only, and each entry has its part of the workers.
+renewals, news and wants, whether jobs come or not, and with thousands of
+agents an entry could do nothing else.  So an agent serves a few entries only,
+and each entry has its part of the workers.
 
 Which ones is told by rendezvous hashing: agents needn't agree on anything,
 and an entry that comes or goes moves its own part alone.  Zones take turns,
@@ -22,8 +21,8 @@
 from agatepick import types
 
 SERVED_ENTRIES = 4
-"""Entries that an agent serves.  At 8 entries and 52 agents each entry has
-26 workers, four times its part of the load, and a third of the messages."""
+"""Entries that an agent serves: each entry reaches so many times the workers
+that its part of the load needs, and the loss of one leaves the others."""
 
 AWAY_SECONDS = 2.0
 """An entry that can't be reached for so long is replaced.  A silent one is
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -3,9 +3,8 @@
 Load pattern: several entries fill the same workers, and at the peak all of
 them wait for room.  Were every freed place told to all, each would try for
 it, all but one in vain, and the nearest entry would always be first: callers
-of a zone with few workers would starve.  Were the room leased in parts, a
-64-core worker split four ways would leave 3.6 cores idle in each part with
-tasks of 6.2 cores, a fifth of the whole.
+of a zone with few workers would starve.  Were the room leased in parts, each
+part would leave a rest idle that is too small for a task.
 
 So room that nobody waits for is open to all, and an entry just takes it.  An
 entry that finds none says so with the urgency of its first task; freed room
