--- a/src/agatepick/repeatable/owned.py
+++ b/src/agatepick/repeatable/owned.py
@@ -34,7 +34,7 @@
     :ivar failures: runs that ended as failed.
     :ivar avoid: agents at which it failed or was late.
     :ivar stopping: its run was told to end.
-    :ivar refusals: starts in a row that a worker wouldn't take.
+    :ivar refusals: starts that workers wouldn't take.
     :ivar rests_until: when it may be sent to a worker again.
     """
 
