--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -141,7 +141,7 @@
             if not owner.connected or owner.leaving == leaving:
                 continue
             owner.leaving = leaving
-            self._telling.leaves()
+            self._telling.serving_changed()
             if leaving:
                 self._room.leave(owner.name)
             else:
@@ -240,7 +240,7 @@
         now: float,
     ) -> list[object]:
         ref = messages.RunRef(spec.job, spec.index, spec.run)
-        self._telling.asked(owner.name, spec.needs)
+        self._telling.start_sent(owner.name, spec.needs)
         if payload is None:
             return self._orders.refuse(owner, ref, reports.NO_PAYLOAD)
         reason = self._refusal(owner, spec, now)
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -89,7 +89,7 @@
             running += room.take(TASK)
             if rng.random() < 0.25:
                 counted = counted - TASK
-                tells.asked('entry', TASK)
+                tells.start_sent('entry', TASK)
         elif what < 0.04 and running:
             running -= 1
             room.give_back(TASK)
@@ -135,7 +135,7 @@
     tells = telling.Telling(1, room, health.Health())
     owners = {'entry': runs.Owner('entry', 1)}
     assert tells.share(None, True, owners, NOW)
-    tells.asked('entry', TASK)
+    tells.start_sent('entry', TASK)
     tells.emptied('entry')
     assert tells.share(None, True, owners, NOW + 0.001) == []
     later = NOW + telling.TELL_SECONDS + 0.001
@@ -153,6 +153,6 @@
     assert tells.share(None, True, {'entry': owner}, NOW)
     for leaving in (True, False):
         owner.leaving = leaving
-        tells.leaves()
+        tells.serving_changed()
         (told,) = tells.share(None, True, {'entry': owner}, NOW + 0.001)
         assert told.message.open is not leaving
