Work out growing pauses in one place, and tell of a join where it happens

An entry that gets room again was told of by a call made beside the one that joins it, as joining, unlike leaving, didn't count as a change of what is free, though it drops a grant.

Change: the three use backoff.Pauses; Sharing.join counts as a change, and Telling.serving_changed is gone. In the tests, orders are made in one place and mixes of queues by one function; no assertion differs.

--- a/src/agatepick/cmd/client.py
+++ b/src/agatepick/cmd/client.py
@@ -23,13 +23,14 @@
 import tornado.httpclient
 import uuid_utils
 
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick import types
 
 ASK_TIMEOUT = 10.0
 MIN_TIMEOUT = 0.001
-FIRST_PAUSE = 0.05
-MAX_PAUSE = 2.0
+RETRY_PAUSES = backoff.Pauses(first=0.1, most=2.0)
+"""Longest pauses before another try."""
 CONNECT_TIMEOUT = 2.0
 NO_RETRY = (401, 403, 404)
 """Statuses that another try under the same key and token gets again."""
@@ -228,8 +229,7 @@
         Callers that were refused together would come back together, and be
         refused again; full jitter spreads them over the whole pause.
         """
-        longest = min(MAX_PAUSE, FIRST_PAUSE * 2 ** min(tries, 10))
-        return hint + self._rng.uniform(0, longest)
+        return hint + self._rng.uniform(0, RETRY_PAUSES.after(tries))
 
 
 def new_key() -> str:
--- a/src/agatepick/decisions/retries.py
+++ b/src/agatepick/decisions/retries.py
@@ -18,11 +18,14 @@
 import random
 import typing
 
+from agatepick.decisions import backoff
 from agatepick.decisions import presets
 from agatepick.decisions import queues
 
 BASE_SECONDS = 0.01
 MAX_SECONDS = 0.5
+PAUSES = backoff.Pauses(first=BASE_SECONDS, most=MAX_SECONDS)
+"""Longest pauses before each retry of one task."""
 
 
 class RetryBudget:
@@ -51,8 +54,7 @@
         """
         if self._tokens < 1.0:
             return None
-        ceiling = min(BASE_SECONDS * 2.0 ** min(attempt, 16), MAX_SECONDS)
-        pause = self._rng.uniform(0.0, ceiling)
+        pause = self._rng.uniform(0.0, PAUSES.after(attempt + 1))
         if pause >= left:
             return None
         self._tokens -= 1.0
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -141,7 +141,6 @@
             if not owner.connected or owner.leaving == leaving:
                 continue
             owner.leaving = leaving
-            self._telling.serving_changed()
             if leaving:
                 self._room.leave(owner.name)
             else:
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -87,6 +87,7 @@
     def join(self, entry: types.PeerName) -> None:
         """An entry connected."""
         self._shares[entry] = Share()
+        self.changes += 1
 
     def leave(self, entry: types.PeerName) -> None:
         """An entry is gone, with its want and its grant."""
--- a/src/agatepick/repeatable/telling.py
+++ b/src/agatepick/repeatable/telling.py
@@ -84,10 +84,6 @@
         self._beliefs.pop(entry, None)
         self._changes += 1
 
-    def serving_changed(self) -> None:
-        """Whether an entry gets any more room here has changed."""
-        self._changes += 1
-
     def start_sent(self, entry: types.PeerName, needs: types.Needs) -> None:
         """An entry has sent a start, and counts on that much less."""
         self._size = needs
--- a/src/agatepick/table/tablestore.py
+++ b/src/agatepick/table/tablestore.py
@@ -16,13 +16,14 @@
 import tornado.httpclient
 import tornado.simple_httpclient
 
+from agatepick.decisions import backoff
 from agatepick import exceptions
 from agatepick.table import breaker
 from agatepick.table import ratelimit
 from agatepick.table import store
 
-BACKOFF_SECONDS = 0.02
-BACKOFF_MAX_SECONDS = 0.5
+RETRY_PAUSES = backoff.Pauses(first=0.04, most=0.5)
+"""Longest pauses before a call is repeated."""
 
 _PATHS: dict[type[store.Request], str] = {
     store.ReadRow: '/v1/rows/read',
@@ -108,8 +109,7 @@
         return store.StoreAnswered(call.id, answer)
 
     def _backoff(self, tries: int) -> float:
-        longest = min(BACKOFF_MAX_SECONDS, BACKOFF_SECONDS * 2.0**tries)
-        return self._rng.uniform(0.0, longest)
+        return self._rng.uniform(0.0, RETRY_PAUSES.after(tries))
 
     async def _once(
         self, request: store.Request, timeout: float
--- a/tests/busy_world.py
+++ b/tests/busy_world.py
@@ -67,16 +67,17 @@
 )
 CORES = 3.1
 
-MOSTLY_WIDE = (
-    dataclasses.replace(QUEUES[0], share=0.7),
-    dataclasses.replace(QUEUES[1], share=0.03),
-    dataclasses.replace(QUEUES[2], share=0.27),
-)
-MOSTLY_LONG = (
-    dataclasses.replace(QUEUES[0], share=0.1),
-    dataclasses.replace(QUEUES[1], share=0.6),
-    dataclasses.replace(QUEUES[2], share=0.3),
-)
+
+def _mix(*shares):
+    """The same queues, with other parts of all jobs."""
+    return tuple(
+        dataclasses.replace(queue, share=share)
+        for queue, share in zip(QUEUES, shares, strict=True)
+    )
+
+
+MOSTLY_WIDE = _mix(0.7, 0.03, 0.27)
+MOSTLY_LONG = _mix(0.1, 0.6, 0.3)
 
 CALLER_SECONDS = 0.0005
 """What a whole processor takes to read a caller's request and answer it."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -18,13 +18,18 @@
 UNKNOWN = workerapi.StartResult.UNKNOWN
 
 
+def new_orders(room=None, refused=lambda entry: None):
+    """Orders of an agent that knows no worker yet."""
+    return orders.Orders(
+        room or sharing.Sharing(), health.Health(), reports.Reports(), refused
+    )
+
+
 @pytest.fixture
 def given():
     """Orders to a worker at which one run was started just now."""
     room = sharing.Sharing()
-    found = orders.Orders(
-        room, health.Health(), reports.Reports(), lambda entry: None
-    )
+    found = new_orders(room)
     found.seen(
         workerapi.WorkerSeen('w@1', 1, 1, 'p', CAPACITY, (), False, ''), NOW
     )
@@ -147,12 +152,7 @@
     Each start extends the lease of all that runs there.  A run of the former
     life whose stop got lost would go on, while its task starts elsewhere.
     """
-    found = orders.Orders(
-        sharing.Sharing(),
-        health.Health(),
-        reports.Reports(),
-        lambda entry: None,
-    )
+    found = new_orders()
     found.seen(announced(1), NOW)
     assert found.closing(NOW)
     (first,) = found.watch(NOW)
@@ -170,12 +170,7 @@
 
 
 def test_a_stop_that_got_lost_is_told_again_until_the_run_is_gone():
-    found = orders.Orders(
-        sharing.Sharing(),
-        health.Health(),
-        reports.Reports(),
-        lambda entry: None,
-    )
+    found = new_orders()
     found.seen(announced(1), NOW)
     old = workerapi.RunningAt('j.0', 1)
     stops = 0
@@ -192,9 +187,7 @@
     Else it would send nothing here any more, whatever is free.
     """
     refused = []
-    found = orders.Orders(
-        sharing.Sharing(), health.Health(), reports.Reports(), refused.append
-    )
+    found = new_orders(refused=refused.append)
     found.seen(announced(1), NOW)
     owner = runs.Owner('entry', 1)
     spec = messages.RunSpec('j', 0, 1, 'j.0', types.Needs(), 0.1)
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -151,8 +151,8 @@
     tells = telling.Telling(1, room, health.Health())
     owner = runs.Owner('entry', 1)
     assert tells.share(None, True, {'entry': owner}, NOW)
-    for leaving in (True, False):
+    for leaving, change in ((True, room.leave), (False, room.join)):
         owner.leaving = leaving
-        tells.serving_changed()
+        change('entry')
         (told,) = tells.share(None, True, {'entry': owner}, NOW + 0.001)
         assert told.message.open is not leaving
