Add the switches of optional decisions, and a worker's slowness in updates

Parts that are built side by side need one table of settings, one field in capacity updates and the same knobs of the load in tests: speeds of workers, a tail of run times, and bursts of single queues. Nothing reads the switches or the field yet, so decisions are as before.

--- a/src/agatepick/net/messages.capnp
+++ b/src/agatepick/net/messages.capnp
@@ -234,6 +234,7 @@
   taken @7 :UInt64;
   entries @8 :UInt32;
   cost @9 :Float64;
+  slowness @10 :Float64 = 1.0;
 }
 
 struct Want {
--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -345,6 +345,8 @@
     :param entries: number of entries connected to the agent.
     :param cost: expected time until a result, divided by that at a healthy
         worker.
+    :param slowness: usual run time at the worker, divided by that at the
+        typical worker of its pool; 1 while it isn't known.
     """
 
     agent_incarnation: int
@@ -357,6 +359,7 @@
     taken: int = 0
     entries: int = 1
     cost: float = 1.0
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -25,6 +25,7 @@
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
 from agatepick.repeatable import measures
+from agatepick.repeatable import policies
 from agatepick.repeatable import process
 from agatepick.repeatable import workerapi
 from agatepick.telemetry import logs
@@ -62,28 +63,35 @@
 def main(args: list[str]) -> int:
     """Run a program by its name until it is stopped.
 
+    :param args: the program's name, and the path of the settings that switch
+        the optional decisions under load; without it they are off.
     :returns: exit status.
     """
     programs = {'entry': run_entry, 'agent': run_agent}
-    if len(args) != 1 or args[0] not in programs:
-        print(f'usage: {"|".join(programs)}', file=sys.stderr)
+    if len(args) not in (1, 2) or args[0] not in programs:
+        print(f'usage: {"|".join(programs)} [POLICIES]', file=sys.stderr)
         return exceptions.BadUsage.exit_status
     try:
         path = settings.path_from_env()
         cfg = settings.read(path)
+        switches = policies.Policies()
+        if len(args) == 2:
+            switches = policies.read(args[1])
     except exceptions.BadSettings as exc:
         print(exc.show(), file=sys.stderr)
         return exc.exit_status
     logs.setup_bounded(cfg.name, LOG_LINES_PER_SECOND)
-    asyncio.run(programs[args[0]](cfg, path))
+    asyncio.run(programs[args[0]](cfg, path, switches))
     return 0
 
 
-async def run_entry(cfg: settings.NodeSettings, path: str) -> None:
+async def run_entry(
+    cfg: settings.NodeSettings, path: str, switches: policies.Policies
+) -> None:
     """Run an entry, on a machine that callers reach."""
     rng = random.Random(process.new_incarnation())
     reducer = entry.Entry.from_config(
-        entry.EntryConfig(cfg.name, cfg.zone), rng
+        entry.EntryConfig(cfg.name, cfg.zone, switches), rng
     )
     proc = _make_process(cfg, 'entry', reducer)
     front = ingress.Front(reducer, proc.feed, proc.clock)
@@ -112,12 +120,14 @@
     await _run_until_stopped(cfg, path, proc, store, coroutines)
 
 
-async def run_agent(cfg: settings.NodeSettings, path: str) -> None:
+async def run_agent(
+    cfg: settings.NodeSettings, path: str, switches: policies.Policies
+) -> None:
     """Run an agent, on a worker's machine."""
     incarnation = process.new_incarnation()
     rng = random.Random(incarnation)
     reducer = agent.Agent.from_config(
-        agent.AgentConfig(cfg.name, cfg.zone), incarnation
+        agent.AgentConfig(cfg.name, cfg.zone, switches), incarnation
     )
     proc = _make_process(cfg, 'agent', reducer, incarnation)
     client = worker.WorkerClient(cfg.worker, proc.clock, proc.feed)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -13,6 +13,7 @@
 from agatepick.repeatable import events
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
+from agatepick.repeatable import policies
 from agatepick.repeatable import publishing
 from agatepick.repeatable import reports
 from agatepick.repeatable import run_controller
@@ -36,6 +37,7 @@
 
     name: types.PeerName
     zone: str
+    policies: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -19,6 +19,7 @@
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import placing
+from agatepick.repeatable import policies
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
 from agatepick.repeatable import stopping
@@ -46,6 +47,7 @@
 
     name: types.PeerName
     zone: str
+    policies: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -140,6 +140,11 @@
         """Expected time until a result, relative to a healthy worker."""
         return self.room.cost if self.room is not None else 1.0
 
+    @property
+    def slowness(self) -> float:
+        """Usual run time, relative to the typical worker of its pool."""
+        return self.room.slowness if self.room is not None else 1.0
+
 
 class Pool:
     """All workers whose agents are connected or were recently."""
--- a/tests/busy_world.py
+++ b/tests/busy_world.py
@@ -159,6 +159,11 @@
     :param queues: kinds of jobs that arrive.
     :param processor: share of a processor that each process has; infinite for
         events that take no time.
+    :param speeds: slowness of the workers, in turn; by default every third
+        one is slow.
+    :param tail: share of tasks that take far longer than their siblings, and
+        the factor on their run time.
+    :param switches: optional decisions; by default all are off.
     :ivar callers: all callers so far, by job.
     :ivar starts: number of starts that agents sent to workers.
     :ivar refused_starts: number of starts that agents refused for lack of
@@ -176,6 +181,9 @@
         listed=False,
         queues=QUEUES,
         processor=math.inf,
+        speeds=(1.0, 1.0, SLOW_FACTOR),
+        tail=(0.0, 1.0),
+        switches=None,
     ):
         self.queues = queues
         self.processor = processor
@@ -183,6 +191,8 @@
         self.event_queues = collections.defaultdict(collections.deque)
         self.task_cores = cores
         self.sizes = sizes
+        self.speeds = speeds
+        self.tail = tail
         self.link = link
         self.link_free_at = {}
         self.tasks = {}
@@ -192,7 +202,7 @@
         self.refused_starts = 0
         self.messages = 0
         self.load_rng = random.Random(seed)
-        super().__init__(entries, agents, seed, listed)
+        super().__init__(entries, agents, seed, listed, switches)
 
     def _make_worker(self, index):
         slow = index % 3 == 2
@@ -200,7 +210,7 @@
             self,
             f'w-{index}',
             self.sizes[slow],
-            SLOW_FACTOR if slow else 1.0,
+            self.speeds[index % len(self.speeds)],
         )
 
     def start(self, name):
@@ -220,22 +230,27 @@
             for worker in self.workers.values()
         )
 
-    def load(self, share, seconds):
-        """Submit jobs that fill a share of the workers for some seconds."""
+    def load(self, share, seconds, queues=None):
+        """Submit jobs that fill a share of the workers for some seconds.
+
+        :param queues: kinds of these jobs; by default all.
+        """
+        queues = queues or self.queues
         # Mean seconds for which all tasks of a job run at fast workers.
         seconds_a_job = sum(
-            queue.share * queue.width * queue.seconds for queue in self.queues
-        )
+            queue.share * queue.width * queue.seconds for queue in queues
+        ) / sum(queue.share for queue in queues)
+        seconds_a_job *= 1.0 + self.tail[0] * (self.tail[1] - 1.0)
         rate = share * self.cores / (seconds_a_job * self.task_cores)
         at = self.load_rng.expovariate(rate)
         while at < seconds:
-            self.schedule(at, self._submit_any)
+            self.schedule(at, self._submit_any, queues)
             at += self.load_rng.expovariate(rate)
 
-    def _submit_any(self):
+    def _submit_any(self, queues):
         rng = self.load_rng
-        shares = [queue.share for queue in self.queues]
-        self.submit_random(rng.choices(self.queues, shares)[0])
+        shares = [queue.share for queue in queues]
+        self.submit_random(rng.choices(queues, shares)[0])
 
     def submit_random(self, queue):
         """Submit the job of one caller."""
@@ -252,6 +267,8 @@
         for task in tasks:
             self.tasks[task.name] = task
             self.true_seconds[task.name] = mean * rng.uniform(0.85, 1.15)
+            if self.tail[0] and rng.random() < self.tail[0]:
+                self.true_seconds[task.name] *= self.tail[1]
         longest = max(self.true_seconds[task.name] for task in tasks)
         work = width * mean / (queue.width * queue.seconds)
         spec = jobs.Job(
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -16,6 +16,7 @@
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
 from agatepick.repeatable import leases
+from agatepick.repeatable import policies
 from agatepick.repeatable import routes
 from agatepick.repeatable import workerapi
 from agatepick import types
@@ -170,13 +171,17 @@
         answer that the job was not run.
     """
 
-    def __init__(self, entries=2, agents=3, seed=0, listed=False):
+    def __init__(
+        self, entries=2, agents=3, seed=0, listed=False, switches=None
+    ):
         """Create and start all processes.
 
         :param listed: whether agents get a list of the entries and dial those
             that they choose to serve; otherwise each agent is connected to
             every entry from the start.
+        :param switches: optional decisions; by default all are off.
         """
+        self.switches = switches or policies.Policies()
         self.listed = listed
         self.store_unavailable = False
         self.dialled = set()
@@ -214,11 +219,12 @@
         return Worker(self, f'w-{index}')
 
     def _make_entry(self, name):
-        cfg = entry.EntryConfig(name, 'z')
+        cfg = entry.EntryConfig(name, 'z', self.switches)
         return entry.Entry.from_config(cfg, random.Random(name))
 
     def _make_agent(self, name):
-        return agent.Agent.from_config(agent.AgentConfig(name, 'z'), 1)
+        cfg = agent.AgentConfig(name, 'z', self.switches)
+        return agent.Agent.from_config(cfg, 1)
 
     def entries(self):
         return [node for node in self.nodes.values() if 'entry' in node.name]
