Move a connection to a peer into a module of its own

net/links.py had 605 lines and two concerns: one connection with its frames, and all connections of a process. The first is now net/connections.py, without a change of behaviour; tests only follow the names.

--- a/src/agatepick/capacity/slopes_wire.py
+++ b/src/agatepick/capacity/slopes_wire.py
@@ -18,7 +18,7 @@
 from agatepick.capacity import slopes
 from agatepick.config import cluster
 from agatepick.net import clocks
-from agatepick.net import links
+from agatepick.net import connections
 
 IDLE_SECONDS = 8.0
 CHANGE_SECONDS = 12.0
@@ -187,7 +187,7 @@
     )
 
 
-def sum_traffic(traffic: links.Traffic) -> tuple[int, int]:
+def sum_traffic(traffic: connections.Traffic) -> tuple[int, int]:
     """Return the messages and the bytes, each the sum of both directions."""
     return (
         traffic.messages_in + traffic.messages_out,
--- a/src/agatepick/config/clockwatch.py
+++ b/src/agatepick/config/clockwatch.py
@@ -1,10 +1,10 @@
 """Comparison of the local clock with the clocks of connected peers."""
 
 from agatepick.net import clocks
-from agatepick.net import links
+from agatepick.net import connections
 from agatepick.net import messages
 
-SAMPLE_EXPIRY_SECONDS = 3 * links.SAMPLE_RENEWAL_SECONDS
+SAMPLE_EXPIRY_SECONDS = 3 * connections.SAMPLE_RENEWAL_SECONDS
 """Age at which a clock sample expires and its peer is ignored.
 
 The peer's lease grants are ignored from then on, so the expiry must exceed the
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,6 +15,7 @@
 
 from agatepick import exceptions
 from agatepick.net import clocks
+from agatepick.net import connections
 from agatepick.net import links
 from agatepick.net import messages
 from agatepick.platform import following
@@ -183,7 +184,7 @@
 
     async def hang_up(reader, writer):
         dials.append(1)
-        writer.write(links.FRAME_HEADER.pack(len(data)) + data)
+        writer.write(connections.FRAME_HEADER.pack(len(data)) + data)
         await writer.drain()
         await asyncio.sleep(0.01)
         writer.close()
--- a/tests/test_clockwatch.py
+++ b/tests/test_clockwatch.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from agatepick.config import clockwatch
-from agatepick.net import links
+from agatepick.net import connections
 from agatepick.net import messages
 
 NOW = 1_800_000_000.0
@@ -25,7 +25,9 @@
     watch = clockwatch.ClockWatch(MARGIN_SECONDS)
     watch.add('e1', pong(NOW), NOW)
     later = (
-        NOW + links.SAMPLE_RENEWAL_SECONDS + links.HEARTBEAT_INTERVAL_SECONDS
+        NOW
+        + connections.SAMPLE_RENEWAL_SECONDS
+        + connections.HEARTBEAT_INTERVAL_SECONDS
     )
     watch.add('a1', pong(later), later)
     assert watch.agrees('e1')
@@ -53,13 +55,15 @@
     """
 
     async def main():
-        conn = links.Connection(links.Traffic(), bytearray(), print)
+        conn = connections.Connection(
+            connections.Traffic(), bytearray(), print
+        )
         conn.last_message_at = NOW
         conn.record_pong(pong(NOW, trip=0.5), NOW)
         assert conn.needs_ping(NOW)
         conn.record_pong(pong(NOW, trip=0.01), NOW)
         assert not conn.needs_ping(NOW + 0.5)
-        conn.last_message_at = NOW + links.SAMPLE_RENEWAL_SECONDS
-        assert conn.needs_ping(NOW + links.SAMPLE_RENEWAL_SECONDS)
+        conn.last_message_at = NOW + connections.SAMPLE_RENEWAL_SECONDS
+        assert conn.needs_ping(NOW + connections.SAMPLE_RENEWAL_SECONDS)
 
     asyncio.run(main())
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,7 @@
 from tornado import netutil
 
 from agatepick import core
+from agatepick.net import connections
 from agatepick.net import links
 from agatepick.net import messages
 
@@ -186,7 +187,8 @@
         assert values == list(range(20))
         frames = [messages.encode(messages.Ask(one)) for one in range(20)]
         assert writes[0] == b''.join(
-            links.FRAME_HEADER.pack(len(frame)) + frame for frame in frames
+            connections.FRAME_HEADER.pack(len(frame)) + frame
+            for frame in frames
         )
         left.links.end()
         right.links.end()
