Report the loss of a connection that its own process hung up

Cause: Links.hang_up cancels the task that dials a peer, and that task was the one to report the loss. The peer stayed connected for ever, no PeerDown came, and a later dial waited for the loss: an agent that had left an entry couldn't serve it again until its restart. The cancelled task also cancelled the connection's future, as if it had been lost. A connection whose peer hadn't sent its Hello, or had answered under another name, stayed open.

Change: net/peers.py holds the connected peers and reports each loss when the connection itself is lost. A dial task closes its connection when it ends.

Tests: four in test_links.py fail on the code before, among them a property test of any order of dial, hang-up, loss and dial; the fifth guards that an ended process gets no event.

--- a/src/agatepick/net/connections.py
+++ b/src/agatepick/net/connections.py
@@ -182,7 +182,9 @@
         self._handler = handler
         for message in early_messages:
             self._run_guarded(lambda: handler(message))
-        await self.lost
+        # A cancelled task would cancel the future, as if the connection were
+        # lost.
+        await asyncio.shield(self.lost)
 
     def ping(self, now: float) -> None:
         """Send a ping, whose pong is a heartbeat and a clock sample."""
--- a/src/agatepick/net/links.py
+++ b/src/agatepick/net/links.py
@@ -20,6 +20,7 @@
 from agatepick.decisions import backoff
 from agatepick.net import connections
 from agatepick.net import messages
+from agatepick.net import peers
 from agatepick.net import reading
 from agatepick import types
 
@@ -102,10 +103,9 @@
         self._latency = latency
         self._logical_clock = logical_clock
         self._timeouts = timeouts
-        self._peers: dict[types.PeerName, connections.Connection] = {}
+        self._peers = peers.ConnectedPeers(feed)
         self._connections: set[connections.Connection] = set()
         self._dials: dict[types.PeerName, asyncio.Task[None]] = {}
-        self._lost_events: dict[types.PeerName, asyncio.Event] = {}
         self._buffer = reading.make_buffer()
         self._tasks: set[asyncio.Task[None]] = set()
         self._sockets: list[socket.socket] = []
@@ -125,6 +125,7 @@
 
     def end(self) -> None:
         """Close all connections and listening sockets at once."""
+        self._peers.end()
         for task in [*self._dials.values(), *self._tasks]:
             task.cancel()
         for server in self._servers:
@@ -138,7 +139,7 @@
 
     def connected(self) -> tuple[types.PeerName, ...]:
         """Return the names of the connected peers."""
-        return tuple(self._peers)
+        return self._peers.get_names()
 
     def send(self, peer: types.PeerName, message: messages.Message) -> None:
         """Send a message to a peer; it is dropped if none is connected."""
@@ -237,36 +238,11 @@
     async def _serve(self, conn: connections.Connection) -> None:
         hello = conn.hello
         assert hello is not None
-        self._register(conn, hello)
+        self._peers.add(conn)
+        conn.ping(self._clock.now())
         await conn.serve(
             lambda message: self._on_message(conn, hello.name, message)
         )
-        self._on_lost(conn, hello)
-
-    def _register(
-        self, conn: connections.Connection, hello: messages.Hello
-    ) -> None:
-        old = self._peers.get(hello.name)
-        self._peers[hello.name] = conn
-        if old is not None and old.hello is not None:
-            # The peer connected again, so it has lost the older connection,
-            # possibly with messages that were in transit.
-            old.close()
-            old_incarnation = old.hello.incarnation
-            dead = old_incarnation != hello.incarnation
-            self._feed(core.PeerDown(hello.name, old_incarnation, dead))
-        self._feed(core.PeerUp(hello))
-        conn.ping(self._clock.now())
-
-    def _on_lost(
-        self, conn: connections.Connection, hello: messages.Hello
-    ) -> None:
-        if self._peers.get(hello.name) is conn:
-            del self._peers[hello.name]
-            lost = self._lost_events.pop(hello.name, None)
-            if lost is not None:
-                lost.set()
-            self._feed(core.PeerDown(hello.name, hello.incarnation))
 
     def _on_message(
         self,
@@ -287,7 +263,7 @@
         redial = backoff.Backoff(REDIAL_DELAYS, self._rng)
         while True:
             started_at = self._clock.now()
-            await self._wait_until_lost(peer)
+            await self._peers.wait_until_lost(peer)
             served = await self._dial_once(peer, address)
             if (
                 served
@@ -308,22 +284,33 @@
             return True
         host, _, port = address.rpartition(':')
         conn = await self._connect(peer, host, int(port))
-        if conn is None or not await self._receive_hello(conn, address):
+        if conn is None:
+            return False
+        try:
+            return await self._serve_dialled(conn, peer, address)
+        finally:
+            # A hang-up cancels this task, possibly before the peer is known.
+            conn.close()
+
+    async def _serve_dialled(
+        self, conn: connections.Connection, peer: str, address: str
+    ) -> bool:
+        """Serve a connection that was dialled until it is lost.
+
+        :returns: whether the peer was connected.
+        """
+        if not await self._receive_hello(conn, address):
             return False
         self._report_if_replaced(conn, peer, address)
         name = conn.hello.name if conn.hello else ''
         if name in self._peers:
             conn.close()
-            await self._wait_until_lost(name)
+            await self._peers.wait_until_lost(name)
             return True
         conn.send(self._make_hello())
         await self._serve(conn)
         return True
 
-    async def _wait_until_lost(self, peer: types.PeerName) -> None:
-        if peer in self._peers:
-            await self._lost_events.setdefault(peer, asyncio.Event()).wait()
-
     def _report_if_replaced(
         self, conn: connections.Connection, peer: str, address: str
     ) -> None:
@@ -356,7 +343,7 @@
         while True:
             await asyncio.sleep(self._timeouts.heartbeat_seconds)
             now = self._clock.now()
-            for conn in list(self._peers.values()):
+            for conn in self._peers.get_connections():
                 if now - conn.last_message_at > self._timeouts.silence_seconds:
                     conn.close()
                 elif conn.needs_ping(now):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,11 +1,15 @@
 import asyncio
+import contextlib
 import random
 import time
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 from tornado import netutil
 
 from agatepick import core
+from agatepick.decisions import backoff
 from agatepick.net import connections
 from agatepick.net import links
 from agatepick.net import messages
@@ -20,6 +24,7 @@
     def __init__(self, name: str, incarnation: int = 1):
         self.name = name
         self.incarnation = incarnation
+        self.address = ''
         self.events: list[object] = []
         self.changed = asyncio.Event()
         self.links = links.Links(
@@ -38,7 +43,20 @@
     def listen(self, port: int = 0) -> int:
         sockets = netutil.bind_sockets(port, '127.0.0.1')
         self.links.add_sockets(sockets)
-        return sockets[0].getsockname()[1]
+        port = sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return port
+
+    def count_ups(self) -> int:
+        """Return how many more peers came up than went down."""
+        ups = [one for one in self.events if isinstance(one, core.PeerUp)]
+        downs = [
+            one
+            for one in self.events
+            # A failed dial has no incarnation.
+            if isinstance(one, core.PeerDown) and one.incarnation
+        ]
+        return len(ups) - len(downs)
 
     async def wait_for(self, kind: type, matches=lambda event: True):
         async with asyncio.timeout(10):
@@ -171,7 +189,7 @@
     async def main():
         left, right = await connect_nodes()
         writes = []
-        conn = left.links._peers['b']
+        conn = left.links._peers.get('b')
         conn.transport = RecordingTransport(conn.transport, writes)
         for number in range(20):
             left.links.send('b', messages.Ask(number))
@@ -229,7 +247,7 @@
         await right.wait_for(
             core.Received, lambda e: e.message == messages.Ask(99)
         )
-        conn = right.links._peers['a']
+        conn = right.links._peers.get('a')
         reads = []
         get_buffer = conn.get_buffer
         conn.get_buffer = lambda hint: reads.append(hint) or get_buffer(hint)
@@ -244,3 +262,143 @@
         right.links.end()
 
     run(main)
+
+
+def test_an_entry_that_was_left_can_be_dialled_again():
+    """An agent leaves an entry and serves it again later.
+
+    If the agent never noticed that the connection was closed, it would wait
+    for that for ever, and the entry would refuse its callers.
+    """
+
+    async def main():
+        left, right = await connect_nodes()
+        address = right.address
+        left.links.hang_up('b')
+        await left.wait_for(core.PeerDown)
+        assert left.links.connected() == ()
+        left.events.clear()
+        left.links.dial('b', address)
+        await left.wait_for(core.PeerUp)
+        left.links.end()
+        right.links.end()
+
+    run(main)
+
+
+def test_a_hang_up_closes_a_connection_without_a_hello():
+    """A peer accepts a connection, but sends nothing.
+
+    The process hangs up; the connection must not stay open for ever.
+    """
+
+    async def main():
+        accepted = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(
+            lambda *streams: accepted.set_result(streams), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        node = Node('a')
+        node.links.dial('b', f'127.0.0.1:{port}')
+        reader, writer = await accepted
+        await asyncio.sleep(0.05)
+        node.links.hang_up('b')
+        async with asyncio.timeout(10):
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b''
+        writer.close()
+        server.close()
+        node.links.end()
+
+    run(main)
+
+
+def test_a_hang_up_closes_a_connection_to_a_peer_of_another_name():
+    """A process is dialled by its address, and has a name of its own."""
+
+    async def main():
+        left, right = Node('a'), Node('b')
+        port = right.listen()
+        left.links.dial('seed', f'127.0.0.1:{port}')
+        await left.wait_for(core.PeerUp)
+        left.links.hang_up('seed')
+        await left.wait_for(core.PeerDown, lambda e: e.peer == 'b')
+        await right.wait_for(core.PeerDown)
+        assert left.links.connected() == right.links.connected() == ()
+        left.links.end()
+        right.links.end()
+
+    run(main)
+
+
+def test_a_process_that_has_ended_gets_no_event():
+    async def main():
+        left, right = await connect_nodes()
+        events = list(left.events)
+        left.links.end()
+        await right.wait_for(core.PeerDown)
+        await asyncio.sleep(0.01)
+        assert left.events == events
+        right.links.end()
+
+    run(main)
+
+
+MOVES = ('dial', 'hang up', 'lose here', 'lose there', 'turn', 'pause')
+
+
+async def make_move(move, left, right):
+    match move:
+        case 'dial':
+            left.links.dial('b', right.address)
+        case 'hang up':
+            left.links.hang_up('b')
+        case 'lose here':
+            left.links.disconnect('b')
+        case 'lose there':
+            right.links.disconnect('a')
+        case 'turn':
+            await asyncio.sleep(0.0)
+        case 'pause':
+            await asyncio.sleep(0.004)
+
+
+async def wait_until_settled(left, right, connected):
+    """Wait until both are connected, or neither, by their events too."""
+    async with asyncio.timeout(10):
+        for node, peer in ((left, 'b'), (right, 'a')):
+            names = (peer,) if connected else ()
+            while (node.links.connected(), node.count_ups()) != (
+                names,
+                int(connected),
+            ):
+                await asyncio.sleep(0.001)
+
+
+@hypothesis.settings(max_examples=100, deadline=None)
+@hypothesis.given(strategies.lists(strategies.sampled_from(MOVES)))
+def test_after_any_moves_a_peer_is_connected_or_down(moves):
+    """An agent serves an entry, leaves it and loses it in any order.
+
+    If a connection were neither open nor known as lost, the agent could never
+    serve that entry again.
+    """
+
+    async def main():
+        left, right = Node('a'), Node('b')
+        right.listen()
+        for move in moves:
+            await make_move(move, left, right)
+        dialled = [one for one in moves if one in ('dial', 'hang up')]
+        connected = dialled[-1:] == ['dial']
+        await wait_until_settled(left, right, connected)
+        # A loss that the last move brought about may come only now.
+        await asyncio.sleep(0.01)
+        await wait_until_settled(left, right, connected)
+        left.links.end()
+        right.links.end()
+
+    with pytest.MonkeyPatch.context() as patch:
+        delays = backoff.BackoffDelays(0.001, 0.002)
+        patch.setattr(links, 'REDIAL_DELAYS', delays)
+        run(main)
