Use no idle connection of a server after calls without a response

Cause: connections may go silent for good, without a reset, while new ones work. After a timeout the client closed only the one in use, and the next call took another silent one. An agent whose connections to the store went silent learnt of a closed zone after two timeouts of 2.9 s, more than the 5 s that are allowed; an entry's two of 1.4 s are more than its 2 s.

Change: at a timeout the client closes its idle connections, so the caller's next try, of a read, a feed or an idempotent write, has a new one. All idle ones: one that was opened during the silent call may be silent as well. For calls to workers this takes two timeouts without a response between them, as one lost answer in twenty is normal there and connections have a cost.

--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -6,6 +6,12 @@
 This module therefore pools connections itself, and httptools parses the
 responses: calls to its worker are most of an agent's work, and a parser in
 Python would take most of each call.
+
+Connections may go silent without being reset, all at once, while new ones
+work.  A call can't tell such a connection before its timeout, and with a pool
+of them each further call would wait for one more timeout.  After calls without
+a response the client therefore gives up its idle connections too, and the next
+call opens one.
 """
 
 import asyncio
@@ -34,10 +40,16 @@
     :param address: ``ip:port``.
     :param max_connections: largest number of open connections; further calls
         wait for one of them.
+    :param max_unanswered: number of timeouts without a response between them
+        at which all idle connections are closed.
     """
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(
+        self, address: str, max_connections: int, max_unanswered: int = 1
+    ) -> None:
         self.address = address
+        self._max_unanswered = max_unanswered
+        self._unanswered = 0
         self._slots = asyncio.Semaphore(max_connections)
         self._idle: list[_Connection] = []
         self._buffer = reading.make_buffer()
@@ -67,9 +79,15 @@
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(lines) + '\r\n\r\n'
         data = head.encode('latin-1') + body
-        async with asyncio.timeout(timeout_seconds):
-            async with self._slots:
-                return await self._send(method == 'GET', data)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                async with self._slots:
+                    response = await self._send(method == 'GET', data)
+        except TimeoutError:
+            self._record_timeout()
+            raise
+        self._unanswered = 0
+        return response
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -77,6 +95,14 @@
             conn.close()
         self._idle.clear()
 
+    def _record_timeout(self) -> None:
+        self._unanswered += 1
+        if self._unanswered >= self._max_unanswered:
+            # An idle connection proves nothing, however new it is: it may
+            # have gone silent at any time before this timeout.  One in use
+            # will prove itself by a response.
+            self.close()
+
     async def _send(self, retryable: bool, data: bytes) -> Response:
         if retryable and self._idle:
             # The server may have closed the idle connection meanwhile.
--- a/src/agatepick/platform/rows.py
+++ b/src/agatepick/platform/rows.py
@@ -27,6 +27,11 @@
 
 MAX_CONNECTIONS = 4
 
+MAX_UNANSWERED = 1
+"""Number of timeouts after which no idle connection is used any more.  Each
+further call on a silent one would delay a change by a whole timeout, and two
+of them exceed what the platform allows."""
+
 
 class Row(msgspec.Struct, frozen=True):
     """One row; ``value`` is empty for a deleted one."""
@@ -222,7 +227,9 @@
             # The settings were reloaded with another address.
             await self.close()
         if self._client is None:
-            self._client = httpcalls.Client(self.address, MAX_CONNECTIONS)
+            self._client = httpcalls.Client(
+                self.address, MAX_CONNECTIONS, MAX_UNANSWERED
+            )
         try:
             answer = await self._client.call(
                 method, path + query, timeout_seconds, body, JSON_HEADERS
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -31,6 +31,12 @@
 ten starts, 2 ms each, takes only 4 ms longer over four connections than over
 ten; two more are for requests for the lists, which wait."""
 
+MAX_UNANSWERED = 2
+"""Number of timeouts without an answer between them after which no idle
+connection is used any more.  One lost answer in twenty is normal, and opening
+all connections again for each has a cost; two in a row are one in hundreds.
+The third try of a start then has a new connection."""
+
 MAX_SAMPLE_AGE_SECONDS = 1.0
 """Age up to which a clock sample is used; a clock that is 2% slow falls 20 ms
 behind in that time."""
@@ -128,7 +134,9 @@
         self._clock = clock
         self._feed = feed
         self.worker_clock = WorkerClock(clock)
-        self._client = httpcalls.Client(address, MAX_CONNECTIONS)
+        self._client = httpcalls.Client(
+            address, MAX_CONNECTIONS, MAX_UNANSWERED
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -91,6 +91,7 @@
         self.target = target
         self.mode = 'calm'
         self.writers = set()
+        self.silent_writers = set()
         self.server = None
         self.address = ''
 
@@ -104,6 +105,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def silence_connections(self):
+        """Forward nothing any more on the connections that are open."""
+        self.silent_writers |= self.writers
+
     def stop(self):
         self.server.close()
         self.reset()
@@ -125,6 +130,7 @@
             # The test is over; the server would log the exception.
             pass
         self.writers -= {writer, target[1]}
+        self.silent_writers -= {writer, target[1]}
 
     async def _forward(self, reader, writer, direction):
         try:
@@ -133,6 +139,8 @@
                     await asyncio.sleep(0.02)
                 if self.mode == 'slow':
                     await asyncio.sleep(0.1)
+                if writer in self.silent_writers:
+                    continue
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/tests/test_httpcalls.py
+++ b/tests/test_httpcalls.py
@@ -22,6 +22,7 @@
         self.requests = []
         self.address = ''
         self._writers = []
+        self._silent_writers = set()
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -38,6 +39,10 @@
         for writer in self._writers:
             writer.close()
 
+    def silence_connections(self):
+        """Answer nothing any more on the connections that are open."""
+        self._silent_writers.update(self._writers)
+
     async def _serve(self, reader, writer):
         self._writers.append(writer)
         requests = []
@@ -50,7 +55,8 @@
                         length = int(line.partition(b':')[2])
                 body = await reader.readexactly(length)
                 requests.append((head.split(b' ')[1].decode(), body))
-                answer = self.answers.pop(0)
+                silent = writer in self._silent_writers
+                answer = None if silent else self.answers.pop(0)
                 if answer is None:
                     await asyncio.sleep(30.0)
                 elif not answer:
@@ -62,6 +68,12 @@
             pass
 
 
+async def open_connections(client, count):
+    """Make as many calls at once, each of which opens a connection."""
+    calls = [client.call('GET', '/', 10.0) for _ in range(count)]
+    await asyncio.gather(*calls)
+
+
 def run(main):
     asyncio.run(main())
 
@@ -202,3 +214,120 @@
             client.close()
 
     run(main)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_after_a_timeout_no_idle_connection_is_used(method):
+    """All connections to the store go silent without a reset.
+
+    If each call waited for a timeout on one more of them, a zone would be
+    closed, or a queue opened, seconds too late.
+    """
+
+    async def main():
+        async with Server(*[OK] * 4) as server:
+            client = httpcalls.Client(server.address, 4)
+            await open_connections(client, 3)
+            server.silence_connections()
+            with pytest.raises(TimeoutError):
+                await client.call(method, '/a', 0.1, b'')
+            response = await client.call(method, '/b', 5.0, b'')
+            assert response.status == 200
+            assert [name for name, _ in server.requests[-1]] == ['/b']
+            client.close()
+
+    run(main)
+
+
+def test_a_connection_opened_during_the_silent_call_is_not_used():
+    """A call waits for a change while another opens a connection.
+
+    Both go silent then.  The second one is newer than the first call, and
+    silent all the same.
+    """
+
+    async def main():
+        async with Server(None, OK, OK) as server:
+            client = httpcalls.Client(server.address, 4)
+            loop = asyncio.get_running_loop()
+            waiting = loop.create_task(client.call('GET', '/a', 0.5))
+            while not (server.requests and server.requests[0]):
+                await asyncio.sleep(0.001)
+            await client.call('GET', '/b', 5.0)
+            server.silence_connections()
+            with pytest.raises(TimeoutError):
+                await waiting
+            response = await client.call('GET', '/c', 5.0)
+            assert response.status == 200
+            client.close()
+
+    run(main)
+
+
+def test_silence_in_the_middle_of_a_response_is_a_timeout():
+    """A connection goes silent after the first bytes of a response.
+
+    These bytes must not extend the call's timeout, and the call after it must
+    not use another connection that went silent at the same time.
+    """
+
+    async def main():
+        async with Server(OK, OK, OK, OK[:20], OK) as server:
+            client = httpcalls.Client(server.address, 4)
+            await open_connections(client, 3)
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            waiting = loop.create_task(client.call('GET', '/a', 0.3))
+            while len(server.answers) > 1:
+                await asyncio.sleep(0.001)
+            server.silence_connections()
+            with pytest.raises(TimeoutError):
+                await waiting
+            assert loop.time() >= started_at + 0.3
+            response = await client.call('GET', '/b', 5.0)
+            assert response.body == b'ok'
+            client.close()
+
+    run(main)
+
+
+def test_single_lost_responses_close_only_their_connections():
+    """A worker leaves one request in twenty without a response for seconds.
+
+    Opening all connections again for each of them has a cost.
+    """
+
+    async def main():
+        async with Server(OK, OK, OK, None, OK, None, OK) as server:
+            client = httpcalls.Client(server.address, 4, max_unanswered=2)
+            await open_connections(client, 3)
+            for _ in range(2):
+                with pytest.raises(TimeoutError):
+                    await client.call('POST', '/a', 0.1, b'x')
+                response = await client.call('POST', '/b', 5.0, b'x')
+                assert response.status == 200
+            assert len(server.requests) == 3
+            client.close()
+
+    run(main)
+
+
+def test_timeouts_in_a_row_close_all_idle_connections():
+    """All connections to a worker go silent without a reset.
+
+    A start that is sent three times must reach the worker.
+    """
+
+    async def main():
+        async with Server(*[OK] * 6) as server:
+            client = httpcalls.Client(server.address, 6, max_unanswered=2)
+            await open_connections(client, 5)
+            server.silence_connections()
+            for _ in range(2):
+                with pytest.raises(TimeoutError):
+                    await client.call('POST', '/a', 0.1, b'x')
+            response = await client.call('POST', '/a', 5.0, b'x')
+            assert response.status == 200
+            client.close()
+
+    run(main)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,11 +18,14 @@
 from agatepick.platform import desired
 from agatepick.platform import following
 from agatepick.platform import members
+from agatepick.platform import programs
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
+from agatepick.repeatable import run_controller
 from agatepick.repeatable import workerapi
 from tests import platform_standins
+from tests import soak
 
 DESIRED = {
     'version': 7,
@@ -143,10 +146,10 @@
 
     def __init__(self, store, table='op', wait=0.2):
         self.states = []
-        self._store = rows.RowStore(store.address)
+        self.client = rows.RowStore(store.address)
         self._task = asyncio.get_running_loop().create_task(
             following.watch_table(
-                self._store, table, wait, self.states.append, random.Random(1)
+                self.client, table, wait, self.states.append, random.Random(1)
             )
         )
 
@@ -157,7 +160,7 @@
 
     async def stop(self):
         self._task.cancel()
-        await self._store.close()
+        await self.client.close()
 
 
 def run(main):
@@ -284,9 +287,102 @@
     run(main)
 
 
+SLOW_ANSWER_SECONDS = 0.2
+"""Time in which a slow store answers."""
+
+
+async def open_connections(client):
+    """Open as many connections to the store as a client may have."""
+    reads = [client.read('op', 10.0) for _ in range(rows.MAX_CONNECTIONS)]
+    await asyncio.gather(*reads)
+
+
+def test_a_change_is_seen_after_one_timeout_on_silent_connections():
+    """All connections to the store go silent while new ones work.
+
+    A zone is closed then.  If its agent waited for one timeout after the
+    other on the connections that are left, tasks would start there for
+    seconds after the zone should be closed.
+    """
+
+    async def main():
+        store = platform_standins.Store()
+        store.put('op', 'a', b'1')
+        proxy = soak.Proxy(store.address)
+        await proxy.start()
+        watcher = Watcher(proxy)
+        await open_connections(watcher.client)
+        await watcher.wait_until(lambda rows: rows == {'a': b'1'})
+        proxy.silence_connections()
+        store.put('op', 'b', b'2')
+        await watcher.wait_until(lambda rows: len(rows) == 2)
+        assert watcher.client.call_counts['/v1/rows-feed', 'no_answer'] == 1
+        await watcher.stop()
+        proxy.stop()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'call',
+    [
+        lambda client, seconds: client.read('op', seconds),
+        lambda client, seconds: client.read_row('op', 'a', seconds),
+        lambda client, seconds: client.changes('op', 0, 0.0),
+        lambda client, seconds: client.write('t', 'a', b'2', seconds),
+        lambda client, seconds: client.remove('t', 'a'),
+    ],
+    ids=['read', 'read_row', 'changes', 'write', 'remove'],
+)
+def test_each_call_is_answered_at_its_second_try_after_a_silence(call):
+    async def main():
+        store = platform_standins.Store()
+        store.put('op', 'a', b'1')
+        proxy = soak.Proxy(store.address)
+        await proxy.start()
+        client = rows.RowStore(proxy.address)
+        await open_connections(client)
+        proxy.silence_connections()
+        with pytest.raises(exceptions.StoreError):
+            await call(client, 0.1)
+        await call(client, 10.0)
+        await client.close()
+        proxy.stop()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ('wait', 'bound'),
+    [
+        (programs.DESIRED_WAIT_SECONDS, 2.0),
+        (programs.ZONES_WAIT_SECONDS, 5.0),
+    ],
+)
+def test_one_timeout_is_within_the_time_for_a_change(wait, bound):
+    """The connections go silent just before a call for changes begins."""
+    seconds = (
+        following.CALL_INTERVAL_SECONDS
+        + wait
+        + rows.CHANGES_MARGIN_SECONDS
+        + following.RETRY_DELAYS.first_seconds
+        + SLOW_ANSWER_SECONDS
+    )
+    assert seconds < bound
+
+
 # The worker
 
 
+def test_a_start_s_last_try_has_a_new_connection():
+    """All connections to a worker go silent while new ones work.
+
+    A start that gets no answer at any try is given up, and its task waits for
+    another worker.
+    """
+    assert worker.MAX_UNANSWERED < run_controller.MAX_START_ATTEMPTS
+
+
 class RecordingClient:
     """A worker's client and the events that it passed on."""
 
