--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -1,7 +1,6 @@
 """The entry and agent programs as the platform starts them."""
 
 import asyncio
-import os
 import random
 import signal
 import sys
@@ -17,6 +16,7 @@
 from agatepick.platform import following
 from agatepick.platform import ingress
 from agatepick.platform import members
+from agatepick.platform import reloading
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
@@ -56,9 +56,6 @@
 STOP_MARGIN_SECONDS = 0.4
 """Time between the end of a graceful stop and the platform's kill."""
 
-RELOAD_INTERVAL_SECONDS = 1.0
-"""Interval of checks of the settings file, which may change without SIGHUP."""
-
 
 def main(args: list[str]) -> int:
     """Run a program by its name until it is stopped.
@@ -72,8 +69,8 @@
         print(f'usage: {"|".join(programs)} [POLICIES]', file=sys.stderr)
         return exceptions.BadUsage.exit_status
     try:
-        path = settings.path_from_env()
-        cfg = settings.read(path)
+        file = reloading.SettingsFile(settings.path_from_env())
+        cfg = file.read()
         switches = policies.Policies()
         if len(args) == 2:
             switches = policies.read(args[1])
@@ -81,12 +78,14 @@
         print(exc.show(), file=sys.stderr)
         return exc.exit_status
     logs.setup_bounded(cfg.name, LOG_LINES_PER_SECOND)
-    asyncio.run(programs[args[0]](cfg, path, switches))
+    asyncio.run(programs[args[0]](cfg, file, switches))
     return 0
 
 
 async def run_entry(
-    cfg: settings.NodeSettings, path: str, switches: policies.Policies
+    cfg: settings.NodeSettings,
+    file: reloading.SettingsFile,
+    switches: policies.Policies,
 ) -> None:
     """Run an entry, on a machine that callers reach."""
     rng = random.Random(process.new_incarnation())
@@ -117,11 +116,13 @@
         ),
         members.register(store, cfg.name, cfg.links, cfg.zone, rng),
     ]
-    await _run_until_stopped(cfg, path, proc, store, coroutines)
+    await _run_until_stopped(cfg, file, proc, store, coroutines)
 
 
 async def run_agent(
-    cfg: settings.NodeSettings, path: str, switches: policies.Policies
+    cfg: settings.NodeSettings,
+    file: reloading.SettingsFile,
+    switches: policies.Policies,
 ) -> None:
     """Run an agent, on a worker's machine."""
     incarnation = process.new_incarnation()
@@ -158,7 +159,7 @@
             rng,
         ),
     ]
-    await _run_until_stopped(cfg, path, proc, store, coroutines)
+    await _run_until_stopped(cfg, file, proc, store, coroutines)
     await client.close()
 
 
@@ -198,7 +199,7 @@
 
 async def _run_until_stopped(
     cfg: settings.NodeSettings,
-    path: str,
+    file: reloading.SettingsFile,
     proc: process.Process,
     store: rows.RowStore,
     coroutines: list[typing.Coroutine[typing.Any, typing.Any, None]],
@@ -211,8 +212,15 @@
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     proc.measures.register(proc.gauges, lambda: store.call_counts)
     _serve_metrics(cfg, proc.measures)
+
+    def apply_settings(new_cfg: settings.NodeSettings) -> None:
+        # Only the store's address can change while the process runs.
+        store.address = new_cfg.store
+
+    coroutines.append(
+        reloading.follow_settings(file, apply_settings, reload_requested)
+    )
     tasks = [loop.create_task(coroutine) for coroutine in coroutines]
-    tasks.append(loop.create_task(_reload(cfg, path, store, reload_requested)))
     logs.info(LOG, 'started', links=cfg.links)
     await stop_requested.wait()
     await proc.stop(cfg.grace_seconds - STOP_MARGIN_SECONDS)
@@ -220,38 +228,3 @@
         task.cancel()
     await store.close()
     logs.info(LOG, 'stopped')
-
-
-async def _reload(
-    cfg: settings.NodeSettings,
-    path: str,
-    store: rows.RowStore,
-    reload_requested: asyncio.Event,
-) -> None:
-    """Apply changes of the settings file, until cancelled.
-
-    Only the store's address can change while the process runs.
-
-    :param reload_requested: event that is set to reload the file at once.
-    """
-    changed_at = os.stat(path).st_mtime
-    while True:
-        try:
-            await asyncio.wait_for(
-                reload_requested.wait(), RELOAD_INTERVAL_SECONDS
-            )
-        except TimeoutError:
-            pass
-        try:
-            modified_at = os.stat(path).st_mtime
-            if modified_at == changed_at and not reload_requested.is_set():
-                continue
-            changed_at = modified_at
-            new_cfg = settings.read(path)
-        except (OSError, exceptions.BadSettings) as exc:
-            logs.warning(LOG, 'settings_bad', reason=exc)
-            reload_requested.clear()
-            continue
-        reload_requested.clear()
-        store.address = new_cfg.store
-        logs.info(LOG, 'settings_reloaded', store=new_cfg.store)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 from agatepick.platform import following
 from agatepick.platform import members
 from agatepick.platform import programs
+from agatepick.platform import reloading
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
@@ -553,6 +554,36 @@
     assert worker_clock.get_instant(0.65) == 5_000 + 500 + 650
 
 
+# Settings that change
+
+
+def test_a_change_during_the_start_is_applied(tmp_path):
+    """The settings change between their reading and the event loop's start.
+
+    The SIGHUP comes before a handler is installed.  If the change were missed,
+    the process would call the store's old address for good.
+    """
+
+    async def main():
+        path = write_node_file(tmp_path)
+        file = reloading.SettingsFile(path)
+        before = file.read()
+        write_node_file(tmp_path, store='127.0.0.1:9')
+        # Files written at once may have the same time.
+        os.utime(path, (1.0, 1.0))
+        changed = asyncio.get_running_loop().create_future()
+        task = asyncio.get_running_loop().create_task(
+            reloading.follow_settings(
+                file, changed.set_result, asyncio.Event()
+            )
+        )
+        after = await asyncio.wait_for(changed, 10.0)
+        assert (before.store, after.store) == ('127.0.0.1:1', '127.0.0.1:9')
+        task.cancel()
+
+    run(main)
+
+
 # Both programs
 
 
@@ -683,3 +714,69 @@
             programs.stop()
 
     run(main)
+
+
+SLOW_IMPORT = """
+import sys
+
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'agatepick':
+            sys.meta_path.remove(self)
+            print('importing', flush=True)
+            sys.stdin.readline()
+
+
+sys.meta_path.insert(0, Finder())
+"""
+"""Module that stops a process at its first import of the product."""
+
+
+@pytest.fixture
+def starting(tmp_path):
+    """A process that waits for a line of input before it imports itself."""
+    (tmp_path / 'sitecustomize.py').write_text(SLOW_IMPORT)
+    front, ready, links = platform_standins.find_free_ports(3)
+    path = write_node_file(
+        tmp_path,
+        bind_addresses={
+            'front': f'127.0.0.1:{front}',
+            'ready': f'127.0.0.1:{ready}',
+        },
+        internal_ports=[links, links],
+    )
+    process = subprocess.Popen(
+        [sys.executable, 'deploy/start.py', 'entry'],
+        env={
+            **os.environ,
+            settings.SETTINGS_PATH_VARIABLE: path,
+            'PYTHONPATH': str(tmp_path),
+        },
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    assert process.stdout.readline() == 'importing\n'
+    yield process
+    process.kill()
+    process.communicate()
+
+
+def test_a_sighup_during_the_imports_does_not_end_a_process(starting):
+    """The settings change while a process starts, before it has a handler."""
+    starting.send_signal(signal.SIGHUP)
+    starting.stdin.write('\n')
+    starting.stdin.flush()
+    while 'event=started' not in starting.stdout.readline():
+        assert starting.poll() is None
+    starting.send_signal(signal.SIGHUP)
+    starting.send_signal(signal.SIGTERM)
+    assert starting.wait(30) == 0
+
+
+def test_a_sigterm_during_the_imports_ends_a_process(starting):
+    """The platform stops a machine that has just started."""
+    starting.send_signal(signal.SIGTERM)
+    assert starting.wait(30) == -signal.SIGTERM
