Play a start on silent connections to a worker

The test that compared two constants showed only that a start has tries enough. This one sends a start as often as the agent does over connections that all went silent; the last try has an answer. It fails where the client keeps its idle connections (checked with a high MAX_UNANSWERED).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -375,22 +375,13 @@
 # The worker
 
 
-def test_a_start_s_last_try_has_a_new_connection():
-    """All connections to a worker go silent while new ones work.
-
-    A start that gets no answer at any try is given up, and its task waits for
-    another worker.
-    """
-    assert worker.MAX_UNANSWERED < run_controller.MAX_START_ATTEMPTS
-
-
 class RecordingClient:
     """A worker's client and the events that it passed on."""
 
-    def __init__(self, standin):
+    def __init__(self, standin, address=''):
         self.events = asyncio.Queue()
         self.client = worker.WorkerClient(
-            standin.address,
+            address or standin.address,
             clocks.ProcessClock.start(),
             self.events.put_nowait,
         )
@@ -453,6 +444,35 @@
     run(main)
 
 
+def test_the_last_try_of_a_start_has_a_new_connection(monkeypatch):
+    """All connections to a worker go silent while new ones work.
+
+    A start that gets no answer at any try is given up, and its task waits for
+    another worker.
+    """
+    monkeypatch.setattr(worker, 'REQUEST_TIMEOUT_SECONDS', 0.5)
+
+    async def main():
+        standin = platform_standins.Worker()
+        proxy = soak.Proxy(standin.address)
+        await proxy.start()
+        recorder = RecordingClient(standin, proxy.address)
+        for run in range(worker.MAX_CONNECTIONS):
+            recorder.start(run + 1)
+        for _ in range(worker.MAX_CONNECTIONS):
+            await recorder.get_event()
+        proxy.silence_connections()
+        results = []
+        for _ in range(run_controller.MAX_START_ATTEMPTS):
+            recorder.start(worker.MAX_CONNECTIONS + 1)
+            results.append((await recorder.get_event()).result)
+        assert results[-1] is workerapi.StartResult.STARTED
+        await recorder.client.close()
+        proxy.stop()
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     ('reason', 'result'),
     [
