--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,11 +18,15 @@
 from agatepick.platform import desired
 from agatepick.platform import following
 from agatepick.platform import members
+from agatepick.platform import programs
+from agatepick.platform import reloading
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
+from agatepick.repeatable import run_controller
 from agatepick.repeatable import workerapi
 from tests import platform_standins
+from tests import soak
 
 DESIRED = {
     'version': 7,
@@ -143,10 +147,10 @@
 
     def __init__(self, store, table='op', wait=0.2):
         self.states = []
-        self._store = rows.RowStore(store.address)
+        self.client = rows.RowStore(store.address)
         self._task = asyncio.get_running_loop().create_task(
             following.watch_table(
-                self._store, table, wait, self.states.append, random.Random(1)
+                self.client, table, wait, self.states.append, random.Random(1)
             )
         )
 
@@ -157,7 +161,7 @@
 
     async def stop(self):
         self._task.cancel()
-        await self._store.close()
+        await self.client.close()
 
 
 def run(main):
@@ -284,16 +288,100 @@
     run(main)
 
 
+SLOW_ANSWER_SECONDS = 0.2
+"""Time in which a slow store answers."""
+
+
+async def open_connections(client):
+    """Open as many connections to the store as a client may have."""
+    reads = [client.read('op', 10.0) for _ in range(rows.MAX_CONNECTIONS)]
+    await asyncio.gather(*reads)
+
+
+def test_a_change_is_seen_after_one_timeout_on_silent_connections():
+    """All connections to the store go silent while new ones work.
+
+    A zone is closed then.  If its agent waited for one timeout after the
+    other on the connections that are left, tasks would start there for
+    seconds after the zone should be closed.
+    """
+
+    async def main():
+        store = platform_standins.Store()
+        store.put('op', 'a', b'1')
+        proxy = soak.Proxy(store.address)
+        await proxy.start()
+        watcher = Watcher(proxy)
+        await open_connections(watcher.client)
+        await watcher.wait_until(lambda rows: rows == {'a': b'1'})
+        proxy.silence_connections()
+        store.put('op', 'b', b'2')
+        await watcher.wait_until(lambda rows: len(rows) == 2)
+        assert watcher.client.call_counts['/v1/rows-feed', 'no_answer'] == 1
+        await watcher.stop()
+        proxy.stop()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'call',
+    [
+        lambda client, seconds: client.read('op', seconds),
+        lambda client, seconds: client.read_row('op', 'a', seconds),
+        lambda client, seconds: client.changes('op', 0, 0.0),
+        lambda client, seconds: client.write('t', 'a', b'2', seconds),
+        lambda client, seconds: client.remove('t', 'a'),
+    ],
+    ids=['read', 'read_row', 'changes', 'write', 'remove'],
+)
+def test_each_call_is_answered_at_its_second_try_after_a_silence(call):
+    async def main():
+        store = platform_standins.Store()
+        store.put('op', 'a', b'1')
+        proxy = soak.Proxy(store.address)
+        await proxy.start()
+        client = rows.RowStore(proxy.address)
+        await open_connections(client)
+        proxy.silence_connections()
+        with pytest.raises(exceptions.StoreError):
+            await call(client, 0.1)
+        await call(client, 10.0)
+        await client.close()
+        proxy.stop()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ('wait', 'bound'),
+    [
+        (programs.DESIRED_WAIT_SECONDS, 2.0),
+        (programs.ZONES_WAIT_SECONDS, 5.0),
+    ],
+)
+def test_one_timeout_is_within_the_time_for_a_change(wait, bound):
+    """The connections go silent just before a call for changes begins."""
+    seconds = (
+        following.CALL_INTERVAL_SECONDS
+        + wait
+        + rows.CHANGES_MARGIN_SECONDS
+        + following.RETRY_DELAYS.first_seconds
+        + SLOW_ANSWER_SECONDS
+    )
+    assert seconds < bound
+
+
 # The worker
 
 
 class RecordingClient:
     """A worker's client and the events that it passed on."""
 
-    def __init__(self, standin):
+    def __init__(self, standin, address=''):
         self.events = asyncio.Queue()
         self.client = worker.WorkerClient(
-            standin.address,
+            address or standin.address,
             clocks.ProcessClock.start(),
             self.events.put_nowait,
         )
@@ -356,6 +444,35 @@
     run(main)
 
 
+def test_the_last_try_of_a_start_has_a_new_connection(monkeypatch):
+    """All connections to a worker go silent while new ones work.
+
+    A start that gets no answer at any try is given up, and its task waits for
+    another worker.
+    """
+    monkeypatch.setattr(worker, 'REQUEST_TIMEOUT_SECONDS', 0.5)
+
+    async def main():
+        standin = platform_standins.Worker()
+        proxy = soak.Proxy(standin.address)
+        await proxy.start()
+        recorder = RecordingClient(standin, proxy.address)
+        for run in range(worker.MAX_CONNECTIONS):
+            recorder.start(run + 1)
+        for _ in range(worker.MAX_CONNECTIONS):
+            await recorder.get_event()
+        proxy.silence_connections()
+        results = []
+        for _ in range(run_controller.MAX_START_ATTEMPTS):
+            recorder.start(worker.MAX_CONNECTIONS + 1)
+            results.append((await recorder.get_event()).result)
+        assert results[-1] is workerapi.StartResult.STARTED
+        await recorder.client.close()
+        proxy.stop()
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     ('reason', 'result'),
     [
@@ -457,6 +574,36 @@
     assert worker_clock.get_instant(0.65) == 5_000 + 500 + 650
 
 
+# Settings that change
+
+
+def test_a_change_during_the_start_is_applied(tmp_path):
+    """The settings change between their reading and the event loop's start.
+
+    The SIGHUP comes before a handler is installed.  If the change were missed,
+    the process would call the store's old address for good.
+    """
+
+    async def main():
+        path = write_node_file(tmp_path)
+        file = reloading.SettingsFile(path)
+        before = file.read()
+        write_node_file(tmp_path, store='127.0.0.1:9')
+        # Files written at once may have the same time.
+        os.utime(path, (1.0, 1.0))
+        changed = asyncio.get_running_loop().create_future()
+        task = asyncio.get_running_loop().create_task(
+            reloading.follow_settings(
+                file, changed.set_result, asyncio.Event()
+            )
+        )
+        after = await asyncio.wait_for(changed, 10.0)
+        assert (before.store, after.store) == ('127.0.0.1:1', '127.0.0.1:9')
+        task.cancel()
+
+    run(main)
+
+
 # Both programs
 
 
@@ -587,3 +734,69 @@
             programs.stop()
 
     run(main)
+
+
+SLOW_IMPORT = """
+import sys
+
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'agatepick':
+            sys.meta_path.remove(self)
+            print('importing', flush=True)
+            sys.stdin.readline()
+
+
+sys.meta_path.insert(0, Finder())
+"""
+"""Module that stops a process at its first import of the product."""
+
+
+@pytest.fixture
+def starting(tmp_path):
+    """A process that waits for a line of input before it imports itself."""
+    (tmp_path / 'sitecustomize.py').write_text(SLOW_IMPORT)
+    front, ready, links = platform_standins.find_free_ports(3)
+    path = write_node_file(
+        tmp_path,
+        bind_addresses={
+            'front': f'127.0.0.1:{front}',
+            'ready': f'127.0.0.1:{ready}',
+        },
+        internal_ports=[links, links],
+    )
+    process = subprocess.Popen(
+        [sys.executable, 'deploy/start.py', 'entry'],
+        env={
+            **os.environ,
+            settings.SETTINGS_PATH_VARIABLE: path,
+            'PYTHONPATH': str(tmp_path),
+        },
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    assert process.stdout.readline() == 'importing\n'
+    yield process
+    process.kill()
+    process.communicate()
+
+
+def test_a_sighup_during_the_imports_does_not_end_a_process(starting):
+    """The settings change while a process starts, before it has a handler."""
+    starting.send_signal(signal.SIGHUP)
+    starting.stdin.write('\n')
+    starting.stdin.flush()
+    while 'event=started' not in starting.stdout.readline():
+        assert starting.poll() is None
+    starting.send_signal(signal.SIGHUP)
+    starting.send_signal(signal.SIGTERM)
+    assert starting.wait(30) == 0
+
+
+def test_a_sigterm_during_the_imports_ends_a_process(starting):
+    """The platform stops a machine that has just started."""
+    starting.send_signal(signal.SIGTERM)
+    assert starting.wait(30) == -signal.SIGTERM
