Bound a worker's orders by the instant of the decision

Change, as a rule: an order carries the instant that follows from the oldest reading on which it rests, and whoever sends it last compares. StartRun and RequestLists hold lease_until, by the agent's clock; WorkerClock.convert only converts. The HTTP client asks just before it writes whether a request is still valid, as a request may wait for a connection: an expired start is answered NOT_SENT (refused, so the entry places the task elsewhere), and an expired list request is sent without its lease, as the lists show what is over. Between that check and the write the worker's own comparison holds (until_ms is an instant of its clock; answer late). Both instants of a lease come from WorkerLease.extend, a module of its own.

Tests that named lease_seconds or get_instant name lease_until or convert, with the same values.

--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -20,6 +20,10 @@
 """Statuses below this are interim; another response follows."""
 
 
+class NotSent(OSError):
+    """Raised for a request that wasn't valid any more when it was due."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A complete response."""
@@ -49,11 +53,16 @@
         timeout_seconds: float,
         body: bytes = b'',
         headers: typing.Mapping[str, str] | None = None,
+        is_valid: typing.Callable[[], bool] | None = None,
     ) -> Response:
         """Send one request and return its response.
 
         :param timeout_seconds: timeout of the whole call, including the wait
             for a free connection.
+        :param is_valid: returns whether the request may still be sent; it is
+            called just before the request is written.  By default a request
+            is always valid.
+        :raises NotSent: if ``is_valid`` returned false.
         :raises ConnectionRefusedError: if no process listens at the address.
         :raises TimeoutError: if the timeout has expired.
         :raises OSError: if the connection was lost, or the response isn't
@@ -69,7 +78,7 @@
         data = head.encode('latin-1') + body
         async with asyncio.timeout(timeout_seconds):
             async with self._slots:
-                return await self._send(method == 'GET', data)
+                return await self._send(method == 'GET', data, is_valid)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -77,18 +86,27 @@
             conn.close()
         self._idle.clear()
 
-    async def _send(self, retryable: bool, data: bytes) -> Response:
+    async def _send(
+        self,
+        retryable: bool,
+        data: bytes,
+        is_valid: typing.Callable[[], bool] | None,
+    ) -> Response:
         if retryable and self._idle:
             # The server may have closed the idle connection meanwhile.
             try:
-                return await self._call_once(data)
+                return await self._call_once(data, is_valid)
             except ConnectionError:
                 self.close()
-        return await self._call_once(data)
+        return await self._call_once(data, is_valid)
 
-    async def _call_once(self, data: bytes) -> Response:
+    async def _call_once(
+        self, data: bytes, is_valid: typing.Callable[[], bool] | None
+    ) -> Response:
         conn = await self._acquire()
         try:
+            if is_valid is not None and not is_valid():
+                raise NotSent('not valid any more')
             return await conn.send_request(data)
         finally:
             if conn.reusable:
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import typing
 
 import msgspec
@@ -104,15 +105,15 @@
         while len(self._samples) > 1 and self._samples[0][0] < oldest:
             self._samples.pop(0)
 
-    def get_instant(self, delay_seconds: float) -> int:
-        """Return the instant of the worker's clock some seconds from now.
+    def convert(self, instant: float) -> int:
+        """Return the reading of the worker's clock at an instant of ours.
 
         :returns: milliseconds.
         """
         # Each sample of the offset is too low by the transit time of its
         # message; the highest is closest.
         offset = max((sample[1] for sample in self._samples), default=0.0)
-        return int((self._clock.now() + delay_seconds) * 1000.0 + offset)
+        return int(instant * 1000.0 + offset)
 
 
 class WorkerClient:
@@ -136,12 +137,12 @@
         self._client.close()
 
     def start(self, effect: workerapi.StartRun) -> None:
-        """Start a run; its lease begins now, not when the request is sent."""
+        """Start a run, unless its lease has expired before it is sent."""
         body = {
             'task': effect.name,
             'run': effect.ref.run,
             'spec': effect.payload.decode(),
-            'until_ms': self.worker_clock.get_instant(effect.lease_seconds),
+            'until_ms': self.worker_clock.convert(effect.lease_until),
             'fencing_token': FENCING_TOKEN,
         }
         self._spawn(self._start(effect, body))
@@ -152,16 +153,7 @@
 
     def request_lists(self, effect: workerapi.RequestLists) -> None:
         """Extend the lease and request the running and ended runs."""
-        body: dict[str, typing.Any] = {
-            'fencing_token': FENCING_TOKEN,
-            'last_seen': effect.last_end_number,
-            'wait_ms': int(effect.wait_seconds * 1000),
-        }
-        if effect.lease_seconds:
-            body['until_ms'] = self.worker_clock.get_instant(
-                effect.lease_seconds
-            )
-        self._spawn(self._request_lists(effect, body))
+        self._spawn(self._request_lists(effect))
 
     async def fetch_born(self, worker_id: str) -> int:
         """Return the instant of the worker's start, in milliseconds.
@@ -197,7 +189,10 @@
                 effect.incarnation,
                 body,
                 REQUEST_TIMEOUT_SECONDS,
+                effect.lease_until,
             )
+        except httpcalls.NotSent:
+            result, reason = workerapi.StartResult.NOT_SENT, 'lease_expired'
         except OSError as exc:
             result, reason = workerapi.StartResult.UNKNOWN, repr(exc)
         else:
@@ -252,15 +247,10 @@
             )
         )
 
-    async def _request_lists(
-        self, effect: workerapi.RequestLists, body: dict[str, typing.Any]
-    ) -> None:
+    async def _request_lists(self, effect: workerapi.RequestLists) -> None:
         sent_at = self._clock.now()
-        timeout_seconds = effect.wait_seconds + LISTS_MARGIN_SECONDS
         try:
-            status, data = await self._post(
-                '/v1/hold', effect.incarnation, body, timeout_seconds
-            )
+            status, data = await self._post_list_request(effect)
         except OSError as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             logs.info(LOG, 'watch_failed', reason=repr(exc))
@@ -270,6 +260,32 @@
             return
         self._feed(self._decode_lists(effect, sent_at, status, data))
 
+    async def _post_list_request(
+        self, effect: workerapi.RequestLists
+    ) -> tuple[int, bytes]:
+        body: dict[str, typing.Any] = {
+            'fencing_token': FENCING_TOKEN,
+            'last_seen': effect.last_end_number,
+            'wait_ms': int(effect.wait_seconds * 1000),
+        }
+        timeout_seconds = effect.wait_seconds + LISTS_MARGIN_SECONDS
+        if effect.lease_until:
+            until_ms = self.worker_clock.convert(effect.lease_until)
+            try:
+                return await self._post(
+                    '/v1/hold',
+                    effect.incarnation,
+                    {**body, 'until_ms': until_ms},
+                    timeout_seconds,
+                    effect.lease_until,
+                )
+            except httpcalls.NotSent:
+                # The lists are wanted even so: they show what is over.
+                logs.info(LOG, 'lease_not_extended', reason='expired')
+        return await self._post(
+            '/v1/hold', effect.incarnation, body, timeout_seconds
+        )
+
     def _decode_lists(
         self,
         effect: workerapi.RequestLists,
@@ -316,13 +332,24 @@
         incarnation: str,
         body: dict[str, typing.Any],
         timeout_seconds: float,
+        send_before: float = math.inf,
     ) -> tuple[int, bytes]:
+        """Send a request, and return the status and body of its answer.
+
+        :param send_before: instant from which the request isn't sent.
+        :raises agatepick.net.httpcalls.NotSent: if that instant has come.
+        """
         headers = {
             **rows.JSON_HEADERS,
             'X-Target-Instance': get_id(incarnation),
         }
         answer = await self._client.call(
-            'POST', path, timeout_seconds, msgspec.json.encode(body), headers
+            'POST',
+            path,
+            timeout_seconds,
+            msgspec.json.encode(body),
+            headers,
+            lambda: self._clock.now() < send_before,
         )
         return answer.status, answer.body
 
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -12,11 +12,11 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
-from agatepick.repeatable import leases
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import worker_lease
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -77,11 +77,11 @@
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
+        self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._announced_at = 0.0
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
-        self._lease_until = 0.0
         self._unowned_stopped_at = 0.0
         # Whether no run that an earlier incarnation of this process started is
         # left at the worker.  Each start extends the lease of all runs there:
@@ -196,8 +196,7 @@
         self._last_acknowledged_end_number = NO_LIST_YET
         self._earlier_runs_over = False
         self._list_requests.reset(now)
-        until = now + leases.MAX_WORKER_EXPIRY_SECONDS
-        self._lease_until = max(self._lease_until, until)
+        self._lease.extend_to_bound(now)
         effects: list[object] = []
         for run in self.runs.values():
             # The run ended with the former incarnation; but a start in transit
@@ -253,14 +252,13 @@
         run.start_count += 1
         run.unanswered_start_count += 1
         run.start_sent_at = now
-        self._extend_lease(now)
         return [
             workerapi.StartRun(
                 worker.incarnation,
                 run.ref,
                 run.name,
                 run.payload,
-                leases.WORKER_LEASE_SECONDS,
+                self._lease.extend(now),
             )
         ]
 
@@ -365,17 +363,19 @@
         )
         if acknowledged and not busy and not silent:
             return []
-        lease = 0.0
-        if busy and not silent and self._has_renewed_run(now):
-            lease = leases.WORKER_LEASE_SECONDS
-            self._extend_lease(now)
+        lease_until = 0.0
+        if not silent and self._has_renewed_run(now):
+            lease_until = self._lease.extend(now)
         first_request = self._last_acknowledged_end_number == NO_LIST_YET
         waits = busy or not self._earlier_runs_over and not first_request
         wait = list_requests.WAIT_SECONDS if waits else 0.0
         self._list_requests.record_request(wait, now)
         return [
             workerapi.RequestLists(
-                worker.incarnation, self._last_handled_end_number, lease, wait
+                worker.incarnation,
+                self._last_handled_end_number,
+                lease_until,
+                wait,
             )
         ]
 
@@ -397,10 +397,6 @@
             for run in self.runs.values()
         )
 
-    def _extend_lease(self, now: float) -> None:
-        until = now + leases.WORKER_EXPIRY_SECONDS
-        self._lease_until = max(self._lease_until, until)
-
     def handle_lists(
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
@@ -500,7 +496,7 @@
         """
         effects: list[object] = []
         for run in list(self.runs.values()):
-            if now >= self._lease_until:
+            if self._lease.is_over(now):
                 effects += self._end_run(
                     run, types.RunState.OVER, 'lapsed', now
                 )
--- /dev/null
+++ b/src/agatepick/repeatable/worker_lease.py
@@ -0,0 +1,37 @@
+"""The lease of all runs at one worker, as its agent has extended it.
+
+Both instants of an extension, the one that the order carries and the one from
+which the agent counts the runs as over, follow from the same clock reading:
+otherwise a process that is suspended between two readings would count runs as
+over that its order has just extended.
+"""
+
+from agatepick.repeatable import leases
+
+
+class WorkerLease:
+    """The end of the lease of a worker's runs, at the latest."""
+
+    def __init__(self) -> None:
+        self._over_at = 0.0
+
+    def extend(self, now: float) -> float:
+        """Extend the lease.
+
+        :param now: clock reading by which the extension was decided.
+        :returns: instant that the order to the worker carries.
+        """
+        self._over_at = max(self._over_at, now + leases.WORKER_EXPIRY_SECONDS)
+        return now + leases.WORKER_LEASE_SECONDS
+
+    def extend_to_bound(self, now: float) -> None:
+        """Expect the longest lease, which another incarnation may have given.
+
+        An order that reached it holds an instant of the former one's clock.
+        """
+        until = now + leases.MAX_WORKER_EXPIRY_SECONDS
+        self._over_at = max(self._over_at, until)
+
+    def is_over(self, now: float) -> bool:
+        """Return whether no run is left at the worker."""
+        return now >= self._over_at
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -3,6 +3,12 @@
 The agent's reducer uses only these data classes as events and effects.
 Instants are those of the agent's clock; the code that connects to the worker
 converts leases to instants of the worker's clock.
+
+A lease in an order is an instant that follows from the clock reading by which
+the order was decided.  A process may be suspended between the decision and the
+sending.  If the order held a duration, counted from a later reading, a start
+that was decided under an expired lease would be valid again on waking, beside
+the run that has taken its place elsewhere.
 """
 
 import dataclasses
@@ -59,15 +65,16 @@
     """Result of a start at the worker.
 
     ``NO_ROOM``, ``STALE_RUN`` (the worker has already received this run number
-    or a higher one), ``LATE`` (the lease had expired on arrival) and
-    ``UNWELL`` mean that nothing was started; after ``UNKNOWN`` it may have
-    been, or may be later.
+    or a higher one), ``LATE`` (the lease had expired on arrival), ``NOT_SENT``
+    (it had expired before the request was sent) and ``UNWELL`` mean that
+    nothing was started; after ``UNKNOWN`` it may have been, or may be later.
     """
 
     STARTED = 'started'
     NO_ROOM = 'no_room'
     STALE_RUN = 'stale_run'
     LATE = 'late'
+    NOT_SENT = 'not_sent'
     UNWELL = 'unwell'
     OTHER_WORKER = 'other_life'
     UNKNOWN = 'unknown'
@@ -78,14 +85,15 @@
     """Effect: start a run at the worker.
 
     :param name: name of the task at the worker.
-    :param lease_seconds: time by which the worker's lease is extended.
+    :param lease_until: instant to which the worker's lease is extended; the
+        start isn't sent from then on.
     """
 
     incarnation: str
     ref: messages.RunRef
     name: str
     payload: bytes
-    lease_seconds: float
+    lease_until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,14 +138,15 @@
     """Effect: extend the worker's lease and request its lists of runs.
 
     :param last_end_number: number of the last end that the agent has handled.
-    :param lease_seconds: time by which the lease is extended; 0 for none.
+    :param lease_until: instant to which the lease is extended; 0 for none.
+        From then on the lists are requested without it.
     :param wait_seconds: time for which the worker may delay its lists until a
         run ends.
     """
 
     incarnation: str
     last_end_number: int
-    lease_seconds: float
+    lease_until: float
     wait_seconds: float
 
 
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -65,6 +65,7 @@
         self.name = name
         self.born = 1
         self.up = True
+        self.leaving = False
         self.runs = {}
         self.highest_runs = {}
         self.ended = []
@@ -78,11 +79,18 @@
 
     def restart(self):
         """Crash and restart under the same name."""
+        self.up = True
+        self.leaving = False
         self.runs.clear()
         self.highest_runs.clear()
         self.ended.clear()
         self.born += 1
 
+    def exit(self):
+        """End the process with all its runs."""
+        self.up = False
+        self.runs.clear()
+
     def expire(self):
         """End runs whose run time or lease is over."""
         now = self.world.now
@@ -155,6 +163,7 @@
         self.incarnation = 0
         self.alive = False
         self.frozen_until = 0.0
+        self.pause_seconds = 0.0
         self.reducer = None
         self.held_events = []
         self.wake_at = 0.0
@@ -288,6 +297,25 @@
             seconds, self._resume, name, self.nodes[name].incarnation
         )
 
+    def freeze_before_sending(self, name, seconds):
+        """Suspend an agent between its next decided start and the sending."""
+        self.nodes[name].pause_seconds = seconds
+
+    def depart(self, name, exit_after, back_after=0.5):
+        """Let the worker beside an agent say that it exits, and then exit.
+
+        :param exit_after: seconds until it exits; it does so at once if it got
+            the answer, and later if the answer was lost.
+        :param back_after: seconds until it is started again.
+        """
+        worker = self.workers[name]
+        if not worker.up or worker.leaving:
+            return
+        worker.leaving = True
+        self.feed(name, workerapi.WorkerLeft(worker.incarnation))
+        self.schedule(exit_after, worker.exit)
+        self.schedule(exit_after + back_after, worker.restart)
+
     def cut(self, one, other, seconds):
         """Drop all messages between two processes without any error."""
         pair = frozenset((one, other))
@@ -356,9 +384,24 @@
         if self.now < node.frozen_until:
             node.held_events.append(event)
             return
-        for effect in node.reducer.reduce(event, self.now):
+        effects = node.reducer.reduce(event, self.now)
+        if node.pause_seconds and any(
+            isinstance(effect, workerapi.StartRun) for effect in effects
+        ):
+            seconds, node.pause_seconds = node.pause_seconds, 0.0
+            self.schedule(
+                seconds, self._apply_late, node, node.incarnation, effects
+            )
+            self.freeze(name, seconds)
+            return
+        for effect in effects:
             self._apply(node, effect)
 
+    def _apply_late(self, node, incarnation, effects):
+        if node.alive and node.incarnation == incarnation:
+            for effect in effects:
+                self._apply(node, effect)
+
     def _resume(self, name, incarnation):
         node = self.nodes[name]
         if node.alive and node.incarnation == incarnation:
@@ -388,7 +431,8 @@
             False,
             '',
         )
-        self.feed(name, announced)
+        if worker.up and not worker.leaving:
+            self.feed(name, announced)
         self.schedule(1.5, self._announce, name, incarnation)
 
     # Links
@@ -463,8 +507,7 @@
             case events.Reply():
                 self._reply(node, effect)
             case workerapi.StartRun():
-                until = self.now + effect.lease_seconds * leases.CLOCK_DRIFT
-                self._handle_start(node, effect, until)
+                self._handle_start(node, effect)
             case workerapi.StopRun():
                 self._handle_stop(node, effect)
             case workerapi.RequestLists():
@@ -515,8 +558,20 @@
     def _is_lost(self):
         return self.rng.random() < self.loss_rate
 
-    def _handle_start(self, node, effect, until):
+    def _compute_lease_end(self, lease_until):
+        """Return the end of a lease by a worker's clock that is 2% slow."""
+        return self.now + (lease_until - self.now) * leases.CLOCK_DRIFT
+
+    def _handle_start(self, node, effect):
         worker = self.workers[node.name]
+        if effect.lease_until <= self.now:
+            result = workerapi.StartResult.NOT_SENT
+            event = workerapi.StartAnswered(
+                effect.incarnation, effect.ref, result
+            )
+            self._answer(node, node.incarnation, event)
+            return
+        until = self._compute_lease_end(effect.lease_until)
         args = (effect.name, effect.ref.run, until)
         if self._is_lost() or not worker.up:
             delay = self.rng.uniform(2.0, 12.0)
@@ -570,9 +625,9 @@
             )
             self._answer(node, node.incarnation, event)
             return
-        if effect.lease_seconds:
+        if effect.lease_until > self.now:
             worker.expire()
-            worker.extend(self.now + effect.lease_seconds * leases.CLOCK_DRIFT)
+            worker.extend(self._compute_lease_end(effect.lease_until))
         requested_at = self.now
         wait = 0.02 if effect.wait_seconds else 0.001
         self.schedule(
--- a/tests/test_httpcalls.py
+++ b/tests/test_httpcalls.py
@@ -114,6 +114,32 @@
     run(main)
 
 
+def test_a_request_that_became_invalid_while_it_waited_is_not_sent():
+    """A call waits for a free connection until its request is out of date."""
+
+    async def main():
+        async with Server(OK, OK) as server:
+            client = httpcalls.Client(server.address, 1)
+            first = asyncio.ensure_future(
+                client.call('POST', '/a', 10.0, b'x', None, lambda: True)
+            )
+            valid = [True]
+            second = asyncio.ensure_future(
+                client.call('POST', '/b', 10.0, b'x', None, valid.pop)
+            )
+            valid[0] = False
+            assert (await first).status == 200
+            with pytest.raises(httpcalls.NotSent):
+                await second
+            assert valid == []
+            response = await client.call('POST', '/c', 10.0, b'x')
+            assert response.status == 200
+            assert server.requests == [[('/a', b'x'), ('/c', b'x')]]
+            client.close()
+
+    run(main)
+
+
 def test_a_call_that_changes_something_is_never_sent_twice():
     """The server reads a request and closes the connection.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -292,22 +292,31 @@
 
     def __init__(self, standin):
         self.events = asyncio.Queue()
+        self.clock = clocks.ProcessClock.start()
         self.client = worker.WorkerClient(
-            standin.address,
-            clocks.ProcessClock.start(),
-            self.events.put_nowait,
+            standin.address, self.clock, self.events.put_nowait
         )
         self.client.worker_clock.add_sample(standin.clock_ms())
         self.incarnation = worker.make_incarnation(standin.name, standin.born)
 
-    def start(self, run=1):
+    def start(self, run=1, lease_seconds=0.65):
         self.client.start(
             workerapi.StartRun(
                 self.incarnation,
                 messages.RunRef('j', 0, run),
                 'j.0.0.0',
                 b'text',
-                0.65,
+                self.clock.now() + lease_seconds,
+            )
+        )
+
+    def request_lists(self, wait_seconds, lease_seconds=0.65):
+        self.client.request_lists(
+            workerapi.RequestLists(
+                self.incarnation,
+                0,
+                self.clock.now() + lease_seconds,
+                wait_seconds,
             )
         )
 
@@ -325,9 +334,7 @@
         name, body = standin.requests[0]
         ahead = body['until_ms'] - standin.clock_ms()
         assert 300 < ahead <= 650
-        recorder.client.request_lists(
-            workerapi.RequestLists(recorder.incarnation, 0, 0.65, 0.5)
-        )
+        recorder.request_lists(0.5)
         lists_received = await recorder.get_event()
         assert lists_received.ended[0].kind is workerapi.EndKind.DONE
         assert standin.target_ids == [standin.name] * 2
@@ -336,6 +343,66 @@
     run(main)
 
 
+def test_a_start_is_not_sent_after_its_lease_has_expired():
+    """The agent's machine freezes between the decision and the sending.
+
+    The entry has started the task elsewhere by then.  The worker would accept
+    the start if its lease were counted from the sending.
+    """
+
+    async def main():
+        standin = platform_standins.Worker()
+        recorder = RecordingClient(standin)
+        recorder.start(lease_seconds=-0.75)
+        answered = await recorder.get_event()
+        assert answered.result is workerapi.StartResult.NOT_SENT
+        assert answered.reason == 'lease_expired'
+        assert standin.requests == []
+        await recorder.client.close()
+
+    run(main)
+
+
+def test_a_start_that_waits_for_a_connection_is_not_sent_late(monkeypatch):
+    """All connections wait for answers of a slow worker."""
+    monkeypatch.setattr(worker, 'MAX_CONNECTIONS', 1)
+    monkeypatch.setattr(worker, 'REQUEST_TIMEOUT_SECONDS', 30.0)
+
+    async def main():
+        standin = platform_standins.Worker()
+        recorder = RecordingClient(standin)
+        recorder.request_lists(0.4)
+        recorder.start(lease_seconds=0.2)
+        lists_received, answered = [
+            await recorder.get_event() for _ in range(2)
+        ]
+        assert isinstance(lists_received, workerapi.ListsReceived)
+        assert answered.result is workerapi.StartResult.NOT_SENT
+        assert [name for name, _ in standin.requests] == ['hold']
+        await recorder.client.close()
+
+    run(main)
+
+
+def test_lists_are_requested_without_a_lease_that_has_expired():
+    """The agent freezes before it sends a request for the lists.
+
+    The lease isn't extended, but the lists show which runs are over.
+    """
+
+    async def main():
+        standin = platform_standins.Worker()
+        recorder = RecordingClient(standin)
+        recorder.request_lists(0.0, lease_seconds=-0.75)
+        lists_received = await recorder.get_event()
+        assert isinstance(lists_received, workerapi.ListsReceived)
+        ((_, body),) = standin.requests
+        assert 'until_ms' not in body
+        await recorder.client.close()
+
+    run(main)
+
+
 def test_a_burst_of_starts_opens_few_connections(monkeypatch):
     """Each new connection to a worker has a cost."""
     # Answers on a busy machine may take longer than on the platform.
@@ -403,9 +470,7 @@
         standin = platform_standins.Worker()
         recorder = RecordingClient(standin)
         standin.born += 1000
-        recorder.client.request_lists(
-            workerapi.RequestLists(recorder.incarnation, 0, 0.65, 0.0)
-        )
+        recorder.request_lists(0.0)
         new_incarnation = worker.make_incarnation(standin.name, standin.born)
         assert (
             await recorder.get_event()
@@ -432,9 +497,9 @@
     worker_clock = worker.WorkerClock(Clock())
     worker_clock.add_sample(900_000, 1)
     worker_clock.add_sample(20, 2)
-    assert worker_clock.get_instant(0.65) == 670
+    assert worker_clock.convert(100.75) == 770
     worker_clock.add_sample(900_010, 1)
-    assert worker_clock.get_instant(0.65) == 670
+    assert worker_clock.convert(100.75) == 770
 
 
 def test_a_late_answer_does_not_set_the_worker_s_clock_back():
@@ -454,7 +519,7 @@
     worker_clock.add_sample(5_000)
     clock.instant += 0.5
     worker_clock.add_sample(5_200)
-    assert worker_clock.get_instant(0.65) == 5_000 + 500 + 650
+    assert worker_clock.convert(clock.instant + 0.75) == 5_000 + 500 + 750
 
 
 # Both programs
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -87,6 +87,23 @@
     assert not world.double_runs
 
 
+@pytest.mark.parametrize('seconds', [0.4, 0.8, 1.4, 3.0])
+def test_a_start_decided_before_a_freeze_is_not_sent_after_it(seconds):
+    """An agent is suspended between its decision and the sending of starts.
+
+    Its entry counts the runs as over and starts the tasks elsewhere.  If the
+    leases of the decided starts began on waking, each task would run twice.
+    """
+    world = make_world(agents=2)
+    for worker in world.workers.values():
+        worker.slowness = 20.0
+    world.freeze_before_sending('agent-0', seconds)
+    world.submit(repeatable_world.make_job('j', 9, expected=3.0), to='entry-0')
+    world.run(6.0)
+    assert world.nodes['agent-0'].pause_seconds == 0.0
+    assert not world.double_runs
+
+
 def test_a_frozen_entry_causes_no_second_run():
     """An entry is suspended for two seconds while a job's runs continue.
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -138,6 +138,45 @@
     )
 
 
+def test_orders_carry_instants_that_follow_from_their_decision(controller):
+    """The agent freezes between the decision on an order and its sending.
+
+    A lease that began with the sending would make a stale start valid, and
+    its task would run twice.
+    """
+    run = controller.runs['j.0']
+    (again,) = controller.enforce_leases(NOW + 1.0)
+    assert again.lease_until == NOW + 1.0 + leases.WORKER_LEASE_SECONDS
+    (request,) = controller.request_lists(NOW + 1.1)
+    assert request.lease_until == NOW + 1.1 + leases.WORKER_LEASE_SECONDS
+    run.owner.lease_until = NOW + 1.1
+    (request,) = controller.request_lists(NOW + 1.3)
+    assert request.lease_until == 0.0
+    over_at = NOW + 1.1 + leases.WORKER_EXPIRY_SECONDS
+    controller.enforce_leases(over_at - 0.001)
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(over_at + 0.001)
+    assert controller.runs == {}
+
+
+def test_a_start_that_was_not_sent_in_time_is_refused(controller):
+    """Nothing started, so the entry may place the task elsewhere at once."""
+    not_sent = workerapi.StartResult.NOT_SENT
+    (note,) = answer_start(controller, not_sent, NOW + 0.7)
+    assert note.name == 'run_refused'
+    assert ('reason', 'not_sent') in note.fields
+    assert controller.runs == {}
+
+
+def test_a_retry_that_was_not_sent_in_time_does_not_end_the_run(controller):
+    """The first start got no answer and may still be carried out."""
+    controller.enforce_leases(NOW + run_controller.START_RETRY_SECONDS + 0.001)
+    not_sent = workerapi.StartResult.NOT_SENT
+    effects = answer_start(controller, not_sent, NOW + 0.2)
+    assert filter_effects(effects, workerapi.StopRun)
+    assert 'j.0' in controller.runs
+
+
 def test_a_worker_is_persisted_once(controller):
     """Otherwise each announcement would cost a write to the store."""
     assert not filter_effects(
@@ -181,14 +220,14 @@
     controller.handle_announcement(make_announcement(1), NOW)
     assert controller.blocks_starts(NOW)
     (first,) = controller.request_lists(NOW)
-    assert (first.wait_seconds, first.lease_seconds) == (0.0, 0.0)
+    assert (first.wait_seconds, first.lease_until) == (0.0, 0.0)
     old = workerapi.RunningRun('j.0', 1)
     effects = controller.handle_lists(make_lists(running=[old]), NOW + 0.01)
     assert effects == [workerapi.StopRun('w@1', 'j.0', 1)]
     assert controller.blocks_starts(NOW + 0.01)
     (again,) = controller.request_lists(NOW + 0.01)
     assert again.wait_seconds > 0.0
-    assert again.lease_seconds == 0.0
+    assert again.lease_until == 0.0
     controller.handle_lists(make_lists(), NOW + 0.05)
     assert not controller.blocks_starts(NOW + 0.05)
     assert controller.request_lists(NOW + 0.05) == []
