Send no task to an upstream after its permit has ended

An agent compared a start's permit with its clock when it decided, and RunTask held no instant: an agent that froze before it sent the task, or a connection that took seconds, started it in a zone that was taken out since.

Change: RunTask holds the end of the permit by the agent's own clock, and HttpUpstream compares just before it sends. A task that isn't sent ends as refused, start_too_late: it hasn't run, so its owner places it again under the next attempt. The time for a connection ends with the permit too. A successor that adopted the task as running never starts it: it ends as unknown, at the owner as well as before the job is adopted.

--- a/src/agatepick/agentside/agent.py
+++ b/src/agatepick/agentside/agent.py
@@ -254,14 +254,19 @@
             # delayed; no caller waits for an answer of that incarnation.
             return [core.note('not_its_owner', peer=entry.owner.name)]
         effects: list[object] = []
+        permit = startcheck.Permit(message.start_before, entry.clock.best)
         for task in message.tasks:
             report = self._find_report(message.agent_incarnation, task, now)
             if report is None:
-                reason = self._find_refusal(entry, message, task, now)
+                reason = self._find_refusal(entry, permit, task, now)
                 if not reason:
                     self._ledger.start(task, owner, now)
                     self._slots.acquire(owner)
-                    effects.append(self._upstream_state.start(task, owner))
+                    effects.append(
+                        self._upstream_state.start(
+                            task, owner, permit.find_end()
+                        )
+                    )
                     continue
                 report = self._ledger.refuse(task, owner, reason, now)
             self._reporting.report_now(owner, report)
@@ -289,7 +294,7 @@
     def _find_refusal(
         self,
         entry: entries.ConnectedEntry,
-        message: messages.Starts,
+        permit: startcheck.Permit,
         task: messages.StartTask,
         now: float,
     ) -> str:
@@ -302,7 +307,6 @@
             return REASON_STOPPED
         if self._ledger.is_full():
             return ledger.REASON_FULL
-        permit = startcheck.Permit(message.start_before, entry.clock.best)
         return permit.find_fault(
             self._cfg.clock_margin_seconds, now
         ) or startcheck.find_capacity_fault(
--- a/src/agatepick/agentside/httpupstream.py
+++ b/src/agatepick/agentside/httpupstream.py
@@ -14,6 +14,7 @@
 from tornado import httpclient
 from tornado import httputil
 
+from agatepick.agentside import startcheck
 from agatepick.agentside import upstream
 from agatepick.telemetry import logs
 from agatepick import types
@@ -21,6 +22,8 @@
 LOG = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+"""Longest time for a connection; it also ends with the task's permit."""
+
 ACTION_TIMEOUT_SECONDS = 5.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_CLIENTS = 100_000
@@ -50,10 +53,14 @@
     """An :class:`.upstream.Upstream` that runs tasks over HTTP.
 
     :param feed: callback that passes an event to the agent's reducer.
+    :param clock: the clock by which the reducer decides.
     """
 
-    def __init__(self, feed: typing.Callable[[object], None]):
+    def __init__(
+        self, feed: typing.Callable[[object], None], clock: types.Clock
+    ):
         self._feed = feed
+        self._clock = clock
         self._client = httpclient.AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CLIENTS,
@@ -100,13 +107,18 @@
     async def _request_run(
         self, effect: upstream.RunTask
     ) -> tuple[types.TaskState, bytes, str]:
+        remaining_seconds = effect.start_before - self._clock.now()
+        if not remaining_seconds > 0.0:
+            return types.TaskState.REFUSED, b'', startcheck.REASON_TOO_LATE
         try:
             response = await self._client.fetch(
                 f'{effect.url}/tasks',
                 method='POST',
                 body=effect.payload,
                 headers=_build_headers(effect),
-                connect_timeout=CONNECT_TIMEOUT_SECONDS,
+                connect_timeout=min(
+                    CONNECT_TIMEOUT_SECONDS, remaining_seconds
+                ),
                 # No timeout is needed: the agent reports the task as lost
                 # once the upstream's announcement has expired.
                 request_timeout=0,
--- a/src/agatepick/agentside/running.py
+++ b/src/agatepick/agentside/running.py
@@ -143,11 +143,16 @@
         return total.fits(self._announced.capacity)
 
     def start(
-        self, task: messages.StartTask, owner: ledger.EntryId
+        self,
+        task: messages.StartTask,
+        owner: ledger.EntryId,
+        start_before: float,
     ) -> upstream.RunTask:
         """Add a task and return the effect that runs it.
 
         There must be an announcement.
+
+        :param start_before: end of its permit by the agent's clock.
         """
         announced = self._announced
         assert announced is not None
@@ -169,6 +174,7 @@
             task.deadline,
             announced.url,
             announced.session,
+            start_before,
         )
 
     def request_action(
--- a/src/agatepick/agentside/startcheck.py
+++ b/src/agatepick/agentside/startcheck.py
@@ -44,11 +44,14 @@
         """
         if not self.offset.within(margin):
             return REASON_CLOCK
-        end = (
+        # With this comparison, a permit whose end is NaN has expired.
+        return '' if now < self.find_end() else REASON_TOO_LATE
+
+    def find_end(self) -> float:
+        """Return the earliest end of the permit by the agent's clock."""
+        return (
             self.start_before - self.offset.seconds - self.offset.error_seconds
         )
-        # With this comparison, a permit whose end is NaN has expired.
-        return '' if now < end else REASON_TOO_LATE
 
 
 def find_capacity_fault(
--- a/src/agatepick/agentside/upstream.py
+++ b/src/agatepick/agentside/upstream.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 from agatepick import types
@@ -58,8 +59,10 @@
     Every :class:`RunTask` is followed by exactly one such event, unless the
     agent's process ends first.
 
-    :param state: ``FINISHED``, ``FAILED``, or ``LOST`` when no answer came.
-    :param reason: why the task failed or was lost; empty if it finished.
+    :param state: ``FINISHED``, ``FAILED``, ``LOST`` when no answer came, or
+        ``REFUSED`` when the task wasn't sent in time and hasn't run.
+    :param reason: why the task failed, was lost or wasn't sent; empty if it
+        finished.
     :param seconds: run time of the task.
     """
 
@@ -77,6 +80,9 @@
     """Effect: run a task once at the upstream, without delay.
 
     :param session: session of the upstream for which the task was accepted.
+    :param start_before: instant of the agent's clock from which the task must
+        not be sent: the process may be suspended between the decision and the
+        sending, and the task's zone be out of service since.
     """
 
     job: types.JobKey
@@ -88,6 +94,7 @@
     deadline: float
     url: str
     session: str
+    start_before: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/owning/owner.py
+++ b/src/agatepick/owning/owner.py
@@ -315,6 +315,12 @@
         # A late report may be about an attempt before the current one.
         if record.agent != agent or record.attempt != report.attempt:
             return []
+        if report.state == types.TaskState.REFUSED and record.adopted:
+            # This attempt wasn't sent in time, but the task's former owner may
+            # have had other attempts: the outcome is unknown.
+            report = dataclasses.replace(
+                report, state=types.TaskState.LOST.value
+            )
         if report.state == types.TaskState.REFUSED:
             return self._on_refusal(job, agent, report, now)
         if report.state not in _OUTCOMES:
--- a/src/agatepick/owning/takeover.py
+++ b/src/agatepick/owning/takeover.py
@@ -98,12 +98,17 @@
         self, agent: types.PeerName, report: messages.TaskReport
     ) -> None:
         """Store the end of a task whose job has not been resubmitted yet."""
-        if not _is_usable(report):
-            return
         tasks = self._reported.get(report.job)
         reported = tasks.get(report.index) if tasks is not None else None
         if tasks is None or reported is None or reported.agent != agent:
             return
+        if report.state == types.TaskState.REFUSED:
+            # It was reported as running, but wasn't sent in time.
+            if report.attempt == reported.report.attempt:
+                del tasks[report.index]
+            return
+        if not _is_usable(report):
+            return
         digest = reported.report.digest
         tasks[report.index] = dataclasses.replace(
             reported, report=dataclasses.replace(report, digest=digest)
--- a/src/agatepick/runtime/processes.py
+++ b/src/agatepick/runtime/processes.py
@@ -387,10 +387,13 @@
         self.shell.begin()
 
     def _register_upstream(self) -> None:
-        make_upstream = (
-            self.dependencies.make_upstream or httpupstream.HttpUpstream
+        feed = self._receive_upstream_event
+        make_upstream = self.dependencies.make_upstream
+        task_upstream = (
+            make_upstream(feed)
+            if make_upstream is not None
+            else httpupstream.HttpUpstream(feed, self.dependencies.clock)
         )
-        task_upstream = make_upstream(self._receive_upstream_event)
         self._upstream = task_upstream
         self.shell.handle(upstream.RunTask, self._run_task)
         self.shell.handle(upstream.StopTask, task_upstream.stop)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -106,6 +106,36 @@
     assert len(agents.list_started_tasks(effects)) == (not reason)
 
 
+def test_a_task_that_was_not_sent_in_time_is_refused_and_may_run_again():
+    """The agent freezes after its decision, until the permit has ended.
+
+    The order holds the end of the permit by the agent's own clock, which may
+    differ from the entry's.  The task hasn't run, so its owner may place it
+    again.
+    """
+    harness = agents.AgentHarness()
+    harness.feed(agents.announced(term=1000.0))
+    harness.connect('e', ahead=0.2)
+    task = agents.task(KEY)
+    (order,) = [
+        effect
+        for effect in harness.start('e', task, before=3.0)
+        if isinstance(effect, upstream.RunTask)
+    ]
+    assert order.start_before == pytest.approx(agents.NOW + 2.8, abs=1e-3)
+    harness.now += 4.0
+    effects = harness.feed(
+        upstream.TaskEnded(
+            KEY, 0, 1, types.TaskState.REFUSED, reason='start_too_late'
+        )
+    )
+    assert agents.reports(effects) == {0: ('refused', 'start_too_late')}
+    effects = harness.start('e', task)
+    assert agents.list_started_tasks(effects) == []
+    again = agents.task(KEY, attempt=2)
+    assert agents.list_started_tasks(harness.start('e', again)) == [(KEY, 0)]
+
+
 def test_a_start_for_an_earlier_incarnation_is_lost_not_refused():
     """An agent restarts while starts to it are in flight.
 
--- a/tests/test_httpupstream.py
+++ b/tests/test_httpupstream.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import pytest
 import tornado.httpserver
 import tornado.netutil
 
@@ -7,6 +8,7 @@
 from agatepick.agentside import httpupstream
 from agatepick.agentside import upstream
 from agatepick.conf import settings
+from agatepick.net import clocks
 from agatepick.standins import standin_upstream
 from agatepick import types
 from tests import agents
@@ -18,7 +20,8 @@
 
     def __init__(self):
         self.events = test_standin_upstream.Events()
-        self.upstream = httpupstream.HttpUpstream(self.events.feed)
+        self.clock = clocks.ProcessClock.start()
+        self.upstream = httpupstream.HttpUpstream(self.events.feed, self.clock)
         self.agent = announce.build_server(
             self.events.feed, settings.Upstreams('127.0.0.1:0')
         )
@@ -30,10 +33,15 @@
             agents.announced(),
         )
 
-    def task(self, index=0, payload=b'{"seconds": 0.001}'):
+    def task(self, index=0, payload=b'{"seconds": 0.001}', permit=60.0):
+        """Return an order for a task.
+
+        :param permit: seconds until its permit ends.
+        """
         url = self.worker.announced.url
+        until = self.clock.now() + permit
         return upstream.RunTask(
-            'j', index, 1, 'k', payload, types.Needs(), 0.0, url, 's'
+            'j', index, 1, 'k', payload, types.Needs(), 0.0, url, 's', until
         )
 
     async def wait_for_ends(self, count=1):
@@ -113,6 +121,21 @@
     play(scenario)
 
 
+@pytest.mark.parametrize('permit', [-1.0, 0.0, float('nan')])
+def test_a_task_is_not_sent_after_its_permit_has_ended(permit):
+    """The agent's machine freezes between the decision and the sending.
+
+    Operators have taken the zone out by then, and the task would start in it.
+    """
+
+    async def scenario(pair):
+        pair.upstream.run(pair.task(permit=permit))
+        assert await pair.wait_for_ends() == [('refused', 'start_too_late')]
+        assert pair.worker.worker.starts == {}
+
+    play(scenario)
+
+
 def test_an_answer_that_is_no_json_is_a_failure():
     """A proxy in front of an upstream answers with an HTML page.
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -165,3 +165,19 @@
     job_owner.on_tick(late)
     assert ownership.check_key(key, late) is None
     assert job_owner.answer_resubmission(spec, waiter) is not None
+
+
+def test_an_adopted_task_that_was_not_sent_in_time_is_not_started(job_owner):
+    """An agent that froze reports a removed entry's task as not sent.
+
+    The removed entry may have had other attempts of the task, so its
+    successor never starts it.
+    """
+    adopted = job_owner.jobs.add(job('j'), NOW)
+    adopted.waiters.append(jobs.LocalWaiter(1))
+    adopted.tasks[0] = jobs.TaskRecord('a', 7, 0, adopted=True)
+    effects = job_owner.on_results('a', report('refused'), NOW)
+    effects += job_owner.advance(NOW + 1.5)
+    (answer,) = replies(effects)
+    assert [one.outcome for one in answer.tasks] == ['unknown']
+    assert not starts(effects)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -86,6 +86,20 @@
     assert outcomes(adopt_job(job_takeover))[1] == 'finished'
 
 
+def test_a_taken_over_task_that_was_not_sent_in_time_is_unknown():
+    """An agent that froze reports a task as running, and then as not sent.
+
+    If the task were still awaited, its caller would wait to the deadline.
+    """
+    job_takeover = make_takeover(report(0, 'running'))
+    other = dataclasses.replace(report(0, 'refused'), attempt=2)
+    job_takeover.on_result('x', other)
+    job_takeover.on_result('y', report(0, 'refused'))
+    assert job_takeover.has_reports(KEY)
+    job_takeover.on_result('x', report(0, 'refused'))
+    assert outcomes(adopt_job(job_takeover, count=1)) == ['unknown']
+
+
 @pytest.mark.parametrize(
     'connected',
     [{}, {'x': dataclasses.replace(AGENTS['x'], incarnation=8)}],
