Use a worker's stored row only for the incarnation that it describes

Change: the row holds the time of birth and is used only if the worker answers with the same one; rows of earlier versions are ignored. A restarted agent whose worker is the same incarnation serves as soon as before.

--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -5,7 +5,9 @@
 worker announces itself only every 1.5 s.  Until then callers reach entries
 that can start no task.  Each agent therefore stores a row with its worker's
 last announcement, and its next incarnation uses the row as soon as the worker
-has answered under the id in the row.
+has answered under the id in the row, with the same time of birth.  A worker
+that was born since may be of another kind or pool: it is used once it has
+announced itself.
 """
 
 import asyncio
@@ -44,6 +46,8 @@
     """A worker as it was announced.
 
     :param name: id of the worker, without its incarnation.
+    :param born: start of the announced incarnation in milliseconds; 0 in rows
+        of earlier versions, which aren't used.
     """
 
     name: str
@@ -52,6 +56,7 @@
     mem_mb: int
     gpu: int
     labels: tuple[str, ...] = ()
+    born: int = 0
 
 
 class WorkerRecord:
@@ -97,7 +102,9 @@
         """Announce the stored worker to the agent if the worker answers.
 
         The row alone isn't sufficient: the worker may be gone, or another
-        one may have its address, which answers only to its own id.
+        one may have its address, which answers only to its own id.  A worker
+        that was born after it had announced what the row holds is left to
+        announce itself.
 
         :param feed: passes an event to the agent.
         """
@@ -106,8 +113,11 @@
         row = await self._read_until(deadline)
         while row is not None and loop.time() < deadline:
             born = await client.fetch_born(row.name)
+            if born == row.born:
+                feed(_decode(row, client.address))
+                return
             if born:
-                feed(_decode(row, born, client.address))
+                logs.info(LOG, 'worker_born_since', row=row.born, now=born)
                 return
             await asyncio.sleep(RETRY_SECONDS)
 
@@ -134,10 +144,11 @@
         if value is None:
             return None
         try:
-            return msgspec.json.decode(value, type=_Row)
+            row = msgspec.json.decode(value, type=_Row)
         except msgspec.MsgspecError as exc:
             logs.warning(LOG, 'kept_unreadable', key=self._key, reason=exc)
             return None
+        return row if row.born else None
 
 
 def _encode(announced: workerapi.WorkerAnnounced) -> bytes:
@@ -149,14 +160,15 @@
             announced.capacity.memory_mb,
             announced.capacity.accelerators,
             announced.labels,
+            announced.born,
         )
     )
 
 
-def _decode(row: _Row, born: int, address: str) -> workerapi.WorkerAnnounced:
+def _decode(row: _Row, address: str) -> workerapi.WorkerAnnounced:
     return workerapi.WorkerAnnounced(
-        incarnation=worker.make_incarnation(row.name, born),
-        born=born,
+        incarnation=worker.make_incarnation(row.name, row.born),
+        born=row.born,
         sequence=workerapi.NOT_ANNOUNCED,
         pool=row.pool,
         capacity=types.Needs(row.cpu, row.mem_mb, row.gpu),
