End a leaving worker's runs when they are over, and start none at a stranger

A stop that overtook its start, or a start without an answer while stopping, left the run unconfirmed for ever, and its capacity taken while any other run there went on. 4. Found beside them: a late announcement brought a worker back that had left, and a stop's answer from a former incarnation counted for the present one.

Change: worker_state holds which incarnation is addressed and whether it has announced itself; only a described one gets runs. 1. A leaving worker's runs are stopped, its lists go on being requested without a lease, and its runs end when it lists them so, when another incarnation's list lacks them, or when their lease is over, also when the message was answered. The same shortcut for a lost worker is kept for a refused connection to one that isn't draining or leaving: on the agent's own machine that means that nothing listens at the worker's port, so its process crashed, and a worker that ends by plan says so first. After OtherIncarnationAnswered nothing starts before an announcement of the new incarnation; its lists are requested at once, so that what is over is known. 3. A run that is being stopped ends when a list that was requested after the answer to its stop lacks it, once no start is unanswered.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -2,11 +2,10 @@
 
 Requests to the worker may get no answer, or be carried out seconds later.
 Starts and stops are therefore sent again, a lease ends runs that no entry
-renews, and a run has ended only when the worker reports so, or when no request
-can reach it any more.
+renews, and a run has ended only when the worker reports so, or when its lease
+is over.
 """
 
-import dataclasses
 import typing
 
 from agatepick import core
@@ -17,6 +16,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import worker_lease
+from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -40,10 +40,6 @@
 NO_LIST_YET = -1
 """Number of the last acknowledged end while no lists have arrived yet."""
 
-ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
-"""Time without announcements after which a worker counts as gone: three
-announcements at 1.5 s each, and some spare time."""
-
 MIN_EXPECTED_SECONDS = 0.05
 """Lower bound of expected run times in health records.  Shorter runs take as
 long as a round trip to the worker on a busy machine, which doesn't show how
@@ -60,7 +56,6 @@
 
     :param on_refused: called with the name of the entry whose start was
         refused.
-    :ivar worker: current incarnation of the worker; ``None`` if there is none.
     :ivar runs: runs that haven't certainly ended, by task name.
     """
 
@@ -71,15 +66,14 @@
         run_reports: reports.Reports,
         on_refused: typing.Callable[[types.PeerName], None],
     ) -> None:
-        self.worker: workerapi.WorkerAnnounced | None = None
         self.runs: dict[str, runs.Run] = {}
         self._capacity = capacity
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
+        self._state = worker_state.WorkerState()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
-        self._announced_at = 0.0
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._unowned_stopped_at = 0.0
@@ -89,7 +83,11 @@
         # run would outlive the time after which its entry starts the task
         # elsewhere, and a quote that the task files would be filed twice.
         self._earlier_runs_over = False
-        self._persisted_worker: workerapi.WorkerAnnounced | None = None
+
+    @property
+    def worker(self) -> workerapi.WorkerAnnounced | None:
+        """The worker's last announcement; ``None`` if it may get no runs."""
+        return self._state.description
 
     # The worker's incarnations
 
@@ -97,98 +95,50 @@
         self, event: workerapi.WorkerAnnounced, now: float
     ) -> list[object]:
         """Handle an announcement of the worker."""
-        worker = self.worker
-        if worker is not None:
-            if worker.incarnation == event.incarnation:
-                if event.sequence <= worker.sequence:
-                    return []
-            elif event.born < worker.born:
-                # The announcement was sent before the present incarnation
-                # started and arrived late.
-                return []
-        self._announced_at = now
-        effects: list[object] = []
-        if worker is None or worker.incarnation != event.incarnation:
-            effects += self._switch_incarnation(event, now)
-        elif worker.draining != event.draining:
-            effects.append(
-                core.note(
-                    'worker_draining',
-                    life=event.incarnation,
-                    now=event.draining,
-                )
-            )
-        effects += self._persist_worker(event)
-        self.worker = event
+        if self._state.is_outdated(event):
+            return []
+        known = self._state.incarnation
+        effects = self._state.record_announcement(event, now)
+        if known != event.incarnation:
+            effects += self._switch_incarnation(now)
         self._capacity.resize(event.capacity)
         return effects
 
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
     ) -> list[object]:
-        """Handle an answer from another incarnation of the worker."""
-        worker = self.worker
-        if worker is None or worker.incarnation != event.incarnation:
-            return []
-        # The next announcement describes the new incarnation.
-        successor = dataclasses.replace(
-            worker,
-            incarnation=event.new_incarnation,
-            born=event.born,
-            sequence=workerapi.NOT_ANNOUNCED,
-        )
-        return self._switch_incarnation(successor, now)
-
-    def _persist_worker(
-        self, announced: workerapi.WorkerAnnounced
-    ) -> list[object]:
-        """Persist the worker for the next incarnation of this process.
+        """Handle an answer from another incarnation of the worker.
 
-        Without this, after a kill or a power loss, the agent would have no
-        description of its worker until the next announcement, up to 1.5 s
-        later, and callers would reach entries that can't start anything.  A
-        draining worker is deleted from the store: the next incarnation must
-        not use it.
+        Nothing is started there until it has announced itself.
         """
-        persisted = None
-        if not announced.draining:
-            persisted = dataclasses.replace(
-                announced, sequence=workerapi.NOT_ANNOUNCED
-            )
-        if persisted == self._persisted_worker:
+        if not self._state.addresses(event.incarnation):
             return []
-        self._persisted_worker = persisted
-        return [workerapi.PersistWorker(persisted)]
+        effects = self._state.record_other_incarnation(event)
+        return effects + self._switch_incarnation(now)
 
     def handle_departure(
         self, event: workerapi.WorkerLeft, now: float
     ) -> list[object]:
-        """Handle the worker's message that it exits."""
-        if self.worker is None or self.worker.incarnation != event.incarnation:
+        """Handle the worker's message that it exits.
+
+        It exits once it has the answer, which may get lost, so its runs may
+        go on for seconds.  They are stopped, and their lease isn't extended.
+        """
+        if self._state.leaving or not self._state.addresses(event.incarnation):
             return []
-        self.worker = None
-        self._persisted_worker = None
-        return [
-            workerapi.PersistWorker(None),
-            core.note('worker_left', life=event.incarnation),
-            *self._end_answered_runs('worker_left', now),
-        ]
+        effects = self._state.record_departure()
+        for run in self.runs.values():
+            effects += self.stop(run, now)
+        return effects
 
     def check_announcements(self, now: float) -> list[object]:
         """Give up a worker that no longer announces itself."""
-        if (
-            self.worker is None
-            or now <= self._announced_at + ANNOUNCEMENT_TIMEOUT_SECONDS
-        ):
+        if not self._state.is_overdue(now):
             return []
-        self._announced_at = now
         self._list_requests.mark_silent(now)
-        return [core.note('worker_lapsed', life=self.worker.incarnation)]
+        return [core.note('worker_lapsed', life=self._state.incarnation)]
 
-    def _switch_incarnation(
-        self, event: workerapi.WorkerAnnounced, now: float
-    ) -> list[object]:
-        self.worker = event
+    def _switch_incarnation(self, now: float) -> list[object]:
         self._last_handled_end_number = 0
         # Runs that an earlier incarnation of this process started continue
         # until their lease expires, and use capacity meanwhile: the next list
@@ -205,15 +155,7 @@
             run.stop_acknowledged_at = 0.0
             run.confirmed_at = run.confirmed_at or now
             effects += self.stop(run, now)
-        return [
-            *effects,
-            core.note(
-                'worker_up',
-                life=event.incarnation,
-                pool=event.pool,
-                cpu=event.capacity.cpu,
-            ),
-        ]
+        return effects
 
     def _end_answered_runs(self, reason: str, now: float) -> list[object]:
         effects: list[object] = []
@@ -247,14 +189,12 @@
         return self._send_start(run, now)
 
     def _send_start(self, run: runs.Run, now: float) -> list[object]:
-        worker = self.worker
-        assert worker is not None
         run.start_count += 1
         run.unanswered_start_count += 1
         run.start_sent_at = now
         return [
             workerapi.StartRun(
-                worker.incarnation,
+                self._state.incarnation,
                 run.ref,
                 run.name,
                 run.payload,
@@ -328,14 +268,15 @@
 
     def stop(self, run: runs.Run, now: float) -> list[object]:
         """Send a stop to the worker; it is repeated until acknowledged."""
-        worker = self.worker
-        if worker is None or run.stop_acknowledged_at:
+        if not self._state.incarnation or run.stop_acknowledged_at:
             return []
         if now < run.stop_sent_at + STOP_RETRY_SECONDS and run.stopping:
             return []
         run.stopping = True
         run.stop_sent_at = now
-        return [workerapi.StopRun(worker.incarnation, run.name, run.ref.run)]
+        return [
+            workerapi.StopRun(self._state.incarnation, run.name, run.ref.run)
+        ]
 
     def handle_stop_answer(
         self, event: workerapi.StopAnswered, now: float
@@ -344,7 +285,8 @@
         run = self.runs.get(event.name)
         if run is None or run.ref.run != event.run:
             return []
-        if event.ok:
+        # What a former incarnation has stopped may still start at this one.
+        if event.ok and self._state.addresses(event.incarnation):
             run.stop_acknowledged_at = now
         return []
 
@@ -352,10 +294,11 @@
 
     def request_lists(self, now: float) -> list[object]:
         """Extend the lease and request the lists, if they are due."""
-        worker = self.worker
-        if worker is None or not self._list_requests.is_due(now):
+        if not self._state.incarnation or not self._list_requests.is_due(now):
             return []
         busy = bool(self.runs)
+        if self._state.leaving and not busy:
+            return []
         silent = self._list_requests.is_silent(now)
         acknowledged = (
             self._last_acknowledged_end_number == self._last_handled_end_number
@@ -372,7 +315,7 @@
         self._list_requests.record_request(wait, now)
         return [
             workerapi.RequestLists(
-                worker.incarnation,
+                self._state.incarnation,
                 self._last_handled_end_number,
                 lease_until,
                 wait,
@@ -392,7 +335,8 @@
         )
 
     def _has_renewed_run(self, now: float) -> bool:
-        return any(
+        """Return whether a run should go on; none does at a leaving worker."""
+        return not self._state.leaving and any(
             not run.stopping and run.owner.lease_until > now
             for run in self.runs.values()
         )
@@ -401,8 +345,7 @@
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
         """Handle the worker's lists of running and ended runs."""
-        worker = self.worker
-        if worker is None or worker.incarnation != event.incarnation:
+        if not self._state.addresses(event.incarnation):
             return []
         self._list_requests.record_answer(now)
         self._last_acknowledged_end_number = self._last_handled_end_number
@@ -420,21 +363,31 @@
         self, event: workerapi.ListsFailed, now: float
     ) -> list[object]:
         """Handle a failed request for the lists."""
-        worker = self.worker
-        if worker is None or worker.incarnation != event.incarnation:
+        if not self._state.addresses(event.incarnation):
             return []
         self._list_requests.record_failure(now)
+        if self._state.leaving:
+            return []
         if event.refused or event.other_worker:
-            # The worker's process has exited, and its runs with it.
-            self.worker = None
-            return [
-                core.note('worker_lost', life=event.incarnation),
-                *self._end_answered_runs('worker_lost', now),
-            ]
+            return self._handle_loss(event, now)
         if not self._list_requests.blocks_starts(now):
             return []
         return [core.note('worker_silent', life=event.incarnation)]
 
+    def _handle_loss(
+        self, event: workerapi.ListsFailed, now: float
+    ) -> list[object]:
+        # Nothing listens at the worker's address on this machine: its process
+        # has crashed, and its runs ended with it.  One that is about to exit
+        # may close its port before it ends its runs, and another worker may
+        # answer on a connection that is older than the present one: these
+        # prove nothing, and the runs last until their lease is over.
+        crashed = event.refused and not self._state.draining
+        effects = self._state.record_loss()
+        if crashed:
+            effects += self._end_answered_runs('worker_lost', now)
+        return effects
+
     def _handle_end(self, end: workerapi.EndedRun, now: float) -> list[object]:
         if end.number <= self._last_handled_end_number:
             return []
@@ -453,15 +406,18 @@
     ) -> list[object]:
         """End a run that isn't in the worker's lists.
 
-        Only if the lists were requested after its start and, if it is being
-        stopped, its stop were answered.
+        Only if the lists were requested after its start was answered.  If the
+        run is being stopped, they must have been requested after the answer to
+        its stop, from which on the worker doesn't start it any more, whatever
+        the answer to the start was; it may have got none.
         """
-        if not run.confirmed_at or run.confirmed_at >= lists_requested_at:
-            return []
-        if (
-            run.stopping
-            and not 0.0 < run.stop_acknowledged_at < lists_requested_at
-        ):
+        if run.stopping:
+            if run.unanswered_start_count and not run.confirmed_at:
+                return []
+            answered_at = run.stop_acknowledged_at
+        else:
+            answered_at = run.confirmed_at
+        if not 0.0 < answered_at < lists_requested_at:
             return []
         return self._end_run(run, types.RunState.OVER, 'absent', now)
 
@@ -547,7 +503,7 @@
             wakes.append(now + STOP_RETRY_SECONDS)
         request_at = self._list_requests.next_due()
         if (
-            self.worker is not None
+            self._state.incarnation
             and request_at is not None
             and request_at > now
         ):
@@ -557,7 +513,7 @@
     def _find_run(
         self, incarnation: str, ref: messages.RunRef
     ) -> runs.Run | None:
-        if self.worker is None or self.worker.incarnation != incarnation:
+        if not self._state.addresses(incarnation):
             return None
         for run in self.runs.values():
             if run.ref == ref:
--- /dev/null
+++ b/src/agatepick/repeatable/worker_state.py
@@ -0,0 +1,146 @@
+"""What an agent knows of its worker: its incarnation and its description.
+
+Load pattern: workers crash and start again under their id, at times as another
+kind, and others are emptied and taken away.  Requests name the id alone, so an
+incarnation is addressed before it has announced itself; if the description of
+the former one were used for it, tasks would start on a kind of worker that
+their jobs exclude.  A worker that leaves is still addressed, as its runs go on
+until its process ends, some seconds later if its message got no answer.
+"""
+
+import dataclasses
+
+from agatepick import core
+from agatepick.repeatable import workerapi
+
+ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
+"""Time without announcements after which a worker counts as gone: three
+announcements at 1.5 s each, and some spare time."""
+
+
+class WorkerState:
+    """The worker beside one agent.
+
+    :ivar incarnation: the incarnation that requests are sent to; empty if
+        there is none.
+    :ivar description: its last announcement; ``None`` if it has sent none, and
+        for a worker that is leaving.  Only a described worker gets runs.
+    :ivar leaving: whether it has said that it exits.
+    """
+
+    def __init__(self) -> None:
+        self.incarnation = ''
+        self.description: workerapi.WorkerAnnounced | None = None
+        self.leaving = False
+        self._born = 0
+        self._announced_at = 0.0
+        self._persisted: workerapi.WorkerAnnounced | None = None
+
+    @property
+    def draining(self) -> bool:
+        """Whether it has announced that it will exit."""
+        return self.description is not None and self.description.draining
+
+    def addresses(self, incarnation: str) -> bool:
+        """Return whether requests are sent to an incarnation."""
+        return bool(incarnation) and incarnation == self.incarnation
+
+    def is_outdated(self, event: workerapi.WorkerAnnounced) -> bool:
+        """Return whether an announcement was sent before what is known."""
+        if event.incarnation == self.incarnation:
+            return self.leaving or (
+                self.description is not None
+                and event.sequence <= self.description.sequence
+            )
+        if not self.incarnation or self.leaving:
+            return False
+        # It was sent before the present incarnation started.
+        return event.born < self._born
+
+    def record_announcement(
+        self, event: workerapi.WorkerAnnounced, now: float
+    ) -> list[object]:
+        """Record an announcement that isn't outdated."""
+        former = self.description
+        self.incarnation = event.incarnation
+        self.description = event
+        self.leaving = False
+        self._born = event.born
+        self._announced_at = now
+        effects: list[object] = []
+        if former is None or former.incarnation != event.incarnation:
+            effects.append(
+                core.note(
+                    'worker_up',
+                    life=event.incarnation,
+                    pool=event.pool,
+                    cpu=event.capacity.cpu,
+                )
+            )
+        elif former.draining != event.draining:
+            effects.append(
+                core.note(
+                    'worker_draining',
+                    life=event.incarnation,
+                    now=event.draining,
+                )
+            )
+        return effects + self._persist(event)
+
+    def record_other_incarnation(
+        self, event: workerapi.OtherIncarnationAnswered
+    ) -> list[object]:
+        """Record that another incarnation answers, which isn't described."""
+        self.incarnation = event.new_incarnation
+        self.description = None
+        self.leaving = False
+        self._born = event.born
+        return [core.note('worker_reborn', life=event.new_incarnation)]
+
+    def record_departure(self) -> list[object]:
+        """Record that the worker exits; it isn't persisted any more."""
+        self.description = None
+        self.leaving = True
+        self._persisted = None
+        return [
+            workerapi.PersistWorker(None),
+            core.note('worker_left', life=self.incarnation),
+        ]
+
+    def record_loss(self) -> list[object]:
+        """Record that the worker can't be reached any more."""
+        lost, self.incarnation = self.incarnation, ''
+        self.description = None
+        return [core.note('worker_lost', life=lost)]
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the worker's announcements have stopped.
+
+        The time starts anew with each call that returns true.
+        """
+        if (
+            self.description is None
+            or now <= self._announced_at + ANNOUNCEMENT_TIMEOUT_SECONDS
+        ):
+            return False
+        self._announced_at = now
+        return True
+
+    def _persist(self, announced: workerapi.WorkerAnnounced) -> list[object]:
+        """Persist the worker for the next incarnation of this process.
+
+        Without this, after a kill or a power loss, the agent would have no
+        description of its worker until the next announcement, up to 1.5 s
+        later, and callers would reach entries that can't start anything.  A
+        draining worker is deleted from the store: the next incarnation must
+        not use it.
+        """
+        persisted = None
+        if not announced.draining:
+            persisted = dataclasses.replace(
+                announced, sequence=workerapi.NOT_ANNOUNCED
+            )
+        if persisted == self._persisted:
+            return []
+        self._persisted = persisted
+        return [workerapi.PersistWorker(persisted)]
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -104,6 +104,45 @@
     assert not world.double_runs
 
 
+@pytest.mark.parametrize('exit_after', [0.0, 0.01, 2.0])
+def test_a_leaving_worker_s_runs_are_over_before_their_tasks_run_again(
+    exit_after,
+):
+    """A worker says that it exits, and the answer to it may get lost.
+
+    It exits only seconds later then; a task that had been started elsewhere at
+    its message would run twice until its lease is over.
+    """
+    world = make_world(agents=2)
+    for worker in world.workers.values():
+        worker.slowness = 40.0
+    world.submit(repeatable_world.make_job('j', 4, expected=2.0))
+    world.run(0.3)
+    assert world.workers['agent-0'].runs
+    world.depart('agent-0', exit_after, back_after=60.0)
+    world.run(1.0)
+    assert len(world.workers['agent-1'].runs) == 4
+    world.run(20.0)
+    assert world.answers['j'].verdict is COMPLETE
+    assert not world.double_runs
+
+
+def test_a_leaving_worker_s_tasks_are_stopped_at_once():
+    """A worker that leaves still answers.
+
+    Its runs are stopped and listed as ended, so their tasks needn't wait
+    until its lease is over.
+    """
+    world = make_world(agents=2)
+    for worker in world.workers.values():
+        worker.slowness = 40.0
+    world.submit(repeatable_world.make_job('j', 4, expected=2.0))
+    world.run(0.3)
+    world.depart('agent-0', 2.0, back_after=60.0)
+    world.run(0.1)
+    assert len(world.workers['agent-1'].runs) == 4
+
+
 def test_a_frozen_entry_causes_no_second_run():
     """An entry is suspended for two seconds while a job's runs continue.
 
@@ -390,11 +429,34 @@
     )
 
 
-def _simulate_history(world, seed):
+@pytest.mark.parametrize('seed', range(20))
+def test_random_departures_and_late_orders_never_cause_two_runs(seed):
+    """Workers leave, and agents freeze between a decision and its orders.
+
+    The workers exit at once or seconds later; other faults come beside.  In
+    any sequence, no task has two runs at a time.
+    """
+    _simulate_history(make_world(seed=seed), seed, inject_worker_fault)
+
+
+def inject_worker_fault(world, rng, number):
+    """Inject a departure, a freeze before starts, or another fault."""
+    kind = rng.choice(('depart', 'pause', 'other'))
+    agent = rng.choice(world.agents()).name
+    if kind == 'depart':
+        exit_after = rng.choice((0.0, 0.01, 0.5, 2.0))
+        world.depart(agent, exit_after, rng.uniform(0.1, 2.0))
+    elif kind == 'pause':
+        world.freeze_before_sending(agent, rng.uniform(0.1, 3.0))
+    else:
+        inject_fault(world, rng, number)
+
+
+def _simulate_history(world, seed, inject=inject_fault):
     rng = random.Random(seed)
     for number in range(80):
         if rng.random() < 0.35:
-            inject_fault(world, rng, number)
+            inject(world, rng, number)
         expected = rng.choice((0.1, 0.3, 1.0))
         world.submit(
             repeatable_world.make_job(
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -15,6 +15,10 @@
 CAPACITY = types.Needs(64.0, 4096, 0)
 SPEC = messages.RunSpec('j', 0, 1, 'j.0', NEEDS, 0.2)
 REF = messages.RunRef('j', 0, 1)
+FIRST_LEASE_OVER_AT = NOW + leases.MAX_WORKER_EXPIRY_SECONDS
+"""End of the lease of a worker that announced itself at ``NOW``: a request
+meant for an earlier incarnation may have extended it up to its bound."""
+
 UNKNOWN = workerapi.StartResult.UNKNOWN
 
 
@@ -132,12 +136,22 @@
     assert controller.runs == {}
 
 
-def make_announcement(sequence, draining=False):
+def make_announcement(sequence, draining=False, born=1):
     return workerapi.WorkerAnnounced(
-        'w@1', 1, sequence, 'p', CAPACITY, (), draining, ''
+        f'w@{born}', born, sequence, 'p', CAPACITY, (), draining, ''
     )
 
 
+def answer_stop(controller, now, incarnation='w@1'):
+    event = workerapi.StopAnswered(incarnation, 'j.0', 1, True)
+    controller.handle_stop_answer(event, now)
+
+
+def receive_lists(controller, requested_at, incarnation='w@1', running=()):
+    event = workerapi.ListsReceived(incarnation, requested_at, running, ())
+    return controller.handle_lists(event, requested_at + 0.001)
+
+
 def test_orders_carry_instants_that_follow_from_their_decision(controller):
     """The agent freezes between the decision on an order and its sending.
 
@@ -177,6 +191,171 @@
     assert 'j.0' in controller.runs
 
 
+def test_a_stop_that_overtakes_its_start_ends_the_run(controller):
+    """The worker gets the stop first and refuses the start as outdated.
+
+    If the run weren't counted as over, its capacity would stay taken as long
+    as any other run there goes on.
+    """
+    (run,) = controller.runs.values()
+    controller.stop(run, NOW + 0.001)
+    answer_stop(controller, NOW + 0.002)
+    receive_lists(controller, NOW + 0.003)
+    assert 'j.0' in controller.runs
+    answer_start(controller, workerapi.StartResult.STALE_RUN, NOW + 0.004)
+    receive_lists(controller, NOW + 0.005)
+    assert controller.runs == {}
+
+
+def test_a_stopped_start_without_an_answer_ends(controller):
+    """A start gets no answer while its run is being stopped.
+
+    The worker has acknowledged the stop, so it won't carry out the start.
+    """
+    (run,) = controller.runs.values()
+    controller.stop(run, NOW + 0.01)
+    answer_stop(controller, NOW + 0.02)
+    answer_start(controller, UNKNOWN, NOW + 0.12)
+    receive_lists(controller, NOW + 0.015)
+    assert 'j.0' in controller.runs
+    receive_lists(controller, NOW + 0.13)
+    assert controller.runs == {}
+
+
+def test_a_leaving_worker_s_run_goes_on_until_it_is_listed_as_ended(
+    controller,
+):
+    """A worker exits once its message is answered, or seconds later.
+
+    If its runs counted as over at the message, their tasks would run twice.
+    """
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    effects = controller.handle_departure(workerapi.WorkerLeft('w@1'), NOW + 1)
+    assert filter_effects(effects, workerapi.StopRun)
+    assert controller.worker is None
+    assert 'j.0' in controller.runs
+    (request,) = controller.request_lists(NOW + 1)
+    assert (request.incarnation, request.lease_until) == ('w@1', 0.0)
+    running = (workerapi.RunningRun('j.0', 1),)
+    receive_lists(controller, NOW + 1.01, running=running)
+    assert 'j.0' in controller.runs
+    ended = workerapi.EndedRun(1, 'j.0', 1, workerapi.EndKind.OTHER, 'stopped')
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 1.02, (), (ended,)), NOW + 1.03
+    )
+    assert controller.runs == {}
+    assert controller.request_lists(NOW + 2) == []
+
+
+@pytest.mark.parametrize(
+    'fault', [{}, {'refused': True}, {'other_worker': True}]
+)
+def test_a_leaving_worker_s_run_lasts_until_its_lease_is_over(
+    controller, fault
+):
+    """A leaving worker answers no more, or its port is closed.
+
+    It may close its port before it ends its runs.
+    """
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    controller.handle_departure(workerapi.WorkerLeft('w@1'), NOW + 0.1)
+    for step in range(1, 6):
+        now = NOW + 0.1 + 0.1 * step
+        controller.enforce_leases(now)
+        failed = workerapi.ListsFailed('w@1', **fault)
+        controller.handle_list_failure(failed, now)
+        for request in controller.request_lists(now):
+            assert request.lease_until == 0.0
+        assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT - 0.001)
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT + 0.001)
+    assert controller.runs == {}
+
+
+def test_a_late_announcement_does_not_bring_a_worker_back(controller):
+    """An announcement arrives after the message that the worker exits."""
+    controller.handle_departure(workerapi.WorkerLeft('w@1'), NOW + 0.1)
+    assert (
+        controller.handle_announcement(make_announcement(2), NOW + 0.2) == []
+    )
+    assert controller.worker is None
+    other = make_announcement(1, born=2)
+    controller.handle_announcement(other, NOW + 0.3)
+    assert controller.worker == other
+
+
+def test_a_draining_worker_s_closed_port_does_not_end_its_runs(controller):
+    """A worker that is about to exit may close its port first."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    draining = make_announcement(2, draining=True)
+    controller.handle_announcement(draining, NOW + 0.1)
+    refused = workerapi.ListsFailed('w@1', refused=True)
+    controller.handle_list_failure(refused, NOW + 0.2)
+    assert controller.worker is None
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT - 0.001)
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT + 0.001)
+    assert controller.runs == {}
+
+
+def test_another_worker_s_answer_does_not_end_runs(controller):
+    """An earlier worker answers on a connection that it has kept open."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    other = workerapi.ListsFailed('w@1', other_worker=True)
+    controller.handle_list_failure(other, NOW + 0.2)
+    assert controller.worker is None
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT - 0.001)
+    assert 'j.0' in controller.runs
+    controller.enforce_leases(FIRST_LEASE_OVER_AT + 0.001)
+    assert controller.runs == {}
+
+
+def test_nothing_starts_at_a_reborn_worker_before_it_announced_itself(
+    controller,
+):
+    """A worker starts again under its id as another kind.
+
+    If the former kind's description were used until the announcement, tasks
+    would start at a worker without the label that they require.
+    """
+    controller.handle_other_incarnation(
+        workerapi.OtherIncarnationAnswered('w@1', 'w@2', 2), NOW + 0.01
+    )
+    assert controller.worker is None
+    (request,) = controller.request_lists(NOW + 0.01)
+    assert (request.incarnation, request.lease_until) == ('w@2', 0.0)
+    answer_stop(controller, NOW + 0.02, 'w@2')
+    receive_lists(controller, NOW + 0.03, 'w@2')
+    assert controller.runs == {}
+    assert controller.worker is None
+    assert controller.enforce_leases(NOW + 0.1) == []
+    late = make_announcement(9)
+    assert controller.handle_announcement(late, NOW + 0.2) == []
+    announced = make_announcement(1, born=2)
+    effects = controller.handle_announcement(announced, NOW + 0.3)
+    assert controller.worker == announced
+    assert workerapi.PersistWorker in [type(effect) for effect in effects]
+    assert not controller.blocks_starts(NOW + 0.3)
+
+
+def test_a_stop_at_a_former_incarnation_does_not_end_the_run(controller):
+    """The answer to a stop arrives after the worker has started again.
+
+    The start may still be carried out by the new incarnation.
+    """
+    (run,) = controller.runs.values()
+    controller.stop(run, NOW + 0.001)
+    controller.handle_other_incarnation(
+        workerapi.OtherIncarnationAnswered('w@1', 'w@2', 2), NOW + 0.01
+    )
+    answer_stop(controller, NOW + 0.02, 'w@1')
+    receive_lists(controller, NOW + 0.03, 'w@2')
+    assert 'j.0' in controller.runs
+
+
 def test_a_worker_is_persisted_once(controller):
     """Otherwise each announcement would cost a write to the store."""
     assert not filter_effects(
