--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -26,6 +26,10 @@
 """Statuses below this are interim; another response follows."""
 
 
+class NotSent(OSError):
+    """Raised for a request that wasn't valid any more when it was due."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A complete response."""
@@ -61,11 +65,16 @@
         timeout_seconds: float,
         body: bytes = b'',
         headers: typing.Mapping[str, str] | None = None,
+        is_valid: typing.Callable[[], bool] | None = None,
     ) -> Response:
         """Send one request and return its response.
 
         :param timeout_seconds: timeout of the whole call, including the wait
             for a free connection.
+        :param is_valid: returns whether the request may still be sent; it is
+            called just before the request is written.  By default a request
+            is always valid.
+        :raises NotSent: if ``is_valid`` returned false.
         :raises ConnectionRefusedError: if no process listens at the address.
         :raises TimeoutError: if the timeout has expired.
         :raises OSError: if the connection was lost, or the response isn't
@@ -82,7 +91,9 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 async with self._slots:
-                    response = await self._send(method == 'GET', data)
+                    response = await self._send(
+                        method == 'GET', data, is_valid
+                    )
         except TimeoutError:
             self._record_timeout()
             raise
@@ -103,18 +114,27 @@
             # will prove itself by a response.
             self.close()
 
-    async def _send(self, retryable: bool, data: bytes) -> Response:
+    async def _send(
+        self,
+        retryable: bool,
+        data: bytes,
+        is_valid: typing.Callable[[], bool] | None,
+    ) -> Response:
         if retryable and self._idle:
             # The server may have closed the idle connection meanwhile.
             try:
-                return await self._call_once(data)
+                return await self._call_once(data, is_valid)
             except ConnectionError:
                 self.close()
-        return await self._call_once(data)
+        return await self._call_once(data, is_valid)
 
-    async def _call_once(self, data: bytes) -> Response:
+    async def _call_once(
+        self, data: bytes, is_valid: typing.Callable[[], bool] | None
+    ) -> Response:
         conn = await self._acquire()
         try:
+            if is_valid is not None and not is_valid():
+                raise NotSent('not valid any more')
             return await conn.send_request(data)
         finally:
             if conn.reusable:
