--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -47,7 +47,7 @@
 
     name: types.PeerName
     zone: str
-    policies: policies.Policies = policies.Policies()
+    switches: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
