Refuse declared values that no message holds, by their field

Change: quantities.Count and Amount bound what callers and workers declare: negative, not finite, too large or no number is a 400 that names the field, at once. NaN and Infinity, which JSON doesn't have, are named too. A job has at most 10,000 tasks: a count in the wrong unit would fill the memory. X-Deadline-Ms must be a duration (NaN made a job that never ends). jobs.Job.find_bad_field checks the same for the reducer. Sums of needs saturate. anti_affinity of a step is read as Job.worker_limits.

--- a/src/agatepick/platform/announcements.py
+++ b/src/agatepick/platform/announcements.py
@@ -5,6 +5,7 @@
 import msgspec
 from tornado import web
 
+from agatepick.platform import quantities
 from agatepick.platform import worker
 from agatepick.repeatable import workerapi
 from agatepick.telemetry import logs
@@ -18,9 +19,9 @@
 class _Capacity(msgspec.Struct, frozen=True):
     """The capacity of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: float
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: quantities.Amount
+    mem_mb: quantities.Count = 0
+    gpu: quantities.Count = 0
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import math
 import re
 import typing
@@ -9,6 +10,7 @@
 import msgspec
 from tornado import web
 
+from agatepick.platform import quantities
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
@@ -23,6 +25,10 @@
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Deadline for callers that don't send one."""
 
+MAX_TASKS = 10_000
+"""Largest number of tasks of a job, many times more than a pool runs at once.
+A number in the wrong unit must not fill the memory of the process."""
+
 _KEY = re.compile(r'[0-9a-f]{16}', re.IGNORECASE)
 
 _STATES = {
@@ -42,14 +48,17 @@
     :param estimated_ms: estimated run time, which is too long or too short by
         some factor.
     :param after: indices of the steps that must end before this one.
+    :param anti_affinity: how many of the tasks may run on one worker at a
+        time; 0 for any number.
     """
 
-    count: int
-    cpu: float = 0.0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0.0
+    count: quantities.Count
+    cpu: quantities.Amount = 0.0
+    mem_mb: quantities.Count = 0
+    gpu: quantities.Count = 0
+    estimated_ms: quantities.Amount = 0.0
     after: tuple[int, ...] = ()
+    anti_affinity: quantities.Count = 0
     required_labels: str | tuple[str, ...] = ''
     gang: bool = False
 
@@ -200,9 +209,9 @@
 
     def _parse_job(self, route: routes.Route, key: str) -> jobs.Job | None:
         try:
-            body = msgspec.json.decode(self.request.body, type=_Body)
-            return _make_job(route, key, body, self._get_deadline())
-        except (msgspec.MsgspecError, ValueError) as exc:
+            deadline = self._get_deadline()
+            return parse_job(route, key, self.request.body, deadline)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
             logs.info(LOG, 'job_bad', job=key, reason=exc)
             self._refuse(400, str(exc), 0.0)
             return None
@@ -213,6 +222,8 @@
         seconds = DEFAULT_DEADLINE_SECONDS
         if text:
             seconds = float(text) / 1000.0
+        if not 0.0 <= seconds < math.inf:
+            raise ValueError(f'{DEADLINE_HEADER}: not a duration')
         return self._front.clock.now() + seconds
 
     def _refuse(self, status: int, reason: str, retry_after: float) -> None:
@@ -245,11 +256,22 @@
     )
 
 
-def _make_job(
-    route: routes.Route, key: str, body: _Body, deadline: float
+def parse_job(
+    route: routes.Route, key: str, data: bytes, deadline: float
 ) -> jobs.Job:
+    """Return the job in the body of a caller's request.
+
+    :param deadline: instant at which the caller stops waiting.
+    :raises ValueError: if it can't be served; the message names the field, as
+        for all errors of this function.
+    :raises msgspec.MsgspecError: if a field has another type or is out of its
+        range.
+    """
+    body = _decode_body(data)
     if not body.best_effort or body.long_running or body.repeat_count:
         raise ValueError("best_effort: only jobs that needn't be kept")
+    if sum(step.count for step in body.steps) > MAX_TASKS:
+        raise ValueError(f'steps: count of more than {MAX_TASKS} tasks')
     tasks: list[jobs.Task] = []
     for index, step in enumerate(body.steps):
         if step.gang:
@@ -266,9 +288,27 @@
         tasks=tuple(tasks),
         after=tuple(frozenset(step.after) for step in body.steps),
         deadline=deadline,
+        worker_limits=_make_worker_limits(body),
     )
 
 
+def _decode_body(data: bytes) -> _Body:
+    try:
+        return msgspec.json.decode(data, type=_Body)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError:
+        # Some encoders write NaN and Infinity, which JSON doesn't have; as
+        # text they are refused with the field's name.
+        msgspec.convert(json.loads(data, parse_constant=str), type=_Body)
+        raise
+
+
+def _make_worker_limits(body: _Body) -> tuple[int, ...]:
+    limits = tuple(step.anti_affinity for step in body.steps)
+    return limits if any(limits) else ()
+
+
 def _make_tasks(key: str, step_index: int, step: _Step) -> list[jobs.Task]:
     needs = types.Needs(step.cpu / MILLICORES, step.mem_mb, step.gpu)
     label = step.required_labels
--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -16,6 +16,7 @@
 
 from agatepick.decisions import backoff
 from agatepick import exceptions
+from agatepick.platform import quantities
 from agatepick.platform import rows
 from agatepick.platform import worker
 from agatepick.repeatable import workerapi
@@ -48,9 +49,9 @@
 
     name: str
     pool: str
-    cpu: float
-    mem_mb: int
-    gpu: int
+    cpu: quantities.Amount
+    mem_mb: quantities.Count
+    gpu: quantities.Count
     labels: tuple[str, ...] = ()
 
 
--- a/src/agatepick/repeatable/jobs.py
+++ b/src/agatepick/repeatable/jobs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from agatepick.repeatable import routes
 from agatepick import types
@@ -32,6 +33,8 @@
     :param payload: input that each task receives.
     :param after: for each step, the steps that must end first.
     :param deadline: instant at which the caller stops waiting.
+    :param worker_limits: for each step, how many of its tasks may run on one
+        worker at a time, 0 for any number; empty if no step has a limit.
     """
 
     key: types.JobKey
@@ -40,6 +43,30 @@
     tasks: tuple[Task, ...]
     after: tuple[frozenset[int], ...]
     deadline: float
+    worker_limits: tuple[int, ...] = ()
+
+    def find_bad_field(self) -> str:
+        """Return the name of a field whose value can't be served.
+
+        A reducer that computes with it, or sends it in a message, would fail.
+
+        :returns: an empty string if there is none.
+        """
+        if not math.isfinite(self.deadline):
+            return 'deadline'
+        if any(limit < 0 for limit in self.worker_limits):
+            return 'worker_limits'
+        checked: Task | None = None
+        for task in self.tasks:
+            # Tasks of a step share their needs.
+            if checked is None or task.needs is not checked.needs:
+                field = task.needs.find_bad_field()
+                if field:
+                    return field
+            if not 0.0 <= task.expected_seconds < math.inf:
+                return 'expected_seconds'
+            checked = task
+        return ''
 
 
 class Verdict(enum.StrEnum):
--- a/src/agatepick/types.py
+++ b/src/agatepick/types.py
@@ -5,8 +5,16 @@
 
 import dataclasses
 import enum
+import sys
 import typing
 
+MAX_COUNT = 2**32 - 1
+"""Largest amount of memory in MiB, and largest number of accelerators, that a
+message between processes holds: its fields have 32 bits."""
+
+MAX_AMOUNT = sys.float_info.max
+"""Largest finite number of cores."""
+
 JobKey = str
 """A job's idempotency key, a UUID in its canonical text form."""
 
@@ -70,10 +78,20 @@
     accelerators: int = 0
 
     def __add__(self, other: 'Needs') -> 'Needs':
+        # Sums saturate: the needs of many tasks that each fit a message may
+        # exceed its fields together.
+        return Needs(
+            min(self.cpu + other.cpu, MAX_AMOUNT),
+            min(self.memory_mb + other.memory_mb, MAX_COUNT),
+            min(self.accelerators + other.accelerators, MAX_COUNT),
+        )
+
+    def times(self, count: int) -> 'Needs':
+        """Return the needs of some tasks that each have these."""
         return Needs(
-            self.cpu + other.cpu,
-            self.memory_mb + other.memory_mb,
-            self.accelerators + other.accelerators,
+            min(self.cpu * count, MAX_AMOUNT),
+            min(self.memory_mb * count, MAX_COUNT),
+            min(self.accelerators * count, MAX_COUNT),
         )
 
     def __sub__(self, other: 'Needs') -> 'Needs':
@@ -91,6 +109,20 @@
             min(self.accelerators, other.accelerators),
         )
 
+    def find_bad_field(self) -> str:
+        """Return the name of a field whose value no message can hold.
+
+        :returns: an empty string if there is none.
+        """
+        # Comparisons with NaN are false.
+        if not 0.0 <= self.cpu <= MAX_AMOUNT:
+            return 'cpu'
+        if not _is_count(self.memory_mb):
+            return 'memory_mb'
+        if not _is_count(self.accelerators):
+            return 'accelerators'
+        return ''
+
     def fits(self, other: 'Needs') -> bool:
         """Return whether these needs fit into ``other``."""
         return (
@@ -183,3 +215,7 @@
     def now(self) -> float:
         """Return the seconds since the epoch; the result never decreases."""
         ...
+
+
+def _is_count(value: float) -> bool:
+    return isinstance(value, int) and 0 <= value <= MAX_COUNT
