Keep the limit of a step on one worker, and place past blocked tasks

A task that lacked memory or accelerators kept all tasks with as many cores from being tried in a round, and 24 blocked jobs of one pool ended the round for all pools. A sum of needs beyond 32 bits ended each round in an exception. The smallest task of a capacity request could be one that fits no worker, so that agents granted nothing.

Change: spreading counts the runs of a step on each worker, those that may be going on included; tasks over the limit wait without a capacity request and aren't load for admission. A task isn't tried if one that needs no more of anything, with no more agents left out, was not placed; a pool's round ends after 24 blocked jobs or 64 tasks of different needs. An exception while one job is placed is left to Placing.pop_faults, and the round goes on. A job that was let in while no worker of its pool was known can be refused later (Admission.find_late_refusal).

--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -21,10 +21,12 @@
 import random
 import statistics
 
+from agatepick.net import messages
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
+from agatepick.repeatable import spreading
 
 RATE_TIME_CONSTANT_SECONDS = 1.0
 """Time constant of the moving average of the release rate: longer than several
@@ -65,6 +67,10 @@
 """Time for agents to connect after this process started: they find this entry
 in the store within 0.3 s, and a worker announces itself every 1.5 s."""
 
+ANNOUNCEMENT_SECONDS = 1.6
+"""Time within which all workers that run have announced themselves; they do so
+every 1.5 s."""
+
 MIN_RETRY_SECONDS = 1.0
 """Shortest retry delay, as the Retry-After header holds whole seconds."""
 
@@ -261,6 +267,22 @@
             return Refusal('overloaded', after, load)
         return None
 
+    def knows_workers(self, spec: jobs.Job) -> bool:
+        """Return whether any worker of a job's pool is known."""
+        return bool(self._get_rooms(spec))
+
+    def find_late_refusal(self, spec: jobs.Job, now: float) -> Refusal | None:
+        """Return why a job that was admitted without workers can't be run.
+
+        Load pattern: jobs that can never run come while an entry starts.  They
+        would wait for their whole time, and others behind them.
+        """
+        if now < self._reachable_since + ANNOUNCEMENT_SECONDS:
+            return None
+        if self._fits_anywhere(spec, now):
+            return None
+        return Refusal('no_worker', self.pick_retry_delay())
+
     def record_start(self, arrived_at: float, in_time: bool) -> None:
         """Record whether an admitted job started in time.
 
@@ -286,11 +308,7 @@
         one by one, and a job waits for them as long as it would for free
         capacity.
         """
-        rooms = [
-            worker.room
-            for worker in self._pool
-            if worker.room is not None and worker.room.pool == spec.route.pool
-        ]
+        rooms = self._get_rooms(spec)
         if not rooms:
             return True
         return all(
@@ -302,6 +320,13 @@
             for task in spec.tasks
         )
 
+    def _get_rooms(self, spec: jobs.Job) -> list[messages.Room]:
+        return [
+            worker.room
+            for worker in self._pool
+            if worker.room is not None and worker.room.pool == spec.route.pool
+        ]
+
     def _compute_load(
         self, spec: jobs.Job, latest_start: float, now: float
     ) -> Load:
@@ -309,13 +334,11 @@
         # urgent jobs would be refused although they could get all cores that
         # are released.
         needed = 0.0
+        workers = self._pool.usable_workers(spec.route.pool, '', now)
         for job in self._waiting.in_order():
             if not job.started and job.latest_start > latest_start:
                 break
-            needed += sum(
-                job.spec.tasks[index].needs.cpu for index in job.waiting
-            )
-        workers = self._pool.usable_workers(spec.route.pool, '', now)
+            needed += spreading.compute_waiting_cores(job, len(workers))
         median = pool.compute_median_cost(workers)
         free, share = 0.0, 0.0
         for worker in workers:
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks on workers, and requests for more capacity.
 
+Load pattern: more tasks than fit, of different sizes, in several pools.
 A task is assigned only when a worker has free capacity for it, so a straggler
 or a wrong estimate delays one slot and no queue behind it.  For tasks without
 capacity the entry sends the agents a request with the urgency of the first
@@ -8,15 +9,15 @@
 """
 
 import dataclasses
-import functools
+import itertools
 import math
-import operator
 
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import estimating
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
+from agatepick.repeatable import spreading
 from agatepick import types
 
 WANT_REPEAT_SECONDS = 0.25
@@ -32,9 +33,22 @@
 """Shortest pause between two capacity requests to a pool."""
 
 MAX_BLOCKED_JOBS = 24
-"""Number of jobs without capacity after which a placement round ends:
-otherwise a queue of hundreds would be searched at each message, and an entry
-with half a core spent all its time on that."""
+"""Number of jobs without capacity after which a placement round ends for their
+pool: otherwise a queue of hundreds would be searched at each message, and an
+entry with half a core spent all its time on that."""
+
+MAX_UNPLACED_SHAPES = 64
+"""Number of tasks of different needs without capacity after which a placement
+round ends for their pool: each of them is compared with all workers, and all
+later tasks with each of them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobFault:
+    """A job whose tasks can't be placed, as an exception was raised."""
+
+    job: owned_jobs.OwnedJob
+    error: Exception
 
 
 class Placing:
@@ -49,6 +63,7 @@
         self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
         self._open_grants: dict[types.PeerName, messages.Room] = {}
         self._last_wants: dict[str, _LastWant] = {}
+        self._faults: list[JobFault] = []
 
     def store_room(self, worker: pool.Worker, room: messages.Room) -> None:
         """Store an agent's capacity update, which may contain a grant."""
@@ -70,86 +85,77 @@
     ) -> list[object]:
         """Start the tasks that fit, the most urgent first.
 
-        Capacity is requested for the tasks that don't fit.
+        Capacity is requested for the tasks that don't fit.  Jobs that can't
+        be placed, as an exception was raised, are left to :meth:`pop_faults`.
 
         :param waiting: jobs with waiting tasks, the most urgent first.
         """
-        blocked = self._place_jobs(waiting, now) if waiting else []
-        blocked_by_pool: dict[str, list[owned_jobs.OwnedJob]] = {}
-        for job in blocked:
-            blocked_by_pool.setdefault(job.spec.route.pool, []).append(job)
-        wants = {
-            name: _build_want(jobs, now)
-            for name, jobs in blocked_by_pool.items()
-        }
-        effects = self._send_starts(wants)
-        for name, jobs in blocked_by_pool.items():
-            effects += self._send_want(name, wants[name], now)
+        current = _Round(self._pool, now)
+        self._place_jobs(waiting, current)
+        wants = current.build_wants()
+        effects = self._send_starts(wants, current)
+        for name, want in wants.items():
+            effects += self._send_want(name, want, now)
         # No task waits for the other pools any more.  Their agents get no
         # message: an agent with a grant for this entry receives the entry's
         # answer, and the others drop the request after a while.
         for name, last_want in self._last_wants.items():
-            if name not in blocked_by_pool:
+            if name not in wants:
                 self._last_wants[name] = dataclasses.replace(
                     last_want, latest_start=math.inf
                 )
         return effects
 
+    def pop_faults(self) -> list[JobFault]:
+        """Return the jobs that failed since the last call.
+
+        They are to be ended once the effects have been executed, which may
+        start some of their tasks.
+        """
+        faults, self._faults = self._faults, []
+        return faults
+
     def _place_jobs(
-        self, waiting: list[owned_jobs.OwnedJob], now: float
-    ) -> list[owned_jobs.OwnedJob]:
-        """Assign the tasks that fit, and return the jobs with tasks left."""
-        blocked: list[owned_jobs.OwnedJob] = []
-        candidates: dict[tuple[str, str], pool.Candidates] = {}
-        min_unplaced_cpu: dict[tuple[str, str], float] = {}
+        self, waiting: list[owned_jobs.OwnedJob], current: '_Round'
+    ) -> None:
         for job in waiting:
-            unplaced: list[int] = []
-            backing_off: list[int] = []
-            while job.waiting:
-                index = job.waiting.popleft()
-                if now < job.records[index].retry_at:
-                    backing_off.append(index)
-                    continue
-                task = job.spec.tasks[index]
-                pool_and_label = (job.spec.route.pool, task.label)
-                if pool_and_label not in candidates:
-                    candidates[pool_and_label] = self._pool.candidates(
-                        *pool_and_label, now
-                    )
-                # No worker had room for a task with as many cores or fewer.
-                if task.needs.cpu >= min_unplaced_cpu.get(
-                    pool_and_label, float('inf')
-                ):
-                    unplaced.append(index)
-                    continue
-                worker = self._choose(job, index, candidates[pool_and_label])
-                if worker is None:
-                    if not job.records[index].agents_to_avoid:
-                        min_unplaced_cpu[pool_and_label] = task.needs.cpu
-                    unplaced.append(index)
-                    continue
-                self._assign(job, index, worker, now)
-            job.waiting.extend(unplaced)
-            job.waiting.extend(backing_off)
-            if unplaced:
-                blocked.append(job)
-            if len(blocked) >= MAX_BLOCKED_JOBS:
-                break
-        return blocked
-
-    def _choose(
-        self,
-        job: owned_jobs.OwnedJob,
-        index: int,
-        candidates: pool.Candidates,
-    ) -> pool.Worker | None:
-        task = job.spec.tasks[index]
-        agents_to_avoid = job.records[index].agents_to_avoid
-        if agents_to_avoid and all(
-            worker.name in agents_to_avoid for worker in candidates.workers
-        ):
-            agents_to_avoid = frozenset()
-        return candidates.pick(task.needs, agents_to_avoid)
+            if current.is_exhausted(job.spec.route.pool):
+                continue
+            try:
+                self._place_job(job, current)
+            except Exception as exc:
+                self._faults.append(JobFault(job, exc))
+
+    def _place_job(self, job: owned_jobs.OwnedJob, current: '_Round') -> None:
+        """Assign the tasks of one job that fit; the others wait.
+
+        No capacity is requested for tasks that wait for the end of a run of
+        their own step: they couldn't use it.
+        """
+        spread = spreading.Spread(job)
+        without_room: list[int] = []
+        deferred: list[int] = []
+        held: list[int] = []
+        while job.waiting:
+            index = job.waiting.popleft()
+            if current.now < job.records[index].retry_at:
+                deferred.append(index)
+                continue
+            full = spread.full_agents(index)
+            if full and current.are_all_full(job, index, full):
+                held.append(index)
+                continue
+            worker = current.pick(job, index, full)
+            if worker is None:
+                without_room.append(index)
+                continue
+            self._assign(job, index, worker, current.now)
+            spread.add(index, worker.name)
+        job.waiting.extend(without_room)
+        job.waiting.extend(deferred)
+        job.waiting.extend(held)
+        if without_room:
+            current.add_demand(job, [*without_room, *deferred])
 
     def _assign(
         self,
@@ -160,6 +166,8 @@
     ) -> None:
         task = job.spec.tasks[index]
         record = job.records[index]
+        # An exception of the estimate must leave no run that is never sent.
+        expected = estimate_run_seconds(self._estimator, job, index)
         record.state = owned_jobs.TaskState.PLACED
         record.agent = worker.name
         record.run += 1
@@ -179,11 +187,13 @@
                 record.run,
                 task.name,
                 task.needs,
-                estimate_run_seconds(self._estimator, job, index),
+                expected,
             )
         )
 
-    def _send_starts(self, wants: dict[str, messages.Want]) -> list[object]:
+    def _send_starts(
+        self, wants: dict[str, messages.Want], current: '_Round'
+    ) -> list[object]:
         effects: list[object] = []
         for name in dict.fromkeys([*self._starts, *self._open_grants]):
             worker = self._pool.get(name)
@@ -191,6 +201,11 @@
                 continue
             worker.last_start_number += 1
             grant = self._open_grants.pop(name, None)
+            want = wants.get(worker.pool, messages.NO_WANT)
+            if name not in self._starts and current.is_limited(worker.pool):
+                # The agent would grant the same unused capacity once more, at
+                # once and without end.
+                want = messages.NO_WANT
             effects.append(
                 core.Send(
                     name,
@@ -198,7 +213,7 @@
                         worker.last_start_number,
                         grant.grant if grant else 0,
                         tuple(self._starts.get(name, ())),
-                        wants.get(worker.pool, messages.NO_WANT),
+                        want,
                         tuple(self._payloads.get(name, ())),
                     ),
                 )
@@ -260,13 +275,175 @@
     return estimator.estimate_run(job.spec, task, siblings)
 
 
-def _build_want(
-    blocked: list[owned_jobs.OwnedJob], now: float
-) -> messages.Want:
-    needs = [
-        job.spec.tasks[index].needs for job in blocked for index in job.waiting
-    ]
-    least = min(needs, key=lambda task_needs: task_needs.cpu)
-    latest_start = min(job.latest_start for job in blocked)
-    total = functools.reduce(operator.add, needs)
-    return messages.Want(len(needs), least, latest_start - now, total)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unplaced:
+    """Needs of a task that fit no worker in this round.
+
+    :param excluded: agents that were left out.
+    """
+
+    needs: types.Needs
+    excluded: frozenset[types.PeerName]
+
+
+@dataclasses.dataclass(slots=True)
+class _Demand:
+    """Tasks of one pool without capacity.
+
+    :ivar least: needs of the smallest task that fits an empty worker, or of
+        the smallest one if none does: agents grant no capacity in which this
+        task doesn't fit.
+    :ivar least_rank: sort key of that task.
+    :ivar latest_start: latest start of the most urgent job.
+    :ivar limited: whether a job may use only some of the workers.
+    """
+
+    job_count: int = 0
+    task_count: int = 0
+    least: types.Needs = types.Needs()
+    least_rank: tuple[bool, float] = (True, math.inf)
+    total: types.Needs = types.Needs()
+    latest_start: float = math.inf
+    limited: bool = False
+
+
+class _Round:
+    """State of one placement round.
+
+    Capacity only shrinks within a round: a task that needs no less than one
+    which fitted no worker isn't tried.
+    """
+
+    def __init__(self, workers: pool.Pool, now: float) -> None:
+        self.now = now
+        self._workers = workers
+        self._candidates: dict[tuple[str, str], pool.Candidates] = {}
+        self._unplaced: dict[tuple[str, str], list[_Unplaced]] = {}
+        self._shape_counts: dict[str, int] = {}
+        self._demands: dict[str, _Demand] = {}
+        self._fits: dict[tuple[str, types.Needs], bool] = {}
+
+    def is_exhausted(self, pool_name: str) -> bool:
+        """Return whether no more jobs of a pool are tried in this round."""
+        demand = self._demands.get(pool_name)
+        return demand is not None and demand.job_count >= MAX_BLOCKED_JOBS
+
+    def pick(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        full: frozenset[types.PeerName],
+    ) -> pool.Worker | None:
+        """Return the worker for a task, or ``None`` if there is none.
+
+        :param full: agents that may get no more tasks of this step.
+        """
+        task = job.spec.tasks[index]
+        candidates = self._get_candidates(job, task.label)
+        to_avoid = job.records[index].agents_to_avoid
+        if to_avoid and all(
+            worker.name in to_avoid or worker.name in full
+            for worker in candidates.workers
+        ):
+            to_avoid = frozenset()
+        excluded = to_avoid | full if full else to_avoid
+        if not self._is_worth_trying(job, index, excluded):
+            return None
+        worker = candidates.pick(task.needs, excluded)
+        if worker is None:
+            self._record_unplaced(job, index, excluded)
+        return worker
+
+    def are_all_full(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        full: frozenset[types.PeerName],
+    ) -> bool:
+        """Return whether no agent may get more tasks of a task's step."""
+        label = job.spec.tasks[index].label
+        return all(
+            worker.name in full
+            for worker in self._get_candidates(job, label).workers
+        )
+
+    def add_demand(self, job: owned_jobs.OwnedJob, indexes: list[int]) -> None:
+        """Add the tasks of a job for which there is no capacity."""
+        demand = self._demands.setdefault(job.spec.route.pool, _Demand())
+        demand.job_count += 1
+        demand.latest_start = min(demand.latest_start, job.latest_start)
+        demand.limited = demand.limited or bool(job.spec.worker_limits)
+        # Tasks of a step share their needs.
+        all_needs = [job.spec.tasks[index].needs for index in indexes]
+        for needs, tasks in itertools.groupby(all_needs):
+            count = sum(1 for _ in tasks)
+            demand.task_count += count
+            demand.total = demand.total + needs.times(count)
+            rank = (not self._fits_any(job, needs), needs.cpu)
+            if rank < demand.least_rank:
+                demand.least, demand.least_rank = needs, rank
+
+    def build_wants(self) -> dict[str, messages.Want]:
+        """Return the capacity request for each pool without capacity."""
+        return {
+            name: messages.Want(
+                demand.task_count,
+                demand.least,
+                demand.latest_start - self.now,
+                demand.total,
+            )
+            for name, demand in self._demands.items()
+        }
+
+    def is_limited(self, pool_name: str) -> bool:
+        """Return whether a pool's tasks include some that not all may get."""
+        demand = self._demands.get(pool_name)
+        return demand is not None and demand.limited
+
+    def _fits_any(self, job: owned_jobs.OwnedJob, needs: types.Needs) -> bool:
+        """Return whether some worker of a job's pool is large enough."""
+        pool_name = job.spec.route.pool
+        key = (pool_name, needs)
+        if key not in self._fits:
+            self._fits[key] = any(
+                worker.pool == pool_name
+                and worker.room is not None
+                and needs.fits(worker.room.capacity)
+                for worker in self._workers
+            )
+        return self._fits[key]
+
+    def _get_candidates(
+        self, job: owned_jobs.OwnedJob, label: str
+    ) -> pool.Candidates:
+        key = (job.spec.route.pool, label)
+        if key not in self._candidates:
+            self._candidates[key] = self._workers.candidates(*key, self.now)
+        return self._candidates[key]
+
+    def _is_worth_trying(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        excluded: frozenset[types.PeerName],
+    ) -> bool:
+        pool_name, task = job.spec.route.pool, job.spec.tasks[index]
+        if self._shape_counts.get(pool_name, 0) >= MAX_UNPLACED_SHAPES:
+            return False
+        return not any(
+            unplaced.needs.fits(task.needs) and unplaced.excluded <= excluded
+            for unplaced in self._unplaced.get((pool_name, task.label), ())
+        )
+
+    def _record_unplaced(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        excluded: frozenset[types.PeerName],
+    ) -> None:
+        pool_name, task = job.spec.route.pool, job.spec.tasks[index]
+        count = self._shape_counts.get(pool_name, 0)
+        self._shape_counts[pool_name] = count + 1
+        self._unplaced.setdefault((pool_name, task.label), []).append(
+            _Unplaced(task.needs, excluded)
+        )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -18,7 +18,9 @@
 TASK = types.Needs(6.0, 64, 0)
 
 
-def make_worker(name, free=0.0, pool_name='p', grant=0):
+def make_worker(
+    name, free=0.0, pool_name='p', grant=0, memory_mb=64, capacity=TASK + TASK
+):
     worker = pool.Worker(name, 1, 'z', '', renewed_at=NOW)
     worker.update_room(
         messages.Room(
@@ -26,25 +28,28 @@
             True,
             pool_name,
             (),
-            TASK + TASK,
-            types.Needs(free, 64, 0),
+            capacity,
+            types.Needs(free, memory_mb, 0),
             grant,
         )
     )
     return worker
 
 
-def make_job(key, latest, pool_name='p', tasks=1):
+def make_job(key, latest, pool_name='p', tasks=1, needs=TASK, limit=0):
     spec = jobs.Job(
         key=key,
         route=routes.Route('q', 'host', '/q/', pool_name),
         payload=b'',
         tasks=tuple(
-            jobs.Task(f'{key}.{index}', 0, TASK, 0.1) for index in range(tasks)
+            jobs.Task(f'{key}.{index}', 0, needs, 0.1)
+            for index in range(tasks)
         ),
         after=(frozenset(),),
         deadline=NOW + 10.0,
     )
+    if limit:
+        spec = dataclasses.replace(spec, worker_limits=(limit,))
     job = owned_jobs.OwnedJob(1, spec, NOW, latest, 0.1)
     job.queue_ready_tasks()
     return job
@@ -133,3 +138,140 @@
         placer.place([job], NOW + 0.02), messages.StartRuns
     )['a']
     assert starts.want == messages.NO_WANT
+
+
+def list_started(effects):
+    """Return the jobs of all started runs, in order."""
+    return [
+        run.job
+        for starts in collect_messages(effects, messages.StartRuns).values()
+        for message in starts
+        for run in message.runs
+    ]
+
+
+def test_a_task_that_lacks_memory_holds_back_no_small_one(workers, placer):
+    """A job of one core and much memory waits before one of six cores.
+
+    If tasks were compared by their cores alone, the second job would wait for
+    the memory of the first one, which it doesn't need.
+    """
+    workers.add(make_worker('a', free=12.0, memory_mb=128))
+    waiting = [
+        make_job('large', NOW + 0.1, needs=types.Needs(1.0, 4096, 0)),
+        make_job('gpu', NOW + 0.1, needs=types.Needs(1.0, 64, 1)),
+        make_job('small', NOW + 0.2, tasks=2),
+    ]
+    effects = placer.place(waiting, NOW)
+    assert list_started(effects) == ['small', 'small']
+    assert [len(job.waiting) for job in waiting] == [1, 1, 0]
+
+
+def test_blocked_jobs_of_one_pool_hold_back_no_other_pool(workers, placer):
+    """One pool is full, and many of its jobs wait before one of another."""
+    workers.add(make_worker('a'))
+    workers.add(make_worker('b', free=12.0, pool_name='r'))
+    waiting = [
+        make_job(f'j{number}', NOW + 0.1)
+        for number in range(2 * placing.MAX_BLOCKED_JOBS)
+    ]
+    waiting.append(make_job('other', NOW + 0.2, pool_name='r'))
+    effects = placer.place(waiting, NOW)
+    assert list_started(effects) == ['other']
+    (want,) = collect_messages(effects, messages.Want)['a']
+    assert want.count == placing.MAX_BLOCKED_JOBS
+
+
+def test_the_cost_of_a_round_is_bounded(monkeypatch, workers, placer):
+    """Hundreds of tasks wait, and no two of them need the same.
+
+    If each were compared with all workers in each round, an entry would have
+    no time for its callers.
+    """
+    picks = []
+    pick = pool.Candidates.pick
+
+    def count(candidates, needs, to_avoid):
+        picks.append(needs)
+        return pick(candidates, needs, to_avoid)
+
+    monkeypatch.setattr(pool.Candidates, 'pick', count)
+    workers.add(make_worker('a'))
+    waiting = [
+        make_job(
+            f'j{number}', NOW + 0.1, needs=types.Needs(900.0 - number, number)
+        )
+        for number in range(800)
+    ]
+    placer.place(waiting, NOW)
+    assert len(picks) <= placing.MAX_BLOCKED_JOBS
+    steps = tuple(
+        jobs.Task(f'w.{index}', 0, types.Needs(900.0 - index, index), 0.1)
+        for index in range(800)
+    )
+    wide = make_job('w', NOW + 0.1, tasks=800)
+    wide.spec = dataclasses.replace(wide.spec, tasks=steps)
+    picks.clear()
+    placer.place([wide], NOW)
+    assert len(picks) <= placing.MAX_UNPLACED_SHAPES
+    assert len(wide.waiting) == 800
+
+
+def test_a_request_for_more_than_a_message_holds_is_bounded(workers, placer):
+    """Jobs that declare bytes in a field for MiB wait for memory.
+
+    The sum of their needs fits no message: each placement round would fail,
+    and with it the starts of all other jobs.
+    """
+    workers.add(make_worker('a', free=12.0))
+    huge = types.Needs(1.0, 2**31, 2**31)
+    waiting = [
+        make_job('huge', NOW + 0.1, tasks=64, needs=huge),
+        make_job('small', NOW + 0.2),
+    ]
+    effects = placer.place(waiting, NOW)
+    assert list_started(effects) == ['small']
+    (starts,) = collect_messages(effects, messages.StartRuns)['a']
+    assert starts.want.total.memory_mb == types.MAX_COUNT
+    assert messages.decode(messages.encode(starts)) == starts
+
+
+def test_a_task_that_fits_no_worker_is_not_the_smallest_requested(
+    workers, placer
+):
+    """The task with the fewest cores needs more memory than a worker has.
+
+    Agents grant capacity in which the smallest task fits, so they would grant
+    none for the other tasks of the entry.
+    """
+    workers.add(make_worker('a'))
+    huge = types.Needs(1.0, 2**31, 0)
+    waiting = [
+        make_job('huge', NOW + 0.1, needs=huge),
+        make_job('small', NOW + 0.2),
+    ]
+    effects = placer.place(waiting, NOW)
+    (want,) = collect_messages(effects, messages.Want)['a']
+    assert (want.count, want.least) == (2, TASK)
+
+
+def test_a_grant_that_a_limited_step_can_not_use_is_not_repeated(
+    workers, placer
+):
+    """An agent grants capacity, but already runs a task of the only job.
+
+    If the answer repeated the request, the agent would grant the same capacity
+    again at once: messages would go to and fro without end.
+    """
+    first = make_worker('a', free=6.0, memory_mb=64)
+    workers.add(first)
+    workers.add(make_worker('b'))
+    job = make_job('j', NOW + 0.1, tasks=2, limit=1)
+    assert list_started(placer.place([job], NOW)) == ['j']
+    room = messages.Room(1, True, 'p', (), TASK + TASK, TASK, grant=7, taken=1)
+    placer.store_room(first, room)
+    effects = placer.place([job], NOW + 0.01)
+    (starts,) = collect_messages(effects, messages.StartRuns)['a']
+    assert (starts.grant, starts.runs) == (7, ())
+    assert starts.want == messages.NO_WANT
+    assert len(job.waiting) == 1
