Hold an exception within the job, report, step or message that raised it

A job that was answered already and whose last run failed for the last time was never removed: its id was refused as "ending" for ever.

A job that a step fails on is answered alone: not run only if no task was started, else given up and its runs stopped. Reports, starts, checks and an agent's steps are handled one by one. runtime.shell handles the other events and effects of its queue and feeds a message that can't be encoded back as core.SendFailed: the entry finds the jobs that are the cause and takes the other runs back; an agent sends its reports again without the worker's text. While an agent can't enforce leases nothing extends them. The library's own daemons raise the first exception as before, once the other events are handled.

--- a/src/agatepick/core.py
+++ b/src/agatepick/core.py
@@ -55,6 +55,18 @@
     """Event that a graceful stop of the process was requested."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendFailed:
+    """Event that a message could not be sent, as its encoding failed.
+
+    :param reason: name of the exception's class.
+    """
+
+    peer: types.PeerName
+    message: messages.Message
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
     """Effect that sends a message to a peer, if it is connected."""
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -11,6 +11,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import events
+from agatepick.repeatable import faults
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
 from agatepick.repeatable import policies
@@ -71,10 +72,12 @@
         self._closed_zones: frozenset[str] | None = None
         self._stopping_at: float | None = None
         self._renewed_at = 0.0
+        self._leases_enforced = True
         self._handlers: dict[type, core.Handler] = {
             core.Received: self._on_received,
             core.PeerUp: self._on_peer_up,
             core.PeerDown: self._on_peer_down,
+            core.SendFailed: self._on_send_failed,
             core.Tick: self._on_tick,
             core.StopRequested: self._on_stop,
             events.EntriesListed: self._on_listed,
@@ -95,6 +98,16 @@
             messages.Want: self._handle_want,
             messages.Renewed: self._handle_renewed,
         }
+        self._later_steps: tuple[
+            tuple[str, typing.Callable[[float], list[object]]], ...
+        ] = (
+            ('lists', self._request_lists),
+            ('reports', self._reports.flush),
+            ('overdue', self._record_overdue_runs),
+            ('publish', self._publish),
+            ('stop', self._finish_stop),
+            ('wake', self._wake),
+        )
 
     @classmethod
     def from_config(cls, cfg: AgentConfig, incarnation: int) -> 'Agent':
@@ -109,21 +122,29 @@
         handler = self._handlers.get(type(event))
         if handler is None:
             return [core.note('unexpected_event', kind=type(event).__name__)]
+        effects = self._handle(handler, event, now)
+        for where, step in self._later_steps:
+            effects += faults.contain(where, step, now)
+        return effects
+
+    def _handle(
+        self, handler: core.Handler, event: object, now: float
+    ) -> list[object]:
         # Runs whose lease has expired are stopped before the event is handled,
         # so that a late renewal can't revive them.
-        effects = self._controller.enforce_leases(now)
-        effects += handler(event, now)
-        effects += self._controller.request_lists(now)
-        effects += self._reports.flush(now)
-        self._controller.record_overdue_runs(now)
-        effects += self._publisher.publish(
-            self._controller.worker, self._is_open(now), self._owners, now
+        try:
+            effects = self._controller.enforce_leases(now)
+            self._leases_enforced = True
+        except Exception as exc:
+            # A run that should have been stopped may go on: nothing extends
+            # the worker's lease, so that the worker ends it.
+            effects = [faults.note('leases', exc)]
+            self._leases_enforced = False
+            if _is_renewal(event):
+                return effects
+        return effects + faults.contain(
+            type(event).__name__, handler, event, now
         )
-        effects += self._finish_stop(now)
-        wake = self._next_wake(now)
-        if wake is not None:
-            effects.append(core.WakeAt(wake))
-        return effects
 
     def gauges(self, now: float) -> dict[str, float]:
         """Return the agent's gauges by name; see ``measures.GAUGES``."""
@@ -207,6 +228,27 @@
             effects += self._abandon(owner, 'owner_dead', now)
         return effects
 
+    def _on_send_failed(
+        self, event: core.SendFailed, now: float
+    ) -> list[object]:
+        """Send reports again without the worker's text and times.
+
+        Otherwise the entry would count the runs as going on.
+        """
+        effects: list[object] = [
+            core.note(
+                'send_failed',
+                peer=event.peer,
+                kind=type(event.message).__name__,
+                reason=event.reason,
+            )
+        ]
+        if isinstance(event.message, messages.RunReports):
+            plain = reports.make_plain(event.message)
+            if plain != event.message:
+                effects.append(core.Send(event.peer, plain))
+        return effects
+
     def _on_received(self, event: core.Received, now: float) -> list[object]:
         owner = self._owners.get(event.peer)
         handle = self._message_handlers.get(type(event.message))
@@ -248,7 +290,12 @@
             payload = new_payloads.get(
                 spec.job, owner.payload_cache.get(spec.job)
             )
-            effects += self._start(owner, spec, payload, now)
+            try:
+                effects += self._start(owner, spec, payload, now)
+            except Exception as exc:
+                ref = messages.RunRef(spec.job, spec.index, spec.run)
+                effects.append(faults.note('start', exc, job=spec.job))
+                effects += self._controller.refuse(owner, ref, faults.REASON)
         return effects
 
     def _start(
@@ -265,7 +312,14 @@
         reason = self._find_refusal(owner, spec, now)
         if reason:
             return self._controller.refuse(owner, ref, reason)
-        return self._controller.start(owner, spec, payload, now)
+        try:
+            return self._controller.start(owner, spec, payload, now)
+        except Exception as exc:
+            if spec.name in self._controller.runs:
+                # It is known as a run, so its start is sent again.
+                return [faults.note('start', exc, job=spec.job)]
+            self._capacity.release(spec.needs)
+            raise
 
     def _find_refusal(
         self, owner: runs.Owner, spec: messages.RunSpec, now: float
@@ -276,6 +330,8 @@
             # The start message arrived after the entry's lease had expired:
             # the entry may have queued the task again.
             return 'lease'
+        if not self._leases_enforced:
+            return faults.REASON
         if spec.name in self._controller.runs:
             return 'busy'
         if not self._capacity.acquire(spec.needs):
@@ -360,7 +416,24 @@
                 effects += self._controller.stop(run, now)
         return effects
 
-    def _next_wake(self, now: float) -> float | None:
+    def _request_lists(self, now: float) -> list[object]:
+        if not self._leases_enforced:
+            return []
+        return self._controller.request_lists(now)
+
+    def _record_overdue_runs(self, now: float) -> list[object]:
+        self._controller.record_overdue_runs(now)
+        return []
+
+    def _publish(self, now: float) -> list[object]:
+        return self._publisher.publish(
+            self._controller.worker, self._is_open(now), self._owners, now
+        )
+
+    def _wake(self, now: float) -> list[object]:
+        return [core.WakeAt(self._next_wake(now))]
+
+    def _next_wake(self, now: float) -> float:
         wakes = [self._renewed_at + leases.RENEWAL_INTERVAL_SECONDS]
         expiry = self._capacity.next_expiry()
         if expiry is not None:
@@ -372,3 +445,9 @@
         if controller_at is not None:
             wakes.append(controller_at)
         return max(now, min(wakes))
+
+
+def _is_renewal(event: object) -> bool:
+    return isinstance(event, core.Received) and isinstance(
+        event.message, messages.Renewed
+    )
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -15,6 +15,7 @@
 from agatepick.repeatable import admission
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
+from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned_jobs
@@ -73,6 +74,7 @@
             self._estimator,
             self._admission.release_rate,
             self._end_job,
+            self._fail_job,
         )
         self._stragglers = stragglers.Stragglers(self._pool, self._estimator)
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
@@ -87,6 +89,7 @@
             core.Received: self._on_received,
             core.PeerUp: self._on_peer_up,
             core.PeerDown: self._on_peer_down,
+            core.SendFailed: self._on_send_failed,
             core.Tick: self._on_tick,
             core.StopRequested: self._on_stop,
             events.JobArrived: self._on_job,
@@ -110,7 +113,10 @@
         handler = self._handlers.get(type(event))
         if handler is None:
             return [core.note('unexpected_event', kind=type(event).__name__)]
-        effects: list[object] = handler(event, now)
+        try:
+            effects = handler(event, now)
+        except Exception as exc:
+            effects = self._contain(event, exc, now)
         if self._placement_due and self._may_place():
             # Tasks are placed after all events that have arrived so far: a
             # busy entry handles hundreds of messages in one iteration of its
@@ -120,6 +126,24 @@
             effects.append(core.WakeAt(now + JOB_CHECK_SECONDS))
         return effects
 
+    def _contain(
+        self, event: object, exc: Exception, now: float
+    ) -> list[object]:
+        """Return the effects of an event whose handler raised an exception.
+
+        A caller whose job can't be handled gets its answer at once.
+        """
+        if not isinstance(event, events.JobArrived):
+            return [faults.note(type(event).__name__, exc)]
+        job = self._jobs_by_call.get(event.call)
+        if job is not None:
+            return self._fail_job(job, 'JobArrived', exc, now)
+        answer = jobs.Answer(jobs.Verdict.NOT_RUN, faults.REASON, 1.0)
+        return [
+            faults.note('JobArrived', exc, job=event.job.key),
+            events.Reply(event.call, answer),
+        ]
+
     def _may_place(self) -> bool:
         """Return whether a placement round could send anything.
 
@@ -185,6 +209,9 @@
             return [core.note('job_rejoined', job=spec.key)]
         if existing is not None:
             return self._refuse_call(event.call, spec, 'ending', 1.0)
+        bad_field = spec.find_bad_field()
+        if bad_field:
+            return self._refuse_call(event.call, spec, f'bad_{bad_field}', 0.0)
         longest = self._estimator.estimate_longest_chain(spec)
         if not self._stopping.accepts(longest, now):
             return self._refuse_call(event.call, spec, 'stopping', 1.0)
@@ -204,6 +231,7 @@
             self._admission.compute_latest_start(spec, now),
             longest,
         )
+        job.fit_unknown = not self._admission.knows_workers(spec)
         self._jobs_by_call[event.call] = job
         self._jobs.add(job)
         job.queue_ready_tasks()
@@ -289,14 +317,23 @@
         self, job: owned_jobs.OwnedJob, answer: jobs.Answer, now: float
     ) -> list[object]:
         """Answer a job's callers and stop the runs that remain."""
-        if answer.verdict is jobs.Verdict.COMPLETE:
-            in_time = not job.started_late()
-            self._admission.record_start(job.arrived_at, in_time)
         job.answered = True
         job.waiting.clear()
         for call in job.calls:
             self._jobs_by_call.pop(call, None)
-        effects: list[object] = [
+        effects = faults.contain('end', self._record_end, job, answer, now)
+        effects += [events.Reply(call, answer) for call in job.calls]
+        effects += owned_jobs.stop_runs(job, job.placed_indexes())
+        self._jobs.remove_if_ended(job)
+        return effects
+
+    def _record_end(
+        self, job: owned_jobs.OwnedJob, answer: jobs.Answer, now: float
+    ) -> list[object]:
+        if answer.verdict is jobs.Verdict.COMPLETE:
+            in_time = not job.started_late()
+            self._admission.record_start(job.arrived_at, in_time)
+        return [
             core.note(
                 'job_ended',
                 job=job.spec.key,
@@ -310,12 +347,29 @@
                 ),
                 slowest=f'{job.compute_longest_run():.3f}',
                 late=f'{now - job.objective_ends_at:.3f}',
-            ),
-            *[events.Reply(call, answer) for call in job.calls],
+            )
         ]
-        effects += owned_jobs.stop_runs(job, job.placed_indexes())
-        self._jobs.remove_if_ended(job)
-        return effects
+
+    def _fail_job(
+        self,
+        job: owned_jobs.OwnedJob,
+        where: str,
+        exc: Exception,
+        now: float,
+    ) -> list[object]:
+        """End a job alone that some step failed on.
+
+        :param where: the step.
+        """
+        effects: list[object] = [faults.note(where, exc, job=job.spec.key)]
+        if job.answered:
+            self._jobs.remove_if_ended(job)
+            return effects
+        verdict = jobs.Verdict.GIVEN_UP
+        if not job.started:
+            verdict = jobs.Verdict.NOT_RUN
+        answer = jobs.Answer(verdict, faults.REASON, 1.0)
+        return effects + self._end_job(job, answer, now)
 
     # Agents
 
@@ -353,6 +407,25 @@
         self._disconnected_at[event.peer] = now
         return [core.note('agent_down', peer=event.peer)]
 
+    def _on_send_failed(
+        self, event: core.SendFailed, now: float
+    ) -> list[object]:
+        effects: list[object] = [
+            core.note(
+                'send_failed',
+                peer=event.peer,
+                kind=type(event.message).__name__,
+                reason=event.reason,
+            )
+        ]
+        worker = self._pool.get(event.peer)
+        if worker is None or not isinstance(event.message, messages.StartRuns):
+            return effects
+        self._placement_due = True
+        return effects + self._outcomes.handle_unsent(
+            worker, event.message, now
+        )
+
     def _on_received(self, event: core.Received, now: float) -> list[object]:
         worker = self._pool.get(event.peer)
         handle = self._message_handlers.get(type(event.message))
@@ -392,11 +465,23 @@
     def _place(self, now: float) -> list[object]:
         self._placement_due = False
         self._placed_at = now
-        return self._placing.place(self._waiting.in_order(), now)
+        effects = self._placing.place(self._waiting.in_order(), now)
+        # Stops of a failed job follow the starts of its first tasks.
+        for fault in self._placing.pop_faults():
+            effects += self._fail_job(fault.job, 'place', fault.error, now)
+        return effects
 
     # Time
 
     def _on_tick(self, event: core.Tick, now: float) -> list[object]:
+        effects = faults.contain('agents', self._forget_agents, now)
+        effects += faults.contain('check', self._check_leases_and_jobs, now)
+        due = self._placement_due or now >= self._placed_at + PLACE_SECONDS
+        if due and self._may_place():
+            effects += faults.contain('place', self._place, now)
+        return effects + faults.contain('stop', self._finish_stop, now)
+
+    def _forget_agents(self, now: float) -> list[object]:
         for name, disconnected_at in list(self._disconnected_at.items()):
             worker = self._pool.get(name)
             if worker is None or worker.connected:
@@ -407,11 +492,7 @@
             ):
                 del self._disconnected_at[name]
                 self._pool.remove(name)
-        effects = self._check_leases_and_jobs(now)
-        due = self._placement_due or now >= self._placed_at + PLACE_SECONDS
-        if due and self._may_place():
-            effects += self._place(now)
-        return effects + self._finish_stop(now)
+        return []
 
     def _check_leases_and_jobs(self, now: float) -> list[object]:
         if now < self._checked_at + JOB_CHECK_SECONDS:
@@ -428,7 +509,10 @@
             worker for worker in self._former_workers if worker.placed
         ]
         for job in self._jobs.open_jobs():
-            effects += self._check_job(job, now)
+            try:
+                effects += self._check_job(job, now)
+            except Exception as exc:
+                effects += self._fail_job(job, 'check', exc, now)
         return effects
 
     def _check_job(self, job: owned_jobs.OwnedJob, now: float) -> list[object]:
@@ -444,6 +528,13 @@
                 jobs.Verdict.NOT_RUN, 'waited_too_long', after
             )
             return self._end_job(job, answer, now)
+        if job.fit_unknown and not job.started:
+            refusal = self._admission.find_late_refusal(job.spec, now)
+            if refusal is not None:
+                answer = jobs.Answer(
+                    jobs.Verdict.NOT_RUN, refusal.reason, refusal.retry_after
+                )
+                return self._end_job(job, answer, now)
         slow_runs = self._stragglers.mark_stragglers(job, now)
         stops = owned_jobs.stop_runs(job, [run.index for run in slow_runs])
         return [*[run.note for run in slow_runs], *stops]
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -3,8 +3,12 @@
 A task whose run finished is done.  A task whose run failed, was refused or
 ended without a result waits again, until it has failed as often as its queue
 allows: only then its job is answered as failed.
+
+A run whose start could not be put into a message never began, and its task
+waits again.  An exception while one run's state is handled ends its job alone.
 """
 
+import dataclasses
 import typing
 
 from agatepick import core
@@ -12,10 +16,12 @@
 from agatepick.net import messages
 from agatepick.repeatable import admission
 from agatepick.repeatable import estimating
+from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import reports
+from agatepick.repeatable import unsent
 from agatepick import types
 
 STALE_RUN_STEP = 64
@@ -29,12 +35,15 @@
 refusal on.  If all workers are unwell, the task would otherwise circulate
 among them without a delay."""
 
-_WORKER_REASONS = frozenset({'stale_run', 'unwell'})
+_WORKER_REASONS = frozenset({'stale_run', 'unwell', faults.REASON})
 """Reasons of refusals that the worker's free capacity doesn't explain."""
 
 EndJob = typing.Callable[
     [owned_jobs.OwnedJob, jobs.Answer, float], list[object]
 ]
+FailJob = typing.Callable[
+    [owned_jobs.OwnedJob, str, Exception, float], list[object]
+]
 
 
 class Outcomes:
@@ -42,6 +51,7 @@
 
     :param release_rate: records the cores that ended runs release.
     :param end_job: answers a job's callers.
+    :param fail_job: ends a job after an exception.
     """
 
     def __init__(
@@ -51,12 +61,14 @@
         estimator: estimating.Estimator,
         release_rate: admission.ReleaseRate,
         end_job: EndJob,
+        fail_job: FailJob,
     ) -> None:
         self._jobs = all_jobs
         self._waiting = waiting
         self._estimator = estimator
         self._release_rate = release_rate
         self._end_job = end_job
+        self._fail_job = fail_job
 
     def handle_reports(
         self, worker: pool.Worker, message: messages.RunReports, now: float
@@ -66,7 +78,12 @@
         known: set[pool.TaskKey] = set()
         for report in message.reports:
             known.add((report.job, report.index))
-            effects += self._handle_report(worker, report, now)
+            try:
+                effects += self._handle_report(worker, report, now)
+            except Exception as exc:
+                over = report.state != types.RunState.RUNNING
+                ref = messages.RunRef(report.job, report.index, report.run)
+                effects += self._fail_run(worker, ref, over, exc, now)
         if not message.whole:
             return effects
         for key in list(worker.placed):
@@ -76,6 +93,55 @@
                 )
         return effects
 
+    def handle_unsent(
+        self, worker: pool.Worker, message: messages.StartRuns, now: float
+    ) -> list[object]:
+        """Handle a start message that could not be encoded.
+
+        The jobs that are the cause end, and the tasks of the others wait
+        again.
+        """
+        causes = unsent.find_causes(message)
+        if not causes and message.want != messages.NO_WANT:
+            without_want = dataclasses.replace(message, want=messages.NO_WANT)
+            return [core.Send(worker.name, without_want)]
+        worker.drop_start(message.number)
+        failed: dict[types.JobKey, owned_jobs.OwnedJob] = {}
+        effects: list[object] = []
+        for spec in message.runs:
+            worker.placed.pop((spec.job, spec.index), None)
+            job = self._jobs.get(spec.job)
+            if job is None or not job.take_back(
+                spec.index, worker.name, spec.run
+            ):
+                continue
+            if spec.job in causes:
+                failed[spec.job] = job
+            effects += self._requeue(job, spec.index, 'unsent', now)
+        for key, job in failed.items():
+            effects += self._fail_job(job, 'encode', causes[key], now)
+        return effects
+
+    def _fail_run(
+        self,
+        worker: pool.Worker,
+        ref: messages.RunRef,
+        over: bool,
+        exc: Exception,
+        now: float,
+    ) -> list[object]:
+        """End the job of a run whose state could not be handled.
+
+        :param over: whether the run is certainly over.
+        """
+        job = self._jobs.get(ref.job)
+        if job is None or ref.index >= len(job.records):
+            return [faults.note('report', exc, job=ref.job)]
+        record = job.records[ref.index]
+        if over and record.agent == worker.name and record.run == ref.run:
+            record.state = owned_jobs.TaskState.ENDED
+        return self._fail_job(job, 'report', exc, now)
+
     def _handle_report(
         self, worker: pool.Worker, report: messages.RunReport, now: float
     ) -> list[object]:
@@ -134,14 +200,14 @@
         record = job.records[report.index]
         record.failure_count += 1
         record.agents_to_avoid = record.agents_to_avoid | {worker.name}
-        effects: list[object] = []
         if record.failure_count >= job.spec.route.max_attempts:
             record.state = owned_jobs.TaskState.ENDED
-            if not job.answered:
-                answer = jobs.Answer(jobs.Verdict.FAILED, 'task_failed')
-                effects += self._end_job(job, answer, now)
-            return effects
-        return effects + self._requeue(job, report.index, 'failed', now)
+            if job.answered:
+                self._jobs.remove_if_ended(job)
+                return []
+            answer = jobs.Answer(jobs.Verdict.FAILED, 'task_failed')
+            return self._end_job(job, answer, now)
+        return self._requeue(job, report.index, 'failed', now)
 
     def _handle_refused(
         self,
@@ -158,7 +224,7 @@
                 record.retry_at = now + pause
         if report.reason == 'stale_run':
             record.run += STALE_RUN_STEP
-        elif report.reason == 'unwell':
+        elif report.reason in ('unwell', faults.REASON):
             record.agents_to_avoid = record.agents_to_avoid | {worker.name}
         elif report.reason == reports.NO_PAYLOAD:
             worker.payload_cache.clear()
@@ -208,5 +274,9 @@
         """Queue the tasks of a worker's runs again, as all these are over."""
         effects: list[object] = []
         for key in list(worker.placed):
-            effects += self._requeue_lost(worker, key, reason, now)
+            ref = messages.RunRef(*key, worker.placed[key].run)
+            try:
+                effects += self._requeue_lost(worker, key, reason, now)
+            except Exception as exc:
+                effects += self._fail_run(worker, ref, True, exc, now)
         return effects
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -67,6 +67,7 @@
     :ivar calls: requests that wait for its answer; more than one if a caller
         submitted the job again.
     :ivar open_task_count: number of tasks that haven't finished.
+    :ivar fit_unknown: whether no worker of its pool was known when it came.
     :ivar run_seconds: run times of finished tasks by step.
     """
 
@@ -87,6 +88,7 @@
         self.waiting: collections.deque[int] = collections.deque()
         self.started_at: float | None = None
         self.answered = False
+        self.fit_unknown = False
         self.check_at = 0.0
         self.open_task_count = len(spec.tasks)
         self.run_seconds: dict[int, list[float]] = {}
@@ -128,6 +130,23 @@
             queued_any = True
         return queued_any
 
+    def take_back(self, index: int, agent: types.PeerName, run: int) -> bool:
+        """Take back a run that was never sent, as if it had not been placed.
+
+        :returns: whether this was the task's last run.
+        """
+        record = self.records[index]
+        if (
+            record.state is not TaskState.PLACED
+            or record.agent != agent
+            or record.run != run
+        ):
+            return False
+        record.run -= 1
+        if not any(other.run for other in self.records):
+            self.started_at = None
+        return True
+
     def requeue(self, index: int) -> None:
         """Queue a task again whose run has ended, before its siblings."""
         record = self.records[index]
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -121,6 +121,17 @@
         """Set the free capacity to zero until the agent's next update."""
         self.free = types.Needs()
 
+    def drop_start(self, number: int) -> None:
+        """Drop a start message that was never sent.
+
+        Its capacity is free with the next update.  The payloads that it
+        contained aren't at the agent.
+        """
+        self.in_transit = collections.deque(
+            item for item in self.in_transit if item[0] != number
+        )
+        self.payload_cache.clear()
+
     def update_room(self, room: messages.Room) -> None:
         """Apply a capacity update of the agent."""
         self.room = room
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -16,6 +16,7 @@
 from agatepick.net import clocks
 from agatepick.net import links
 from agatepick.net import messages
+from agatepick.repeatable import faults
 from agatepick.repeatable import measures
 from agatepick.runtime import shell
 from agatepick.telemetry import logs
@@ -69,7 +70,7 @@
         self._zone = zone
         self._incarnation = incarnation
         self._address = ''
-        self.shell = shell.Shell(reducer, clock)
+        self.shell = shell.Shell(reducer, clock, faults.note)
         self.links = links.Links(
             self._make_hello,
             self.shell.feed,
--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -6,10 +6,12 @@
 """
 
 import collections
+import dataclasses
 import typing
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import faults
 from agatepick.repeatable import runs
 from agatepick import types
 
@@ -20,6 +22,18 @@
 """Time for which reports are kept for an entry whose connection broke."""
 
 
+def make_plain(message: messages.RunReports) -> messages.RunReports:
+    """Return the same reports without reasons and times.
+
+    The worker sends these; the other values are our own.
+    """
+    plain = tuple(
+        dataclasses.replace(report, reason=faults.REASON, seconds=0.0)
+        for report in message.reports
+    )
+    return messages.RunReports(plain, message.whole)
+
+
 class Reports:
     """Reports to all entries."""
 
--- a/src/agatepick/runtime/shell.py
+++ b/src/agatepick/runtime/shell.py
@@ -3,6 +3,9 @@
 The handler of an effect is registered for the effect's class, so the shell is
 the same for entries and agents.  Events raised while effects are executed are
 queued, so that a reducer is never called recursively.
+
+An exception ends the one event or effect that raised it: the others in the
+queue are still handled, as their senders won't send them again.
 """
 
 import asyncio
@@ -21,14 +24,31 @@
 
 Handler = typing.Callable[[typing.Any], None]
 
+FaultNote = typing.Callable[[str, Exception], core.Note]
+"""Function that returns the note of an exception and of where it was raised.
+"""
 
-class Shell:
-    """Driver of one reducer, with its timer and effect handlers."""
 
-    def __init__(self, reducer: core.Reducer, clock: types.Clock):
+class Shell:
+    """Driver of one reducer, with its timer and effect handlers.
+
+    :param note_fault: makes a note of an exception, which is then executed as
+        an effect, and a message that could not be sent becomes a
+        :class:`~agatepick.core.SendFailed`.  Without it the first exception is
+        raised once all queued events are handled.
+    """
+
+    def __init__(
+        self,
+        reducer: core.Reducer,
+        clock: types.Clock,
+        note_fault: FaultNote | None = None,
+    ):
         self.reducer = reducer
         self.done = asyncio.Event()
         self._clock = clock
+        self._note_fault = note_fault
+        self._first_fault: Exception | None = None
         self._handlers: dict[type, Handler] = {
             core.Exit: lambda effect: self.done.set(),
             core.WakeAt: self._wake_at,
@@ -69,10 +89,39 @@
                 self._reduce_event(self._queue.popleft())
         finally:
             self._reducing = False
+        fault, self._first_fault = self._first_fault, None
+        if fault is not None:
+            raise fault
 
     def _reduce_event(self, event: object) -> None:
-        for effect in self.reducer.reduce(event, self._clock.now()):
+        try:
+            effects = self.reducer.reduce(event, self._clock.now())
+        except Exception as exc:
+            self._record_fault(type(event).__name__, exc)
+            return
+        for effect in effects:
+            self._execute(effect)
+
+    def _execute(self, effect: object) -> None:
+        try:
             self._handlers[type(effect)](effect)
+        except Exception as exc:
+            self._record_fault(type(effect).__name__, exc)
+            if isinstance(effect, core.Send) and self._note_fault is not None:
+                reason = type(exc).__name__
+                self._queue.append(
+                    core.SendFailed(effect.peer, effect.message, reason)
+                )
+
+    def _record_fault(self, where: str, exc: Exception) -> None:
+        if self._note_fault is None:
+            self._first_fault = self._first_fault or exc
+            return
+        try:
+            note = self._note_fault(where, exc)
+            self._handlers[core.Note](note)
+        except Exception:
+            LOG.exception('event=fault where=%s', where)
 
     def _feed_tick(self) -> None:
         self._schedule_tick(self._clock.now() + TICK_SECONDS)
