Count only a job's own pool when its wait is predicted

Cause: the cores for which jobs of any pool waited counted as needed before a new job, so a full pool made an entry refuse jobs of an idle one.

Change: jobs of other pools aren't counted. Nothing changes with one pool.

Tests: the new one of test_repeatable_admission.py fails on the code before (refused as overloaded) and passes now.

--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -338,6 +338,8 @@
         for job in self._waiting.in_order():
             if not job.started and job.latest_start > latest_start:
                 break
+            if job.spec.route.pool != spec.route.pool:
+                continue
             needed += spreading.compute_waiting_cores(job, len(workers))
         median = pool.compute_median_cost(workers)
         free, share = 0.0, 0.0
--- a/tests/test_repeatable_admission.py
+++ b/tests/test_repeatable_admission.py
@@ -1,6 +1,10 @@
 import random
 
 from agatepick.repeatable import admission
+from agatepick.repeatable import estimating
+from agatepick.repeatable import owned_jobs
+from agatepick.repeatable import pool
+from tests import test_placing
 
 
 def test_nothing_waits_while_cores_are_free():
@@ -116,3 +120,26 @@
         margin.record_start(in_time=True)
     margin.record_start(in_time=False)
     assert abs(margin.wait_share / before - 1.0) < 0.05
+
+
+def test_jobs_that_wait_for_one_pool_refuse_none_of_another():
+    """One pool is full for seconds, and a job comes for an idle one.
+
+    If the cores for which jobs of the full pool wait counted, its caller would
+    be refused although it could be served at once.
+    """
+    rng = random.Random(1)
+    workers = pool.Pool(rng)
+    workers.add(test_placing.make_worker('a'))
+    workers.add(test_placing.make_worker('b', free=12.0, pool_name='r'))
+    now = test_placing.NOW
+    waiting = owned_jobs.WaitingQueue()
+    for number in range(20):
+        waiting.add(test_placing.make_job(f'j{number}', now + 0.01, tasks=8))
+    control = admission.Admission(
+        workers, estimating.Estimator(), waiting, rng
+    )
+    other = test_placing.make_job('k', now + 0.1, pool_name='r').spec
+    same = test_placing.make_job('l', now + 0.1).spec
+    assert control.find_refusal(other, now) is None
+    assert control.find_refusal(same, now).reason == 'overloaded'
