Keep following tables after a callback that failed

Cause: an exception in the callback of a followed table ended its coroutine for good, and the process kept its last state until a restart. Found by reading; no such exception is known.

Change: Process.guard notes the exception and counts it; the coroutine goes on with the next change.

Tests: tests/test_{shell,platform,repeatable_admission}.py pass. tests/test_platform.py::test_a_job_runs_through_both_programs failed once of six runs, on a machine with a load of 14: starts were sent again after 30 ms without an answer, so the worker saw two more requests than the test expects.

--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -112,7 +112,7 @@
             store,
             desired.TABLE,
             DESIRED_WAIT_SECONDS,
-            apply_desired_state,
+            proc.guard('desired', apply_desired_state),
             rng,
         ),
         members.register(store, cfg.name, cfg.links, cfg.zone, rng),
@@ -140,6 +140,13 @@
     app = announcements.make_application(proc.feed, client.worker_clock)
     _serve(app, cfg.control)
     proc.begin()
+
+    def apply_zones(snapshot: following.Snapshot) -> None:
+        proc.feed(desired.parse_closed_zones(snapshot))
+
+    def apply_entries(snapshot: following.Snapshot) -> None:
+        proc.feed(members.parse_entries(snapshot))
+
     coroutines = [
         record.restore(client, proc.feed),
         record.write_changes(),
@@ -147,14 +154,14 @@
             store,
             desired.TABLE,
             ZONES_WAIT_SECONDS,
-            lambda snapshot: proc.feed(desired.parse_closed_zones(snapshot)),
+            proc.guard('zones', apply_zones),
             rng,
         ),
         following.watch_table(
             store,
             members.TABLE,
             MEMBERS_WAIT_SECONDS,
-            lambda snapshot: proc.feed(members.parse_entries(snapshot)),
+            proc.guard('entries', apply_entries),
             rng,
         ),
     ]
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -96,6 +96,25 @@
         """Register the handler of effects of class ``kind``."""
         self.shell.handle(kind, handler)
 
+    def guard(
+        self, where: str, step: typing.Callable[[typing.Any], None]
+    ) -> typing.Callable[[typing.Any], None]:
+        """Return a callback that notes an exception of ``step``.
+
+        Otherwise the coroutine that calls it would end, and with it all that
+        it follows.
+
+        :param where: name of the step in the note.
+        """
+
+        def guarded(value: typing.Any) -> None:
+            try:
+                step(value)
+            except Exception as exc:
+                self._record_note(faults.note(where, exc))
+
+        return guarded
+
     def listen(self, address: str) -> None:
         """Accept connections of peers at ``ip:port``."""
         host, _, port = address.rpartition(':')
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -8,6 +8,7 @@
 from agatepick.net import messages
 from agatepick.repeatable import faults
 from agatepick.repeatable import measures
+from agatepick.repeatable import process
 from agatepick.runtime import shell
 
 MESSAGE = messages.Goodbye('x')
@@ -146,3 +147,24 @@
     counts.count_note(faults.note('place', ValueError('x'), job='j'))
     line = b'agatepick_events_total{event="fault",reason="ValueError"} 1.0'
     assert line in counts.text()
+
+
+def test_a_callback_that_fails_does_not_end_its_caller(caplog):
+    """An operator's rows can't be read because of a fault of our own.
+
+    The coroutine that follows them would end, and no later state would come in
+    force until the process restarts.
+    """
+    proc = process.Process('e', 'entry', 'z', Reducer(), 1, Clock())
+    read = []
+
+    def step(value):
+        read.append(value)
+        if value == 'bad':
+            raise KeyError('no such field')
+
+    guarded = proc.guard('zones', step)
+    for value in ('bad', 'good'):
+        guarded(value)
+    assert read == ['bad', 'good']
+    assert b'event="fault",reason="KeyError"' in proc.measures.text()
