Name the field of an agent's switches apart from their module

Cause: in the body of a data class the field policies hides the module of the same name before its annotation is evaluated, so agatepick.repeatable could not be imported (AttributeError).

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -37,7 +37,7 @@
 
     name: types.PeerName
     zone: str
-    policies: policies.Policies = policies.Policies()
+    switches: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
