Move a slow run only where that is expected to gain time

Cause: each run over a multiple of its expected time was moved as if its worker were slow; where a few tasks in a hundred are long by themselves, moves restart their work and throw it away. Change: with the switch weigh_moves, an entry weighs a move by the tail of the queue's run times, the worker's other runs, its cost beside its peers' and the gains of earlier moves, within a budget.

--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -42,6 +42,14 @@
 """Explanation of the delay of a job that still completes, by the name of the
 logged event that shows the cause."""
 
+MOVE_DECLINED_TEXTS = {
+    'own_tail': 'a task took long by itself and was left at its worker',
+    'no_gain': 'a task took long and would have ended no sooner elsewhere',
+    'budget': 'a task took long and no more work was to be thrown away',
+    'second': 'a task took long at two workers and was left at the second',
+}
+"""Explanation of a slow run that was left where it was, by ``reason``."""
+
 _RUNS_ENDED_BY_AGENT = ('run_unrenewed', 'run_abandoned')
 
 
@@ -152,6 +160,15 @@
             wait_text = end.fields[field]
             text = f'{subject} waited {wait_text} s for room, its slack was'
             return Delay(code, f'{text} {slack} s')
+    declined = [line for line in lines if line.event == 'move_declined']
+    if declined:
+        fields = declined[-1].fields
+        reason = fields.get('reason', '')
+        text = MOVE_DECLINED_TEXTS.get(reason, 'unknown reason')
+        return Delay(
+            'move_declined',
+            f'move_declined ({fields.get("peer", "")}): {text}',
+        )
     return Delay('slow', 'its tasks took longer than expected')
 
 
--- a/src/agatepick/decisions/estimates.py
+++ b/src/agatepick/decisions/estimates.py
@@ -17,6 +17,7 @@
 tasks outweigh it two to one.
 """
 
+import dataclasses
 import math
 import typing
 
@@ -50,7 +51,22 @@
 )
 
 
-class _Histogram:
+_HALF_BUCKET_FACTOR = 2.0 ** (0.5 / BUCKETS_PER_OCTAVE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Above:
+    """Observations above some value.
+
+    :param weight: their number, halved at times.
+    :param total: sum of their values, within the width of a bucket.
+    """
+
+    weight: float
+    total: float
+
+
+class Histogram:
     """A logarithmic histogram with the mean deviation of the logarithms.
 
     :ivar counts: number of observations by bucket, halved at times.
@@ -68,6 +84,7 @@
         'spread',
         '_new_observations',
         '_cached_quantiles',
+        '_cached_above',
     )
 
     def __init__(self) -> None:
@@ -78,8 +95,10 @@
         self.spread = 1.0
         self._new_observations = 0
         self._cached_quantiles: dict[float, float] = {}
+        self._cached_above: list[Above] = []
 
     def add(self, value: float) -> None:
+        """Add an observed value."""
         value = min(max(value, MIN_OBSERVED_VALUE), MAX_OBSERVED_VALUE)
         octaves = math.log2(value / MIN_OBSERVED_VALUE)
         self.counts[int(octaves * BUCKETS_PER_OCTAVE)] += 1.0
@@ -94,13 +113,16 @@
             or self.weight < REFRESH_OBSERVATIONS
         ):
             self._cached_quantiles.clear()
+            self._cached_above.clear()
             self._new_observations = 0
 
     def mean(self, prior: float) -> float:
+        """Return the mean, with a prior of :data:`PRIOR_WEIGHT`."""
         total_weight = PRIOR_WEIGHT + self.weight
         return (prior * PRIOR_WEIGHT + self.total) / total_weight
 
     def quantile(self, share: float) -> float:
+        """Return the value that a share of the observations don't exceed."""
         cached = self._cached_quantiles.get(share)
         if cached is None:
             cached = self._cached_quantiles[share] = self._compute_quantile(
@@ -108,6 +130,33 @@
             )
         return cached
 
+    def above(self, value: float) -> 'Above':
+        """Return the observations above a value, spread evenly in buckets."""
+        if not self._cached_above:
+            self._cached_above = self._compute_above()
+        value = min(max(value, MIN_OBSERVED_VALUE), MAX_OBSERVED_VALUE)
+        position = math.log2(value / MIN_OBSERVED_VALUE) * BUCKETS_PER_OCTAVE
+        bucket = int(position)
+        whole = self._cached_above[bucket]
+        rest = self._cached_above[bucket + 1]
+        part = 1.0 - (position - bucket)
+        return Above(
+            rest.weight + part * (whole.weight - rest.weight),
+            rest.total + part * (whole.total - rest.total),
+        )
+
+    def _compute_above(self) -> 'list[Above]':
+        above = [Above(0.0, 0.0)]
+        for bucket in reversed(range(_BUCKET_COUNT)):
+            count = self.counts[bucket]
+            middle = _get_upper_edge(bucket) / _HALF_BUCKET_FACTOR
+            last = above[-1]
+            above.append(
+                Above(last.weight + count, last.total + count * middle)
+            )
+        above.reverse()
+        return above
+
     def _update_spread(self, octaves: float) -> None:
         if math.isnan(self.centre):
             self.centre = octaves
@@ -141,8 +190,8 @@
     __slots__ = ('seconds', 'ratios')
 
     def __init__(self) -> None:
-        self.seconds = _Histogram()
-        self.ratios = _Histogram()
+        self.seconds = Histogram()
+        self.ratios = Histogram()
 
     def uses_declared(self, declared: float) -> bool:
         if not declared or self.ratios.weight < PRIOR_WEIGHT:
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -24,6 +24,7 @@
 from agatepick.repeatable import routes
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
+from agatepick.repeatable import weighing
 from agatepick import types
 
 ROLE_AGENT = 'agent'
@@ -47,7 +48,7 @@
 
     name: types.PeerName
     zone: str
-    policies: policies.Policies = policies.Policies()
+    switches: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
@@ -67,14 +68,20 @@
             self._pool, self._estimator, self._waiting, rng
         )
         self._placing = placing.Placing(self._pool, self._estimator)
+        weigher = None
+        if cfg.switches.weigh_moves:
+            weigher = weighing.Weigher(self._pool, self._jobs, self._estimator)
         self._outcomes = outcomes.Outcomes(
             self._jobs,
             self._waiting,
             self._estimator,
             self._admission.release_rate,
             self._end_job,
+            weigher,
+        )
+        self._stragglers = stragglers.Stragglers(
+            self._pool, self._estimator, weigher
         )
-        self._stragglers = stragglers.Stragglers(self._pool, self._estimator)
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
         self._checked_at = 0.0
         self._placement_due = False
@@ -445,7 +452,9 @@
             )
             return self._end_job(job, answer, now)
         slow_runs = self._stragglers.mark_stragglers(job, now)
-        stops = owned_jobs.stop_runs(job, [run.index for run in slow_runs])
+        stops = owned_jobs.stop_runs(
+            job, [run.index for run in slow_runs if run.moves]
+        )
         return [*[run.note for run in slow_runs], *stops]
 
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -16,6 +16,7 @@
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import reports
+from agatepick.repeatable import weighing
 from agatepick import types
 
 STALE_RUN_STEP = 64
@@ -42,6 +43,7 @@
 
     :param release_rate: records the cores that ended runs release.
     :param end_job: answers a job's callers.
+    :param weigher: records finished runs, if moves are weighed.
     """
 
     def __init__(
@@ -51,12 +53,14 @@
         estimator: estimating.Estimator,
         release_rate: admission.ReleaseRate,
         end_job: EndJob,
+        weigher: weighing.Weigher | None = None,
     ) -> None:
         self._jobs = all_jobs
         self._waiting = waiting
         self._estimator = estimator
         self._release_rate = release_rate
         self._end_job = end_job
+        self._weigher = weigher
 
     def handle_reports(
         self, worker: pool.Worker, message: messages.RunReports, now: float
@@ -113,6 +117,10 @@
     ) -> list[object]:
         task = job.spec.tasks[report.index]
         self._release_rate.add(task.needs.cpu, report.seconds, now)
+        if self._weigher is not None:
+            self._weigher.record_finished(
+                worker, job, report.index, report.seconds, now
+            )
         self._estimator.observe(job.spec, task, report.seconds)
         job.mark_finished(report.index, report.seconds)
         if job.answered:
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -30,6 +30,19 @@
     ENDED = 'ended'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftRun:
+    """Run that a move of its task left.
+
+    :param seconds: time that it had taken.
+    :param charged: core-seconds that the move was charged.
+    """
+
+    run: int
+    seconds: float
+    charged: float
+
+
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
     """Record of one task of an owned job.
@@ -39,6 +52,11 @@
     :ivar agents_to_avoid: agents at which the task failed or was slow.
     :ivar stopping: whether a stop was sent for its run.
     :ivar move_count: times that a slow run was moved to another worker.
+    :ivar moved_without_proof: whether a move left a worker that wasn't proven
+        to be the cause.
+    :ivar left_run: run that the last move left, until its outcome is known.
+    :ivar declined_run: number of the last run whose move was declined.
+    :ivar weigh_at: instant from which a move is weighed again.
     :ivar refusal_count: number of starts that workers refused.
     :ivar retry_at: instant from which it may be sent to a worker again.
     """
@@ -50,6 +68,10 @@
     placed_at: float = 0.0
     stopping: bool = False
     move_count: int = 0
+    moved_without_proof: bool = False
+    left_run: LeftRun | None = None
+    declined_run: int = 0
+    weigh_at: float = 0.0
     refusal_count: int = 0
     retry_at: float = 0.0
     agents_to_avoid: frozenset[types.PeerName] = frozenset()
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -49,6 +49,10 @@
 all fill the fast workers to the last slot would compete there and be
 refused."""
 
+MAX_ENDS = 12
+"""Number of finished runs that are kept for a worker: about as many as it
+runs at a time."""
+
 TaskKey = tuple[types.JobKey, int]
 
 
@@ -64,6 +68,24 @@
     needs: types.Needs
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedRun:
+    """One run that finished at a worker.
+
+    :param seconds: its run time.
+    :param expected_seconds: its expected time at a typical worker.
+    :param has_siblings: whether that is the time of finished siblings.
+    """
+
+    job: types.JobKey
+    step: int
+    queue: str
+    ended_at: float
+    seconds: float
+    expected_seconds: float
+    has_siblings: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """State of one agent and its worker, as seen by this entry.
@@ -78,6 +100,7 @@
     :ivar placed: this entry's runs at the worker, by task.
     :ivar round_trip_seconds: round trip of the last renewal.
     :ivar payload_cache: payloads that its agent has cached.
+    :ivar ends: this entry's runs that finished there last.
     """
 
     name: types.PeerName
@@ -97,6 +120,9 @@
     payload_cache: payloads.PayloadCache = dataclasses.field(
         default_factory=payloads.PayloadCache
     )
+    ends: collections.deque[EndedRun] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_ENDS)
+    )
 
     def is_usable(self, now: float) -> bool:
         """Return whether runs may be sent to the worker."""
--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -4,16 +4,19 @@
 wait for them alone, and without a bound their callers would wait until they
 give up.  A run that takes several times its expected time is stopped and its
 task started at another worker, if one has free capacity; otherwise stopping it
-would only waste its work.
+would only waste its work.  With a weigher, only if the worker is likely to be
+the cause (:mod:`~agatepick.repeatable.moves`).
 """
 
 import dataclasses
 
 from agatepick import core
 from agatepick.repeatable import estimating
+from agatepick.repeatable import moves
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import placing
 from agatepick.repeatable import pool
+from agatepick.repeatable import weighing
 
 STRAGGLER_RATIO = 2.2
 """Multiple of the expected time after which a run counts as a straggler.  A
@@ -37,36 +40,53 @@
 """Longest pause between two checks of a job, as the expected run times change
 in the meantime."""
 
-MIN_EXPECTED_SECONDS = 0.02
+MIN_EXPECTED_SECONDS = weighing.MIN_EXPECTED_SECONDS
 """Lower bound of expected run times; message delays hide shorter ones."""
 
 
+WEIGH_AGAIN_SHARE = 0.1
+"""Part of its time so far by which a run must have grown before its move is
+weighed again."""
+
+MIN_WEIGH_SECONDS = 0.05
+"""Shortest pause between two times that a move is weighed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Straggler:
-    """A task whose run should be stopped.
+    """A task whose run takes too long.
 
     :param note: note for the timeline.
+    :param moves: whether the run should be stopped.
     """
 
     index: int
     note: core.Note
+    moves: bool = True
 
 
 class Stragglers:
-    """Detector of stragglers."""
+    """Detector of stragglers.
+
+    :param weigher: weighs moves; without one, each straggler is moved.
+    """
 
     def __init__(
-        self, workers: pool.Pool, estimator: estimating.Estimator
+        self,
+        workers: pool.Pool,
+        estimator: estimating.Estimator,
+        weigher: weighing.Weigher | None = None,
     ) -> None:
         self._pool = workers
         self._estimator = estimator
+        self._weigher = weigher
 
     def mark_stragglers(
         self, job: owned_jobs.OwnedJob, now: float
     ) -> list[Straggler]:
         """Count a move of each run to move now, and return these runs.
 
-        A job is checked when one of its runs may be due, not at each call:
+        A run that is left where it is, is returned once, for its note.  A job is checked when one of its runs may be due, not at each call:
         with hundreds of open jobs the checks would take most of the time.
         """
         if now < job.check_at:
@@ -78,11 +98,51 @@
             and job.records[index].move_count < MAX_MOVES
         }
         job.check_at = min([now + MAX_CHECK_INTERVAL_SECONDS, *due.values()])
-        return [
-            self._mark_straggler(job, index, now)
+        checked = [
+            self._check(job, index, now)
             for index, due_at in due.items()
-            if now >= due_at and self._fits_elsewhere(job, index, now)
+            if now >= due_at
         ]
+        return [straggler for straggler in checked if straggler is not None]
+
+    def _check(
+        self, job: owned_jobs.OwnedJob, index: int, now: float
+    ) -> Straggler | None:
+        target = self._pick_elsewhere(job, index, now)
+        if target is None:
+            return None
+        if self._weigher is None:
+            return self._mark_straggler(job, index, now)
+        choice = self._weigher.choose(job, index, target, now)
+        if not choice.moves:
+            return self._decline(job, index, choice, now)
+        self._weigher.record_move(job, index, choice, now)
+        return self._mark_straggler(job, index, now, **choice.describe())
+
+    def _decline(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        choice: moves.Choice,
+        now: float,
+    ) -> Straggler | None:
+        """Leave a run where it is, with a note the first time."""
+        record = job.records[index]
+        pause = WEIGH_AGAIN_SHARE * (now - record.placed_at)
+        pause = max(pause, MIN_WEIGH_SECONDS)
+        record.weigh_at = now + min(pause, MAX_CHECK_INTERVAL_SECONDS)
+        if record.declined_run == record.run:
+            return None
+        record.declined_run = record.run
+        note = self._note(
+            'move_declined',
+            job,
+            index,
+            now,
+            reason=choice.reason.value,
+            **choice.describe(),
+        )
+        return Straggler(index, note, moves=False)
 
     def _due_at(self, job: owned_jobs.OwnedJob, index: int) -> float:
         """Return the instant from which a run is a straggler."""
@@ -90,33 +150,50 @@
         if not job.run_seconds.get(job.spec.tasks[index].step):
             limit *= NO_SIBLING_FACTOR
         allowed_seconds = limit * self._estimate_seconds(job, index)
-        placed_at = job.records[index].placed_at
-        return placed_at + STRAGGLER_SPARE_SECONDS + allowed_seconds
+        record = job.records[index]
+        due_at = record.placed_at + STRAGGLER_SPARE_SECONDS + allowed_seconds
+        return max(due_at, record.weigh_at)
 
     def _estimate_seconds(self, job: owned_jobs.OwnedJob, index: int) -> float:
         seconds = placing.estimate_run_seconds(self._estimator, job, index)
         return max(seconds, MIN_EXPECTED_SECONDS)
 
     def _mark_straggler(
-        self, job: owned_jobs.OwnedJob, index: int, now: float
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        now: float,
+        **inputs: str,
     ) -> Straggler:
         record = job.records[index]
         record.move_count += 1
         record.agents_to_avoid = record.agents_to_avoid | {record.agent}
-        note = core.note(
-            'run_stuck',
+        note = self._note('run_stuck', job, index, now, **inputs)
+        return Straggler(index, note)
+
+    def _note(
+        self,
+        name: str,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        now: float,
+        **inputs: str,
+    ) -> core.Note:
+        record = job.records[index]
+        return core.note(
+            name,
             job=job.spec.key,
             index=index,
             peer=record.agent,
             elapsed=f'{now - record.placed_at:.3f}',
             expected=f'{self._estimate_seconds(job, index):.3f}',
+            **inputs,
         )
-        return Straggler(index, note)
 
-    def _fits_elsewhere(
+    def _pick_elsewhere(
         self, job: owned_jobs.OwnedJob, index: int, now: float
-    ) -> bool:
-        """Return whether another healthy worker has capacity for a task.
+    ) -> pool.Worker | None:
+        """Return another healthy worker with capacity for a task, if any.
 
         If none has, stopping the task's run would only waste its work.
         """
@@ -126,4 +203,4 @@
             job.spec.route.pool, task.label, now
         )
         agents_to_avoid = record.agents_to_avoid | {record.agent}
-        return candidates.pick(task.needs, agents_to_avoid) is not None
+        return candidates.pick(task.needs, agents_to_avoid)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -58,6 +58,10 @@
 
 STUCK = 'time=1.5 level=info process=e event=run_stuck job=d4 peer=w\n'
 FAILED = 'time=1.5 level=info process=w event=run_failed job=d4 peer=e\n'
+LEFT = (
+    'time=1.5 level=info process=e event=move_declined job=d4 peer=w '
+    'reason=own_tail\n'
+)
 
 
 @pytest.mark.parametrize(
@@ -72,6 +76,14 @@
             'run_stuck (w): a task took too long',
         ),
         (make_late_job_lines('0.0', FAILED), 'run_failed (w): a task failed'),
+        (
+            make_late_job_lines('0.0', LEFT),
+            'move_declined (w): a task took long by itself',
+        ),
+        (
+            make_late_job_lines('0.0', LEFT, STUCK),
+            'run_stuck (w): a task took too long',
+        ),
         (make_late_job_lines('0.0'), 'its tasks took longer than expected'),
     ],
 )
