--- a/src/agatepick/repeatable/moves.py
+++ b/src/agatepick/repeatable/moves.py
@@ -36,8 +36,13 @@
 its expected time may be wrong, or its time its own."""
 
 MAX_EVIDENCE = math.log(1000.0)
-"""Bound of the logarithm of the factor on the odds by all other runs: these
-aren't independent of one another."""
+"""Bound of the logarithm of the factor on the odds by the run itself, and by
+all other runs: these aren't independent of one another, and a run that no
+record explains must not outweigh a dozen others that ended in time."""
+
+OVERDUE_RATIO = 1.5
+"""Ratio to its expected time from which another run that goes on speaks
+against the worker: below it, a slower type of worker explains as much."""
 
 MIN_DENSITY = 0.002
 """Least share of runs that is assumed to end at any ratio."""
@@ -182,6 +187,7 @@
 class Choice:
     """Whether to move a run, with what decided.
 
+    :param ratio: the run's time so far in expected times.
     :param probability: probability that the worker is the cause.
     :param here_seconds: expected remaining time at this worker.
     :param there_seconds: expected time until the end if it is moved.
@@ -192,6 +198,7 @@
     """
 
     reason: Reason
+    ratio: float
     probability: float
     here_seconds: float
     there_seconds: float
@@ -237,7 +244,7 @@
     elif there >= (1.0 - MIN_GAIN) * here:
         reason = Reason.OWN_TAIL if probability < 0.5 else Reason.NO_GAIN
     waste = run.cores * run.seconds * (1.0 - probability)
-    return Choice(reason, probability, here, there, proven, waste)
+    return Choice(reason, run.ratio, probability, here, there, proven, waste)
 
 
 def is_worker_suspect(run: SlowRun) -> bool:
@@ -255,7 +262,8 @@
         run.ratios.survival(_slowed_ratio(run.ratio, run.ratio - 0.5, factor))
         for factor in FAULTY_FACTORS
     )
-    return (slow + hung) / 2.0 / run.ratios.survival(run.ratio)
+    factor = (slow + hung) / 2.0 / run.ratios.survival(run.ratio)
+    return min(factor, math.exp(MAX_EVIDENCE))
 
 
 def _weigh_others(others: tuple[OtherRun, ...]) -> float:
@@ -271,6 +279,8 @@
 def _weigh_other(other: OtherRun, factor: float) -> float:
     """Return the logarithm of the factor on the odds by one other run."""
     ratio = other.seconds / other.expected_seconds
+    if not other.ended and ratio < OVERDUE_RATIO:
+        return 0.0
     overlap = other.overlap_seconds / other.expected_seconds
     if_faulty = _slowed_ratio(ratio, overlap, factor)
     if other.ended:
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -56,6 +56,8 @@
         to be the cause.
     :ivar left_run: run that the last move left, until its outcome is known.
     :ivar declined_run: number of the last run whose move was declined.
+    :ivar counted_run: number of the last run that was counted as long by
+        itself before it finished.
     :ivar weigh_at: instant from which a move is weighed again.
     :ivar refusal_count: number of starts that workers refused.
     :ivar retry_at: instant from which it may be sent to a worker again.
@@ -71,6 +73,7 @@
     moved_without_proof: bool = False
     left_run: LeftRun | None = None
     declined_run: int = 0
+    counted_run: int = 0
     weigh_at: float = 0.0
     refusal_count: int = 0
     retry_at: float = 0.0
--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -115,6 +115,7 @@
             return self._mark_straggler(job, index, now)
         choice = self._weigher.choose(job, index, target, now)
         if not choice.moves:
+            self._weigher.record_decline(job, index, choice)
             return self._decline(job, index, choice, now)
         self._weigher.record_move(job, index, choice, now)
         return self._mark_straggler(job, index, now, **choice.describe())
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -83,6 +83,27 @@
             record.run, now - record.placed_at, choice.waste
         )
 
+    def record_decline(
+        self, job: owned_jobs.OwnedJob, index: int, choice: moves.Choice
+    ) -> None:
+        """Count a run as long by itself, before it finishes.
+
+        It counts as one that takes as long as such runs do on average: the
+        first ones would otherwise be known only after several times their
+        expected time.
+        """
+        record = job.records[index]
+        own = choice.reason in (moves.Reason.OWN_TAIL, moves.Reason.SECOND)
+        if choice.proven or not own or record.counted_run == record.run:
+            return
+        record.counted_run = record.run
+        expected = self._expect(job, index)
+        self._ratios.add(
+            job.spec.route.name,
+            expected.has_siblings,
+            expected.ratios.mean_above(choice.ratio),
+        )
+
     def record_finished(
         self,
         worker: pool.Worker,
@@ -134,6 +155,8 @@
         task = job.spec.tasks[index]
         seconds /= worker.slowness
         expected = self._expect(job, index)
+        if job.records[index].counted_run == job.records[index].run:
+            return
         if seconds >= SUSPECT_RATIO * expected.seconds:
             run = self._describe(job, index, worker, now)
             if moves.is_worker_suspect(run):
@@ -199,16 +222,20 @@
             if end.ended_at > due_at
             and (known or (end.job, end.step) != (job.spec.key, step))
         ]
+        # Runs of one step are long together if its estimate is too short.
+        estimated = set() if known else {(job.spec.key, step)}
         for key in worker.placed:
             other = self._jobs.get(key[0])
             if other is None or other is job and key[1] == index:
                 continue
-            # Runs of one step are long together if its estimate is too short.
-            same_step = other is job and job.spec.tasks[key[1]].step == step
-            if not same_step or known:
-                others.append(
-                    self._describe_open(other, key[1], worker, due_at, now)
-                )
+            job_and_step = (key[0], other.spec.tasks[key[1]].step)
+            if job_and_step in estimated:
+                continue
+            if not other.run_seconds.get(job_and_step[1]):
+                estimated.add(job_and_step)
+            others.append(
+                self._describe_open(other, key[1], worker, due_at, now)
+            )
         return tuple(others)
 
     def _describe_ended(
