--- a/src/agatepick/repeatable/moves.py
+++ b/src/agatepick/repeatable/moves.py
@@ -72,8 +72,9 @@
 MIN_GAIN = 0.05
 """Least part of the expected remaining time that a move must gain."""
 
-BUDGET_CORE_SECONDS = 10.0
-"""Largest amount of work that may be thrown away in a row without gain."""
+BUDGET_CORE_SECONDS = 20.0
+"""Largest amount of work that may be thrown away in a row without gain: a few
+runs of some cores and seconds."""
 
 WORK_SHARE = 0.004
 """Share of the work done by which the budget refills: with it, moves without
@@ -194,6 +195,7 @@
     :param proven: whether other evidence than the run shows the worker's
         fault.
     :param waste: core-seconds that a move is expected to throw away.
+    :param work: core-seconds that the run has taken.
     :param budget: core-seconds that may be thrown away.
     """
 
@@ -204,6 +206,7 @@
     there_seconds: float
     proven: bool
     waste: float
+    work: float
     budget: float = 0.0
 
     @property
@@ -218,6 +221,7 @@
             'here': f'{self.here_seconds:.3f}',
             'there': f'{self.there_seconds:.3f}',
             'waste': f'{self.waste:.2f}',
+            'work': f'{self.work:.2f}',
             'budget': f'{self.budget:.2f}',
         }
 
@@ -243,8 +247,11 @@
         reason = Reason.SECOND
     elif there >= (1.0 - MIN_GAIN) * here:
         reason = Reason.OWN_TAIL if probability < 0.5 else Reason.NO_GAIN
-    waste = run.cores * run.seconds * (1.0 - probability)
-    return Choice(reason, run.ratio, probability, here, there, proven, waste)
+    work = run.cores * run.seconds
+    waste = work * (1.0 - probability)
+    return Choice(
+        reason, run.ratio, probability, here, there, proven, waste, work
+    )
 
 
 def is_worker_suspect(run: SlowRun) -> bool:
@@ -357,9 +364,13 @@
         trust = self._gains / self._losses
         return min(max(trust, MIN_TRUST), MAX_TRUST)
 
-    def allows(self, waste: float) -> bool:
-        """Return whether a move may throw away some work."""
-        return waste <= self.core_seconds
+    def allows(self, choice: Choice) -> bool:
+        """Return whether a move may throw away a run's work.
+
+        Unless the worker is proven to be the cause, the whole must be left.
+        """
+        work = choice.waste if choice.proven else choice.work
+        return work <= self.core_seconds
 
     def charge(self, waste: float) -> None:
         """Charge the work that a move is expected to throw away."""
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -64,7 +64,7 @@
             moves.weigh(run, self._budget.trust),
             budget=self._budget.core_seconds,
         )
-        if choice.moves and not self._budget.allows(choice.waste):
+        if choice.moves and not self._budget.allows(choice):
             return dataclasses.replace(choice, reason=moves.Reason.BUDGET)
         return choice
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,5 +1,7 @@
 """Whether a slow run should be moved: its worker's fault or its own length."""
 
+import dataclasses
+
 import pytest
 
 from agatepick.repeatable import moves
@@ -119,29 +121,50 @@
     assert moves.weigh(proven).moves
 
 
-def test_moves_without_gain_use_up_the_budget():
-    """A customer's tasks are long for a reason that nothing here shows."""
+@pytest.fixture
+def choice(plain):
+    return moves.weigh(make_run(plain, 4.0))
+
+
+def test_moves_without_gain_use_up_the_budget(choice):
+    """A customer's tasks are long for a reason that nothing here shows.
+
+    Without a bound each of them would be run again, at the cost of others.
+    """
     budget = moves.Budget()
     moved = 0
-    while budget.allows(0.5) and moved < 100:
-        budget.charge(0.5)
-        budget.record_loss(0.5, 5.0)
+    while budget.allows(choice):
+        budget.charge(choice.waste)
+        budget.record_loss(choice.waste, choice.work)
         moved += 1
-    assert moved == moves.BUDGET_CORE_SECONDS / 5.0
-    budget.record_work(1.0 / moves.WORK_SHARE)
-    assert budget.allows(0.5)
+    assert moved == int(moves.BUDGET_CORE_SECONDS / choice.work)
+    budget.record_work(choice.work / moves.WORK_SHARE)
+    assert budget.allows(choice)
 
 
-def test_moves_that_gain_cost_nothing():
+def test_moves_that_gain_cost_nothing(choice):
     """A worker hangs with hundreds of runs, which are all moved."""
     budget = moves.Budget()
     for _ in range(100):
-        assert budget.allows(1.0)
-        budget.charge(1.0)
-        budget.record_gain(1.0, 5.0)
+        assert budget.allows(choice)
+        budget.charge(choice.waste)
+        budget.record_gain(choice.waste, choice.work)
     assert budget.trust > 1.0
 
 
+def test_all_runs_of_a_proven_worker_may_move(choice):
+    """A worker hangs with more work than the budget, all moved at once.
+
+    Were each move charged its whole work, most callers would wait until the
+    worker recovers.
+    """
+    budget = moves.Budget()
+    proven = dataclasses.replace(choice, proven=True, waste=0.01)
+    for _ in range(100):
+        assert budget.allows(proven)
+        budget.charge(proven.waste)
+
+
 def test_a_move_that_came_too_late_is_refunded():
     """The run ends while its stop is on the way."""
     budget = moves.Budget()
