Learn long runs as they are left, and test weighed moves under load

Cause: the first long tasks are known only once they finish, several times their expected time later, so the first of them were moved. Change: a run that is left counts at once, with the mean of runs as long, and with its own ratio once it finishes.

--- a/src/agatepick/decisions/estimates.py
+++ b/src/agatepick/decisions/estimates.py
@@ -116,6 +116,18 @@
             self._cached_above.clear()
             self._new_observations = 0
 
+    def discard(self, value: float) -> None:
+        """Take back a value that was added lately."""
+        value = min(max(value, MIN_OBSERVED_VALUE), MAX_OBSERVED_VALUE)
+        octaves = math.log2(value / MIN_OBSERVED_VALUE)
+        bucket = int(octaves * BUCKETS_PER_OCTAVE)
+        weight = min(self.counts[bucket], 1.0)
+        self.counts[bucket] -= weight
+        self.weight -= weight
+        self.total -= weight * value
+        self._cached_quantiles.clear()
+        self._cached_above.clear()
+
     def mean(self, prior: float) -> float:
         """Return the mean, with a prior of :data:`PRIOR_WEIGHT`."""
         total_weight = PRIOR_WEIGHT + self.weight
--- a/src/agatepick/repeatable/moves.py
+++ b/src/agatepick/repeatable/moves.py
@@ -27,7 +27,7 @@
 """Time for which a fault is expected to last on: workers were seen to be slow
 or to hang for some seconds."""
 
-PRIOR_ODDS = 0.02
+PRIOR_ODDS = 0.01
 """Odds that a worker is at fault before anything is known of its runs: a fault
 of some seconds in some minutes."""
 
@@ -83,7 +83,7 @@
 GAIN_SHARE = 0.1
 """Share by which the budget refills of the work that a gaining move left."""
 
-MIN_TRUST = 0.25
+MIN_TRUST = 0.1
 MAX_TRUST = 4.0
 """Bounds of the factor on the odds by the gains of earlier moves."""
 
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -43,6 +43,19 @@
     charged: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountedRun:
+    """Run that was counted as long by itself before it finished.
+
+    :param has_siblings: whether its expected time was that of siblings.
+    :param ratio: ratio to its expected time that it was counted with.
+    """
+
+    run: int
+    has_siblings: bool
+    ratio: float
+
+
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
     """Record of one task of an owned job.
@@ -56,8 +69,7 @@
         to be the cause.
     :ivar left_run: run that the last move left, until its outcome is known.
     :ivar declined_run: number of the last run whose move was declined.
-    :ivar counted_run: number of the last run that was counted as long by
-        itself before it finished.
+    :ivar counted_run: last run that was counted before it finished.
     :ivar weigh_at: instant from which a move is weighed again.
     :ivar refusal_count: number of starts that workers refused.
     :ivar retry_at: instant from which it may be sent to a worker again.
@@ -73,7 +85,7 @@
     moved_without_proof: bool = False
     left_run: LeftRun | None = None
     declined_run: int = 0
-    counted_run: int = 0
+    counted_run: CountedRun | None = None
     weigh_at: float = 0.0
     refusal_count: int = 0
     retry_at: float = 0.0
--- a/src/agatepick/repeatable/run_ratios.py
+++ b/src/agatepick/repeatable/run_ratios.py
@@ -73,6 +73,10 @@
         """Add the ratio of a run at a sound worker."""
         self._histogram.add(ratio)
 
+    def discard(self, ratio: float) -> None:
+        """Take back a ratio that was added lately."""
+        self._histogram.discard(ratio)
+
     def survival(self, ratio: float) -> float:
         """Return the share of runs that take longer than a ratio."""
         above = self._histogram.above(ratio)
@@ -133,3 +137,8 @@
         """Add the ratio of a run at a sound worker."""
         self.common.select(has_siblings).add(ratio)
         self.get(queue).select(has_siblings).add(ratio)
+
+    def discard(self, queue: str, has_siblings: bool, ratio: float) -> None:
+        """Take back a ratio that was added lately."""
+        self.common.select(has_siblings).discard(ratio)
+        self.get(queue).select(has_siblings).discard(ratio)
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -94,15 +94,16 @@
         """
         record = job.records[index]
         own = choice.reason in (moves.Reason.OWN_TAIL, moves.Reason.SECOND)
-        if choice.proven or not own or record.counted_run == record.run:
+        counted = record.counted_run
+        if choice.proven or not own or counted and counted.run == record.run:
             return
-        record.counted_run = record.run
         expected = self._expect(job, index)
-        self._ratios.add(
-            job.spec.route.name,
-            expected.has_siblings,
-            expected.ratios.mean_above(choice.ratio),
+        ratio = expected.ratios.mean_above(choice.ratio)
+        record.counted_run = owned_jobs.CountedRun(
+            record.run, expected.has_siblings, ratio
         )
+        queue = job.spec.route.name
+        self._ratios.add(queue, expected.has_siblings, ratio)
 
     def record_finished(
         self,
@@ -152,16 +153,17 @@
         seconds: float,
         now: float,
     ) -> None:
+        counted = job.records[index].counted_run
+        queue = job.spec.route.name
+        if counted is not None and counted.run == job.records[index].run:
+            self._ratios.discard(queue, counted.has_siblings, counted.ratio)
         task = job.spec.tasks[index]
         seconds /= worker.slowness
         expected = self._expect(job, index)
-        if job.records[index].counted_run == job.records[index].run:
-            return
         if seconds >= SUSPECT_RATIO * expected.seconds:
             run = self._describe(job, index, worker, now)
             if moves.is_worker_suspect(run):
                 return
-        queue = job.spec.route.name
         if expected.has_siblings:
             self._ratios.add(queue, True, seconds / expected.seconds)
         estimate = self._estimator.estimate_task(job.spec, task)
--- a/tests/test_weighed_moves.py
+++ b/tests/test_weighed_moves.py
@@ -5,7 +5,9 @@
 played with the switch off as well, where every straggler is moved.
 """
 
+import collections
 import dataclasses
+import statistics
 
 import pytest
 
@@ -84,35 +86,28 @@
                 1.0 / factor,
             )
 
-    def sound_moves(self):
+    def find_sound_moves(self):
         """Return the moves away from workers that never were at fault."""
-        return [move for move in self.moves if move.agent not in self.faulty]
-
-    @property
-    def faulty(self):
-        return FAULTY_WORKERS
+        return [
+            move for move in self.moves if move.agent not in FAULTY_WORKERS
+        ]
 
     def compute_wasted_share(self):
-        """Return the work that moves away from sound workers threw away."""
+        """Return the share of all work that moves of sound runs cost."""
         done = sum(
             self.true_seconds[name] * task.needs.cpu
             for name, task in self.tasks.items()
         )
-        return sum(move.work for move in self.sound_moves()) / done
-
-    def earned_by_queue(self):
-        earned = {}
-        for queue in self.queues:
-            callers = [
-                caller
-                for caller in self.callers.values()
-                if caller.queue.name == queue.name
-            ]
-            total = sum(caller.worth for caller in callers)
-            earned[queue.name] = (
-                sum(caller.earned for caller in callers) / total
-            )
-        return earned
+        return sum(move.work for move in self.find_sound_moves()) / done
+
+    def compute_earned_by_queue(self):
+        """Return the share of the callers' value that each queue earned."""
+        worth = collections.Counter()
+        earned = collections.Counter()
+        for caller in self.callers.values():
+            worth[caller.queue.name] += caller.worth
+            earned[caller.queue.name] += caller.earned
+        return {queue: earned[queue] / worth[queue] for queue in worth}
 
 
 def play(switches, share, seed, fault=1.0, **knobs):
@@ -127,3 +122,116 @@
     world.load(share, LOAD_SECONDS)
     world.run(LOAD_SECONDS + AFTER_SECONDS)
     return world
+
+
+SEEDS = (0, 1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Results of some worlds with the same switches, as means."""
+
+    earned: float
+    by_queue: dict[str, float]
+    move_count: float
+    sound_move_count: float
+    wasted_share: float
+
+    @classmethod
+    def from_worlds(cls, worlds):
+        by_queue = [world.compute_earned_by_queue() for world in worlds]
+        return cls(
+            statistics.fmean(w.compute_earned_share() for w in worlds),
+            {
+                queue: statistics.fmean(shares[queue] for shares in by_queue)
+                for queue in by_queue[0]
+            },
+            statistics.fmean(len(world.moves) for world in worlds),
+            statistics.fmean(len(w.find_sound_moves()) for w in worlds),
+            statistics.fmean(w.compute_wasted_share() for w in worlds),
+        )
+
+
+def compare(share, **knobs):
+    """Return the outcomes of a load, with weighed moves and without."""
+    outcomes = []
+    for switches in (ON, OFF):
+        worlds = [play(switches, share, seed, **knobs) for seed in SEEDS]
+        assert all(world.double_runs == [] for world in worlds)
+        assert all(world.false_refusals == [] for world in worlds)
+        outcomes.append(Outcome.from_worlds(worlds))
+    return outcomes
+
+
+def assert_each_queue_keeps(weighed, former, loss):
+    for queue, earned in former.by_queue.items():
+        assert weighed.by_queue[queue] >= earned - loss, queue
+
+
+@pytest.mark.parametrize('share', [0.5, 0.8, 0.95])
+def test_long_tasks_are_left_at_sound_workers(share):
+    """Three tasks in a hundred are long by themselves, all workers are sound.
+
+    Each of them would be moved, twice perhaps, and its caller and the others
+    wait for the work that was thrown away.
+    """
+    weighed, former = compare(share, tail=TAIL)
+    assert weighed.sound_move_count <= 0.1 * former.sound_move_count
+    assert weighed.wasted_share < 0.01
+    assert weighed.earned >= former.earned + 0.05
+    assert_each_queue_keeps(weighed, former, 0.0)
+
+
+@pytest.mark.parametrize('fault', [SLOW, HUNG])
+@pytest.mark.parametrize('share', [0.5, 0.8, 0.95])
+def test_faulty_workers_are_left_beside_long_tasks(share, fault):
+    """The same, and one worker in six turns slow or hangs for five seconds.
+
+    Runs there must be moved, although long tasks look the same.
+    """
+    weighed, former = compare(share, tail=TAIL, fault=fault)
+    assert weighed.move_count > 2 * weighed.sound_move_count
+    assert weighed.wasted_share < 0.01
+    assert weighed.earned >= former.earned + 0.05
+    assert_each_queue_keeps(weighed, former, 0.0)
+
+
+@pytest.mark.parametrize('fault', [SLOW, HUNG])
+@pytest.mark.parametrize('share', [0.5, 0.8, 0.95])
+def test_without_a_tail_faulty_workers_are_left_as_before(share, fault):
+    """No task is long by itself; a customer without a tail loses nothing."""
+    weighed, former = compare(share, fault=fault)
+    assert weighed.sound_move_count == 0
+    assert weighed.earned >= former.earned - 0.015
+
+
+def test_long_tasks_beside_workers_of_unlike_speeds():
+    """A quarter of the workers always take 2.2 times as long as the others.
+
+    Their runs are overdue without any fault, and with long tasks as well.
+    """
+    weighed, former = compare(0.8, tail=TAIL, speeds=(1.82, 0.83, 0.83, 0.83))
+    assert weighed.wasted_share < 0.02
+    assert weighed.earned >= former.earned + 0.05
+    assert_each_queue_keeps(weighed, former, 0.0)
+
+
+def test_without_the_switch_each_straggler_is_moved():
+    world = play(OFF, 0.8, 0, tail=TAIL)
+    assert world.declined == []
+    assert len(world.moves) > 100
+    assert world.nodes['entry-0'].reducer._stragglers._weigher is None
+
+
+def test_a_declined_move_is_noted_once_a_run():
+    """A long run is weighed many times; the log would fill with its notes."""
+    world = play(ON, 0.8, 0, tail=TAIL)
+    assert world.declined
+    noted = [(note['job'], note['index']) for note in world.declined]
+    assert len(noted) <= 1.5 * len(set(noted))
+    assert {note['reason'] for note in world.declined} <= {
+        'own_tail',
+        'no_gain',
+        'budget',
+        'second',
+    }
