--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -30,6 +30,32 @@
     ENDED = 'ended'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftRun:
+    """Run that a move of its task left.
+
+    :param seconds: time that it had taken.
+    :param charged: core-seconds that the move was charged.
+    """
+
+    run: int
+    seconds: float
+    charged: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountedRun:
+    """Run that was counted as long by itself before it finished.
+
+    :param has_siblings: whether its expected time was that of siblings.
+    :param ratio: ratio to its expected time that it was counted with.
+    """
+
+    run: int
+    has_siblings: bool
+    ratio: float
+
+
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
     """Record of one task of an owned job.
@@ -39,6 +65,12 @@
     :ivar agents_to_avoid: agents at which the task failed or was slow.
     :ivar stopping: whether a stop was sent for its run.
     :ivar move_count: times that a slow run was moved to another worker.
+    :ivar moved_without_proof: whether a move left a worker that wasn't proven
+        to be the cause.
+    :ivar left_run: run that the last move left, until its outcome is known.
+    :ivar declined_run: number of the last run whose move was declined.
+    :ivar counted_run: last run that was counted before it finished.
+    :ivar weigh_at: instant from which a move is weighed again.
     :ivar refusal_count: number of starts that workers refused.
     :ivar retry_at: instant from which it may be sent to a worker again.
     """
@@ -50,6 +82,11 @@
     placed_at: float = 0.0
     stopping: bool = False
     move_count: int = 0
+    moved_without_proof: bool = False
+    left_run: LeftRun | None = None
+    declined_run: int = 0
+    counted_run: CountedRun | None = None
+    weigh_at: float = 0.0
     refusal_count: int = 0
     retry_at: float = 0.0
     agents_to_avoid: frozenset[types.PeerName] = frozenset()
