--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -15,6 +15,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import estimating
+from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import spreading
@@ -32,6 +33,8 @@
 MIN_WANT_INTERVAL_SECONDS = 0.03
 """Shortest pause between two capacity requests to a pool."""
 
+NO_AGENTS: frozenset[types.PeerName] = frozenset()
+
 MAX_BLOCKED_JOBS = 24
 """Number of jobs without capacity after which a placement round ends for their
 pool: otherwise a queue of hundreds would be searched at each message, and an
@@ -119,7 +122,7 @@
         self, waiting: list[owned_jobs.OwnedJob], current: '_Round'
     ) -> None:
         for job in waiting:
-            if current.is_exhausted(job.spec.route.pool):
+            if job.spec.route.pool in current.exhausted_pools:
                 continue
             try:
                 self._place_job(job, current)
@@ -133,21 +136,35 @@
         their own step: they couldn't use it.
         """
         spread = spreading.Spread(job)
+        records, tasks = job.records, job.spec.tasks
+        # Task for which no worker at all has room: its siblings aren't tried.
+        # Tasks of a step share one object of their needs.
+        unplaced: jobs.Task | None = None
         without_room: list[int] = []
         deferred: list[int] = []
         held: list[int] = []
         while job.waiting:
             index = job.waiting.popleft()
-            if current.now < job.records[index].retry_at:
+            if current.now < records[index].retry_at:
                 deferred.append(index)
                 continue
-            full = spread.full_agents(index)
+            full = spread.full_agents(index) if spread.limited else NO_AGENTS
             if full and current.are_all_full(job, index, full):
                 held.append(index)
                 continue
+            task = tasks[index]
+            if (
+                unplaced is not None
+                and task.needs is unplaced.needs
+                and task.label == unplaced.label
+            ):
+                without_room.append(index)
+                continue
             worker = current.pick(job, index, full)
             if worker is None:
                 without_room.append(index)
+                if not full and not records[index].agents_to_avoid:
+                    unplaced = task
                 continue
             self._assign(job, index, worker, current.now)
             spread.add(index, worker.name)
@@ -312,10 +329,13 @@
 
     Capacity only shrinks within a round: a task that needs no less than one
     which fitted no worker isn't tried.
+
+    :ivar exhausted_pools: pools of which no more jobs are tried.
     """
 
     def __init__(self, workers: pool.Pool, now: float) -> None:
         self.now = now
+        self.exhausted_pools: set[str] = set()
         self._workers = workers
         self._candidates: dict[tuple[str, str], pool.Candidates] = {}
         self._unplaced: dict[tuple[str, str], list[_Unplaced]] = {}
@@ -323,11 +343,6 @@
         self._demands: dict[str, _Demand] = {}
         self._fits: dict[tuple[str, types.Needs], bool] = {}
 
-    def is_exhausted(self, pool_name: str) -> bool:
-        """Return whether no more jobs of a pool are tried in this round."""
-        demand = self._demands.get(pool_name)
-        return demand is not None and demand.job_count >= MAX_BLOCKED_JOBS
-
     def pick(
         self,
         job: owned_jobs.OwnedJob,
@@ -371,6 +386,8 @@
         """Add the tasks of a job for which there is no capacity."""
         demand = self._demands.setdefault(job.spec.route.pool, _Demand())
         demand.job_count += 1
+        if demand.job_count >= MAX_BLOCKED_JOBS:
+            self.exhausted_pools.add(job.spec.route.pool)
         demand.latest_start = min(demand.latest_start, job.latest_start)
         demand.limited = demand.limited or bool(job.spec.worker_limits)
         # Tasks of a step share their needs.
--- a/src/agatepick/repeatable/spreading.py
+++ b/src/agatepick/repeatable/spreading.py
@@ -17,11 +17,15 @@
 
 
 class Spread:
-    """Runs of one job by step and agent, in one placement round."""
+    """Runs of one job by step and agent, in one placement round.
+
+    :ivar limited: whether any step of the job has a limit.
+    """
 
     def __init__(self, job: owned_jobs.OwnedJob) -> None:
         self._job = job
         self._limits = job.spec.worker_limits
+        self.limited = bool(self._limits)
         self._counts: dict[int, collections.Counter[types.PeerName]] = {}
         if not self._limits:
             return
