--- a/src/agatepick/repeatable/moves.py
+++ b/src/agatepick/repeatable/moves.py
@@ -72,7 +72,11 @@
 MIN_GAIN = 0.05
 """Least part of the expected remaining time that a move must gain."""
 
-BUDGET_CORE_SECONDS = 20.0
+WASTE_WEIGHT = 0.5
+"""Weight, beside the task's own time, of the time that a move is expected to
+throw away: others wait for the capacity that the task uses again."""
+
+BUDGET_CORE_SECONDS = 12.0
 """Largest amount of work that may be thrown away in a row without gain: a few
 runs of some cores and seconds."""
 
@@ -84,7 +88,7 @@
 """Share by which the budget refills of the work that a gaining move left."""
 
 MIN_TRUST = 0.1
-MAX_TRUST = 4.0
+MAX_TRUST = 2.0
 """Bounds of the factor on the odds by the gains of earlier moves."""
 
 TRUST_MOVES = 2.0
@@ -245,7 +249,7 @@
     reason = Reason.MOVED
     if run.moved and (run.moved_without_proof or not proven):
         reason = Reason.SECOND
-    elif there >= (1.0 - MIN_GAIN) * here:
+    elif not _gains(here, there, (1.0 - probability) * run.seconds):
         reason = Reason.OWN_TAIL if probability < 0.5 else Reason.NO_GAIN
     work = run.cores * run.seconds
     waste = work * (1.0 - probability)
@@ -259,6 +263,10 @@
     return _weigh_cost(run.cost) + _weigh_others(run.others) > 0.5
 
 
+def _gains(here: float, there: float, wasted: float) -> bool:
+    return there + WASTE_WEIGHT * wasted < (1.0 - MIN_GAIN) * here
+
+
 def _blend(probability: float, if_faulty: float, if_sound: float) -> float:
     return probability * if_faulty + (1.0 - probability) * if_sound
 
--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -86,7 +86,9 @@
     ) -> list[Straggler]:
         """Count a move of each run to move now, and return these runs.
 
-        A run that is left where it is, is returned once, for its note.  A job is checked when one of its runs may be due, not at each call:
+        A run that is left where it is, is returned once, for its note.
+
+        A job is checked when one of its runs may be due, not at each call:
         with hundreds of open jobs the checks would take most of the time.
         """
         if now < job.check_at:
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from agatepick.decisions import estimates
 from agatepick import types
 
@@ -70,3 +72,24 @@
         run_times.observe(_task(declared=declared), seconds)
     assert 7.2 <= run_times.quantile(_task(declared=4.0), 0.9) <= 10.5
     assert 0.08 <= run_times.mean(_task(declared=0.05)) <= 0.12
+
+
+def test_the_observations_above_a_value_are_counted():
+    histogram = estimates.Histogram()
+    for value in (1.0, 1.0, 1.0, 8.0):
+        histogram.add(value)
+    assert histogram.above(4.0).weight == 1.0
+    assert histogram.above(4.0).total == pytest.approx(8.0, rel=0.1)
+    assert histogram.above(0.1).weight == 4.0
+    assert histogram.above(2.0 * estimates.MAX_OBSERVED_VALUE).weight == 0.0
+
+
+def test_a_discarded_value_counts_no_more():
+    histogram = estimates.Histogram()
+    for value in (1.0, 8.0):
+        histogram.add(value)
+    histogram.discard(8.0)
+    assert histogram.above(4.0).weight == 0.0
+    assert histogram.weight == 1.0
+    histogram.discard(8.0)
+    assert histogram.weight == 1.0
--- a/tests/test_weighed_moves.py
+++ b/tests/test_weighed_moves.py
@@ -39,10 +39,12 @@
 class Move:
     """A run that was moved.
 
+    :ivar started_at: seconds of the world at which the run was sent.
     :ivar work: core-seconds that the run had taken.
     """
 
     at: float
+    started_at: float
     agent: str
     work: float
 
@@ -53,15 +55,17 @@
     def __init__(self, **knobs):
         self.moves = []
         self.declined = []
+        self.faulty = ()
         super().__init__(**knobs)
 
     def _apply(self, node, effect):
         if isinstance(effect, core.Note) and effect.name == 'run_stuck':
             fields = dict(effect.fields)
             task = self.tasks[f'{fields["job"]}.{fields["index"]}']
-            work = float(fields['elapsed']) * task.needs.cpu
-            since = self.now - repeatable_world.START
-            self.moves.append(Move(since, fields['peer'], work))
+            seconds = float(fields['elapsed'])
+            at = self.now - repeatable_world.START
+            work = seconds * task.needs.cpu
+            self.moves.append(Move(at, at - seconds, fields['peer'], work))
         if isinstance(effect, core.Note) and effect.name == 'move_declined':
             self.declined.append(dict(effect.fields))
         super()._apply(node, effect)
@@ -77,6 +81,7 @@
 
     def plan_fault(self, factor, names=FAULTY_WORKERS):
         """Make workers slow for some seconds of the load."""
+        self.faulty = names
         for name in names:
             self.schedule(FAULT_AT_SECONDS, self.slow_down, name, factor)
             self.schedule(
@@ -87,10 +92,16 @@
             )
 
     def find_sound_moves(self):
-        """Return the moves away from workers that never were at fault."""
-        return [
-            move for move in self.moves if move.agent not in FAULTY_WORKERS
-        ]
+        """Return the moves of runs that no fault of their worker met."""
+        return [move for move in self.moves if not self._met_fault(move)]
+
+    def _met_fault(self, move):
+        begin = SETUP_SECONDS + FAULT_AT_SECONDS
+        return (
+            move.agent in self.faulty
+            and move.at > begin
+            and move.started_at < begin + FAULT_SECONDS
+        )
 
     def compute_wasted_share(self):
         """Return the share of all work that moves of sound runs cost."""
