Tell a worker's usual speed from whether it is well

A worker's cost mixed the speed of its kind and its present state: where slow workers take 2.2 times as long as fast ones, sound ones counted as sick and stood idle while callers were refused, and the record forgot within 3 s.

With worker_speeds on, an agent learns its worker's usual slowness, entries place and admit by the time that a task needs there, and cost is relative to the worker's own usual speed.

--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -346,7 +346,8 @@
     :param cost: expected time until a result, divided by that at a healthy
         worker.
     :param slowness: usual run time at the worker, divided by that at the
-        typical worker of its pool; 1 while it isn't known.
+        typical worker of its pool; 1 where it isn't learnt, and 0 until
+        enough runs were seen.
     """
 
     agent_incarnation: int
--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -44,6 +44,7 @@
     """A worker as it was announced.
 
     :param name: id of the worker, without its incarnation.
+    :param slowness: its usual slowness; 0 if there is nothing to remember.
     """
 
     name: str
@@ -52,6 +53,7 @@
     mem_mb: int
     gpu: int
     labels: tuple[str, ...] = ()
+    slowness: float = 0.0
 
 
 class WorkerRecord:
@@ -72,7 +74,9 @@
     def update(self, effect: workerapi.PersistWorker) -> None:
         """Replace the state that :meth:`write_changes` writes to the row."""
         announced = effect.worker
-        self._value = None if announced is None else _encode(announced)
+        self._value = None
+        if announced is not None:
+            self._value = _encode(announced, effect.slowness)
         self._changed.set()
 
     async def write_changes(self) -> None:
@@ -104,6 +108,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + GIVE_UP_SECONDS
         row = await self._read_until(deadline)
+        if row is not None and row.slowness:
+            feed(_recall_slowness(row))
         while row is not None and loop.time() < deadline:
             born = await client.fetch_born(row.name)
             if born:
@@ -140,7 +146,7 @@
             return None
 
 
-def _encode(announced: workerapi.WorkerAnnounced) -> bytes:
+def _encode(announced: workerapi.WorkerAnnounced, slowness: float) -> bytes:
     return msgspec.json.encode(
         _Row(
             worker.get_id(announced.incarnation),
@@ -149,10 +155,18 @@
             announced.capacity.memory_mb,
             announced.capacity.accelerators,
             announced.labels,
+            slowness,
         )
     )
 
 
+def _recall_slowness(row: _Row) -> workerapi.SlownessRecalled:
+    capacity = types.Needs(row.cpu, row.mem_mb, row.gpu)
+    return workerapi.SlownessRecalled(
+        row.pool, capacity, row.labels, row.slowness
+    )
+
+
 def _decode(row: _Row, born: int, address: str) -> workerapi.WorkerAnnounced:
     return workerapi.WorkerAnnounced(
         incarnation=worker.make_incarnation(row.name, born),
--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -21,6 +21,7 @@
 import random
 import statistics
 
+from agatepick.repeatable import choosing
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
@@ -220,8 +221,10 @@
         estimator: estimating.Estimator,
         waiting: owned_jobs.WaitingQueue,
         rng: random.Random,
+        by_speed: bool = False,
     ) -> None:
         self._pool = workers
+        self._by_speed = by_speed
         self._estimator = estimator
         self._waiting = waiting
         self._rng = rng
@@ -316,24 +319,28 @@
                 job.spec.tasks[index].needs.cpu for index in job.waiting
             )
         workers = self._pool.usable_workers(spec.route.pool, '', now)
-        median = pool.compute_median_cost(workers)
-        free, share = 0.0, 0.0
-        for worker in workers:
-            if worker.room is None or not pool.is_healthy(worker, median):
-                continue
-            free += worker.free.cpu
-            share += worker.room.capacity.cpu / max(1, worker.room.entries)
-        steady = (
-            USABLE_CORE_SHARE * share / self.release_rate.mean_run_seconds()
+        capacity = choosing.measure_capacity(
+            workers, self._build_demand(spec, latest_start - now)
         )
-        rate = (
-            max(steady, self.release_rate.cores_per_second(now))
-            if workers
-            else 0.0
+        steady = (
+            USABLE_CORE_SHARE
+            * capacity.share
+            / self.release_rate.mean_run_seconds()
         )
+        recent = self.release_rate.cores_per_second(now) * capacity.part
+        rate = max(steady, recent) if workers else 0.0
         round_trip_seconds = (
             statistics.median(worker.round_trip_seconds for worker in workers)
             if workers
             else 0.0
         )
-        return Load(needed, free, rate, round_trip_seconds)
+        return Load(needed, capacity.free_cores, rate, round_trip_seconds)
+
+    def _build_demand(
+        self, spec: jobs.Job, slack: float
+    ) -> pool.Demand | None:
+        """Return the time that a job needs and has, if speeds matter."""
+        if not self._by_speed:
+            return None
+        longest = self._estimator.estimate_longest_chain(spec)
+        return pool.Demand(longest, longest + slack)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -20,6 +20,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import serving
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -37,7 +38,7 @@
 
     name: types.PeerName
     zone: str
-    policies: policies.Policies = policies.Policies()
+    switches: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
@@ -53,8 +54,9 @@
         self._incarnation = incarnation
         self._capacity = sharing.SharedCapacity()
         self._health = health.Health()
+        self._usual_speed = speeds.UsualSpeed(cfg.switches.worker_speeds)
         self._publisher = publishing.Publisher(
-            incarnation, self._capacity, self._health
+            incarnation, self._capacity, self._health, self._usual_speed
         )
         self._owners: dict[types.PeerName, runs.Owner] = {}
         self._reports = reports.Reports()
@@ -63,6 +65,7 @@
             self._health,
             self._reports,
             self._publisher.clear_capacity,
+            self._usual_speed,
         )
         self._serving = serving.Serving(cfg.name)
         # None until the operator's rows are read: an agent that starts while
@@ -81,6 +84,7 @@
             events.ZonesClosed: self._on_zones,
             workerapi.WorkerAnnounced: self._controller.handle_announcement,
             workerapi.WorkerLeft: self._controller.handle_departure,
+            workerapi.SlownessRecalled: self._on_slowness_recalled,
             workerapi.StartAnswered: self._controller.handle_start_answer,
             workerapi.StopAnswered: self._controller.handle_stop_answer,
             workerapi.ListsReceived: self._controller.handle_lists,
@@ -132,6 +136,7 @@
             'entries': sum(owner.connected for owner in self._owners.values()),
             'worker_open': float(self._is_open(now)),
             'free_cores': self._capacity.free.cpu,
+            'worker_slowness': self._usual_speed.slowness,
         }
 
     # Entries
@@ -318,6 +323,12 @@
             and not self._controller.blocks_starts(now)
         )
 
+    def _on_slowness_recalled(
+        self, event: workerapi.SlownessRecalled, now: float
+    ) -> list[object]:
+        self._usual_speed.recall(event)
+        return []
+
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
         was_closed = self._cfg.zone in (self._closed_zones or ())
         closed = self._cfg.zone in event.zones
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -13,9 +13,11 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import admission
+from agatepick.repeatable import choosing
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
+from agatepick.repeatable import kinds
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import placing
@@ -47,7 +49,7 @@
 
     name: types.PeerName
     zone: str
-    policies: policies.Policies = policies.Policies()
+    switches: policies.Policies = policies.Policies()
 
 
 _MessageHandler = typing.Callable[
@@ -59,12 +61,14 @@
     """Reducer of one entry process."""
 
     def __init__(self, cfg: EntryConfig, rng: random.Random):
-        self._pool = pool.Pool(rng)
+        by_speed = cfg.switches.worker_speeds
+        self._pool = pool.Pool(rng, choosing.Candidates if by_speed else None)
+        self._speeds = kinds.RelativeSpeeds(self._pool) if by_speed else None
         self._estimator = estimating.Estimator()
         self._waiting = owned_jobs.WaitingQueue()
         self._jobs = owned_jobs.Jobs()
         self._admission = admission.Admission(
-            self._pool, self._estimator, self._waiting, rng
+            self._pool, self._estimator, self._waiting, rng, by_speed
         )
         self._placing = placing.Placing(self._pool, self._estimator)
         self._outcomes = outcomes.Outcomes(
@@ -167,6 +171,9 @@
             'longest_wait_seconds': max(waits, default=0.0),
             'workers_usable': len(usable),
             'free_cores': sum(worker.free.cpu for worker in usable),
+            'free_cores_slow': sum(
+                worker.free.cpu for worker in usable if kinds.is_slow(worker)
+            ),
             'state_version': self.routes.version if self.routes else 0,
         }
 
@@ -384,7 +391,10 @@
     def _handle_room(
         self, worker: pool.Worker, room: messages.Room, now: float
     ) -> list[object]:
+        former = worker.room
         self._placing.store_room(worker, room)
+        if self._speeds is not None and kinds.has_news(former, room):
+            self._speeds.update()
         return []
 
     # Placing
--- a/src/agatepick/repeatable/health.py
+++ b/src/agatepick/repeatable/health.py
@@ -66,6 +66,16 @@
         self._apply_fade(now)
         self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
 
+    def rescale(self, factor: float) -> None:
+        """Multiply the recorded slowness by a factor, as far as 1.
+
+        The worker's usual slowness became known, to which further runs are
+        compared: without this a sound worker of a slow kind would count as
+        sick until as many runs again have ended.
+        """
+        if self._slowness > 1.0:
+            self._slowness = max(1.0, self._slowness * factor)
+
     def _apply_fade(self, now: float) -> None:
         self._slowness, self._success_rate = self._compute_faded(now)
         self._last_run_at = now
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -28,10 +28,12 @@
     'longest_wait_seconds': 'age of the oldest job that has not begun',
     'workers_usable': 'workers to which runs may be sent now',
     'free_cores': 'cores that are free for more runs, as far as is known',
+    'free_cores_slow': 'those at workers slower than the typical one',
     'state_version': 'version of the desired state in force; 0 for none',
     'runs': 'runs at the worker that are not known to be over',
     'entries': 'entries that the agent is connected to',
     'worker_open': '1 while runs may be started at the worker',
+    'worker_slowness': 'usual run time at the worker over the expected one',
 }
 """Gauges and their help texts by name.  The values are computed on each scrape
 only."""
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -112,9 +112,11 @@
         now: float,
     ) -> list[object]:
         task = job.spec.tasks[report.index]
-        self._release_rate.add(task.needs.cpu, report.seconds, now)
-        self._estimator.observe(job.spec, task, report.seconds)
-        job.mark_finished(report.index, report.seconds)
+        # All run times that are compared are those at a typical worker.
+        seconds = report.seconds / worker.slowness
+        self._release_rate.add(task.needs.cpu, seconds, now)
+        self._estimator.observe(job.spec, task, seconds)
+        job.mark_finished(report.index, seconds)
         if job.answered:
             self._jobs.remove_if_ended(job)
             return []
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -67,7 +67,9 @@
     :ivar calls: requests that wait for its answer; more than one if a caller
         submitted the job again.
     :ivar open_task_count: number of tasks that haven't finished.
-    :ivar run_seconds: run times of finished tasks by step.
+    :ivar run_seconds: run times of finished tasks by step, as they would be
+        at a typical worker.
+    :ivar held_back: whether a task waited for a faster worker than was free.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self.check_at = 0.0
         self.open_task_count = len(spec.tasks)
         self.run_seconds: dict[int, list[float]] = {}
+        self.held_back = False
         self._open_by_step = [0] * len(spec.after)
         for task in spec.tasks:
             self._open_by_step[task.step] += 1
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -7,6 +7,7 @@
 (:mod:`~agatepick.repeatable.sharing`).
 """
 
+import bisect
 import dataclasses
 import functools
 import math
@@ -48,6 +49,7 @@
         self._starts: dict[types.PeerName, list[messages.RunSpec]] = {}
         self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
         self._open_grants: dict[types.PeerName, messages.Room] = {}
+        self._notes: list[object] = []
         self._last_wants: dict[str, _LastWant] = {}
 
     def store_room(self, worker: pool.Worker, room: messages.Room) -> None:
@@ -75,15 +77,16 @@
         :param waiting: jobs with waiting tasks, the most urgent first.
         """
         blocked = self._place_jobs(waiting, now) if waiting else []
-        blocked_by_pool: dict[str, list[owned_jobs.OwnedJob]] = {}
-        for job in blocked:
-            blocked_by_pool.setdefault(job.spec.route.pool, []).append(job)
+        blocked_by_pool: dict[str, list[_BlockedJob]] = {}
+        for entry in blocked:
+            name = entry.job.spec.route.pool
+            blocked_by_pool.setdefault(name, []).append(entry)
         wants = {
-            name: _build_want(jobs, now)
-            for name, jobs in blocked_by_pool.items()
+            name: _Wants(jobs, now) for name, jobs in blocked_by_pool.items()
         }
-        effects = self._send_starts(wants)
-        for name, jobs in blocked_by_pool.items():
+        effects, self._notes = self._notes, []
+        effects += self._send_starts(wants)
+        for name in blocked_by_pool:
             effects += self._send_want(name, wants[name], now)
         # No task waits for the other pools any more.  Their agents get no
         # message: an agent with a grant for this entry receives the entry's
@@ -97,9 +100,9 @@
 
     def _place_jobs(
         self, waiting: list[owned_jobs.OwnedJob], now: float
-    ) -> list[owned_jobs.OwnedJob]:
+    ) -> list['_BlockedJob']:
         """Assign the tasks that fit, and return the jobs with tasks left."""
-        blocked: list[owned_jobs.OwnedJob] = []
+        blocked: list[_BlockedJob] = []
         candidates: dict[tuple[str, str], pool.Candidates] = {}
         min_unplaced_cpu: dict[tuple[str, str], float] = {}
         for job in waiting:
@@ -122,9 +125,12 @@
                 ):
                     unplaced.append(index)
                     continue
-                worker = self._choose(job, index, candidates[pool_and_label])
+                choices = candidates[pool_and_label]
+                worker = self._choose(job, index, choices, now)
                 if worker is None:
-                    if not job.records[index].agents_to_avoid:
+                    if choices.held_back:
+                        self._note_held_back(job, index)
+                    elif not job.records[index].agents_to_avoid:
                         min_unplaced_cpu[pool_and_label] = task.needs.cpu
                     unplaced.append(index)
                     continue
@@ -132,7 +138,11 @@
             job.waiting.extend(unplaced)
             job.waiting.extend(backing_off)
             if unplaced:
-                blocked.append(job)
+                index = unplaced[0]
+                label = job.spec.tasks[index].label
+                choices = candidates[job.spec.route.pool, label]
+                limit = self._compute_limit(job, index, choices, now)
+                blocked.append(_BlockedJob(job, limit))
             if len(blocked) >= MAX_BLOCKED_JOBS:
                 break
         return blocked
@@ -142,6 +152,7 @@
         job: owned_jobs.OwnedJob,
         index: int,
         candidates: pool.Candidates,
+        now: float,
     ) -> pool.Worker | None:
         task = job.spec.tasks[index]
         agents_to_avoid = job.records[index].agents_to_avoid
@@ -149,7 +160,60 @@
             worker.name in agents_to_avoid for worker in candidates.workers
         ):
             agents_to_avoid = frozenset()
-        return candidates.pick(task.needs, agents_to_avoid)
+        demand = self._build_demand(job, index, candidates, now)
+        return candidates.pick(task.needs, agents_to_avoid, demand)
+
+    def _compute_limit(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        candidates: pool.Candidates,
+        now: float,
+    ) -> float:
+        """Return the slowness up to which workers suit a waiting task."""
+        return candidates.compute_limit(
+            job.spec.tasks[index].needs,
+            job.records[index].agents_to_avoid,
+            self._build_demand(job, index, candidates, now),
+        )
+
+    def _build_demand(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        candidates: pool.Candidates,
+        now: float,
+    ) -> pool.Demand | None:
+        """Return the time that a task needs and has, if that matters.
+
+        A job of several steps has no time to spare at a single one.
+        """
+        if not candidates.weighs_time:
+            return None
+        expected = estimate_run_seconds(self._estimator, job, index)
+        if len(job.spec.after) > 1:
+            return pool.Demand(expected, expected)
+        ends_at = job.objective_ends_at
+        if job.run_seconds:
+            # Finished siblings show the job's run time better than the
+            # estimate at its arrival did.
+            slack = job.spec.route.slack(expected)
+            ends_at = job.arrived_at + slack + expected
+        return pool.Demand(expected, ends_at - now)
+
+    def _note_held_back(self, job: owned_jobs.OwnedJob, index: int) -> None:
+        """Note once that a job waits although a slow worker has room."""
+        if job.held_back:
+            return
+        job.held_back = True
+        self._notes.append(
+            core.note(
+                'job_held_back',
+                job=job.spec.key,
+                queue=job.spec.route.name,
+                index=index,
+            )
+        )
 
     def _assign(
         self,
@@ -183,7 +247,7 @@
             )
         )
 
-    def _send_starts(self, wants: dict[str, messages.Want]) -> list[object]:
+    def _send_starts(self, wants: dict[str, '_Wants']) -> list[object]:
         effects: list[object] = []
         for name in dict.fromkeys([*self._starts, *self._open_grants]):
             worker = self._pool.get(name)
@@ -191,6 +255,9 @@
                 continue
             worker.last_start_number += 1
             grant = self._open_grants.pop(name, None)
+            want = messages.NO_WANT
+            if worker.pool in wants:
+                want = wants[worker.pool].get(worker)
             effects.append(
                 core.Send(
                     name,
@@ -198,7 +265,7 @@
                         worker.last_start_number,
                         grant.grant if grant else 0,
                         tuple(self._starts.get(name, ())),
-                        wants.get(worker.pool, messages.NO_WANT),
+                        want,
                         tuple(self._payloads.get(name, ())),
                     ),
                 )
@@ -212,19 +279,62 @@
         return effects
 
     def _send_want(
-        self, name: str, want: messages.Want, now: float
+        self, name: str, wants: '_Wants', now: float
     ) -> list[object]:
         """Send a pool's agents the capacity request, if it is due."""
         last_want = self._last_wants.get(name)
-        latest_start = now + want.slack
+        latest_start = now + wants.slack
         if last_want is not None and not last_want.is_due(latest_start, now):
             return []
         self._last_wants[name] = _LastWant(now, latest_start)
-        return [
-            core.Send(worker.name, want)
-            for worker in self._pool
-            if worker.connected and worker.pool == name
-        ]
+        effects: list[object] = []
+        for worker in self._pool:
+            if not worker.connected or worker.pool != name:
+                continue
+            want = wants.get(worker)
+            if want.count:
+                effects.append(core.Send(worker.name, want))
+        return effects
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BlockedJob:
+    """Job with waiting tasks for which no suitable worker has capacity.
+
+    :param max_slowness: slowness up to which workers are suitable.
+    """
+
+    job: owned_jobs.OwnedJob
+    max_slowness: float
+
+
+class _Wants:
+    """Capacity requests for the blocked jobs of one pool.
+
+    A worker is asked only for tasks that it is suitable for: it would reserve
+    capacity for others in vain.
+
+    :ivar slack: seconds until the latest start of the most urgent task.
+    """
+
+    def __init__(self, blocked: list[_BlockedJob], now: float) -> None:
+        self._blocked = sorted(blocked, key=_get_max_slowness, reverse=True)
+        self._limits = [-entry.max_slowness for entry in self._blocked]
+        self._now = now
+        self._by_count: dict[int, messages.Want] = {0: messages.NO_WANT}
+        self.slack = min(entry.job.latest_start for entry in blocked) - now
+
+    def get(self, worker: pool.Worker) -> messages.Want:
+        """Return the request to a worker's agent."""
+        count = bisect.bisect_right(self._limits, -worker.slowness)
+        if count not in self._by_count:
+            jobs = [entry.job for entry in self._blocked[:count]]
+            self._by_count[count] = _build_want(jobs, self._now)
+        return self._by_count[count]
+
+
+def _get_max_slowness(blocked: _BlockedJob) -> float:
+    return blocked.max_slowness
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/repeatable/policies.py
+++ b/src/agatepick/repeatable/policies.py
@@ -6,8 +6,8 @@
 
 import dataclasses
 
-from agatepick import exceptions
 from agatepick.conf import typed_toml
+from agatepick import exceptions
 
 SECTION = 'policies'
 """Table of the settings file that holds the switches."""
--- a/src/agatepick/repeatable/pool.py
+++ b/src/agatepick/repeatable/pool.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 import statistics
 import typing
@@ -49,6 +50,9 @@
 all fill the fast workers to the last slot would compete there and be
 refused."""
 
+EMPTINESS_JITTER = 0.3
+"""Random part that is added to a worker's emptiness, a share of its cores."""
+
 TaskKey = tuple[types.JobKey, int]
 
 
@@ -78,6 +82,10 @@
     :ivar placed: this entry's runs at the worker, by task.
     :ivar round_trip_seconds: round trip of the last renewal.
     :ivar payload_cache: payloads that its agent has cached.
+    :ivar typical_slowness: slowness of the pool's typical worker, as agents
+        measure it.
+    :ivar prior_slowness: slowness, relative to the typical worker, while its
+        agent knows none.
     """
 
     name: types.PeerName
@@ -97,6 +105,8 @@
     payload_cache: payloads.PayloadCache = dataclasses.field(
         default_factory=payloads.PayloadCache
     )
+    typical_slowness: float = 1.0
+    prior_slowness: float = 1.0
 
     def is_usable(self, now: float) -> bool:
         """Return whether runs may be sent to the worker."""
@@ -137,20 +147,56 @@
 
     @property
     def cost(self) -> float:
-        """Expected time until a result, relative to a healthy worker."""
-        return self.room.cost if self.room is not None else 1.0
+        """Expected time until a result, relative to when it is healthy.
+
+        Before a worker's usual slowness is known its agent compares it with
+        the typical worker.
+        """
+        room = self.room
+        if room is None:
+            return 1.0
+        if room.slowness or self.prior_slowness <= 1.0:
+            return room.cost
+        return max(1.0, room.cost / self.prior_slowness)
 
     @property
     def slowness(self) -> float:
         """Usual run time, relative to the typical worker of its pool."""
-        return self.room.slowness if self.room is not None else 1.0
+        room = self.room
+        if room is None or not room.slowness:
+            return self.prior_slowness
+        return room.slowness / self.typical_slowness
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Time that a task needs and has.
+
+    :param expected_seconds: expected run time at the typical worker.
+    :param seconds_left: time until the task should have ended.
+    """
+
+    expected_seconds: float
+    seconds_left: float
 
 
 class Pool:
-    """All workers whose agents are connected or were recently."""
+    """All workers whose agents are connected or were recently.
 
-    def __init__(self, rng: random.Random):
+    :param make_candidates: makes the candidates of a placement round; by
+        default their usual speeds don't matter.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        make_candidates: typing.Callable[
+            [list[Worker], random.Random], 'Candidates'
+        ]
+        | None = None,
+    ):
         self._rng = rng
+        self._make_candidates = make_candidates or Candidates
         self.workers: dict[types.PeerName, Worker] = {}
 
     def __iter__(self) -> typing.Iterator[Worker]:
@@ -186,17 +232,24 @@
 
     def candidates(self, pool: str, label: str, now: float) -> 'Candidates':
         """Return the candidates for tasks of a pool in one placement round."""
-        return Candidates(self.usable_workers(pool, label, now), self._rng)
+        workers = self.usable_workers(pool, label, now)
+        return self._make_candidates(workers, self._rng)
 
 
 class Candidates:
     """Workers for tasks of one pool and label, in one placement round.
 
     Values that are the same for all tasks of a round are computed once.
+
+    :ivar weighs_time: whether it matters which time a task needs and has.
+    :ivar held_back: whether the last task was not placed although a worker
+        had room for it.
     """
 
     def __init__(self, workers: list[Worker], rng: random.Random) -> None:
         self._rng = rng
+        self.weighs_time = False
+        self.held_back = False
         median = compute_median_cost(workers)
         self.workers = [
             worker for worker in workers if _accepts_work(worker, median)
@@ -205,10 +258,25 @@
             worker.name for worker in workers if not is_healthy(worker, median)
         }
 
+    def compute_limit(
+        self,
+        needs: types.Needs,
+        agents_to_avoid: frozenset[types.PeerName],
+        demand: Demand | None,
+    ) -> float:
+        """Return the slowness up to which workers are suitable for a task."""
+        return math.inf
+
     def pick(
-        self, needs: types.Needs, agents_to_avoid: frozenset[types.PeerName]
+        self,
+        needs: types.Needs,
+        agents_to_avoid: frozenset[types.PeerName],
+        demand: Demand | None = None,
     ) -> Worker | None:
-        """Return the worker for a task, or ``None`` if none has capacity."""
+        """Return the worker for a task, or ``None`` if none has capacity.
+
+        :param demand: time that the task needs and has, if that is known.
+        """
         best: Worker | None = None
         best_rank: tuple[int, float] | None = None
         for worker in self.workers:
@@ -216,13 +284,16 @@
                 continue
             if worker.name in agents_to_avoid:
                 continue
-            if worker.placed and worker.name in self._on_probation:
+            if not self._takes_more(worker):
                 continue
             rank = self._rank(worker, needs)
             if best_rank is None or rank < best_rank:
                 best, best_rank = worker, rank
         return best
 
+    def _takes_more(self, worker: Worker) -> bool:
+        return not worker.placed or worker.name not in self._on_probation
+
     def _rank(self, worker: Worker, needs: types.Needs) -> tuple[int, float]:
         """Return the sort key of a candidate, the lowest for the best.
 
@@ -232,7 +303,7 @@
         capacity = worker.room.capacity.cpu or 1.0
         emptiness = worker.free.cpu / capacity
         # Without jitter all entries would pick the same emptiest worker.
-        jitter = self._rng.random() * 0.3
+        jitter = self._rng.random() * EMPTINESS_JITTER
         steps = int(worker.cost * COST_STEPS_PER_UNIT)
         if worker.free.cpu < MIN_SPARE_TASKS * needs.cpu:
             steps += NEARLY_FULL_STEPS
--- a/src/agatepick/repeatable/publishing.py
+++ b/src/agatepick/repeatable/publishing.py
@@ -16,6 +16,7 @@
 from agatepick.repeatable import health
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -70,10 +71,12 @@
         incarnation: int,
         capacity: sharing.SharedCapacity,
         health_record: health.Health,
+        usual_speed: speeds.UsualSpeed | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._capacity = capacity
         self._health = health_record
+        self._usual_speed = usual_speed or speeds.UsualSpeed()
         self._worker: workerapi.WorkerAnnounced | None = None
         self._open = False
         self._entry_count = 0
@@ -158,6 +161,7 @@
             self._open,
             self._entry_count,
             self._cost,
+            self._usual_speed.published,
         )
         deferred_due = (
             self._next_update_at is not None and now >= self._next_update_at
@@ -218,6 +222,7 @@
         if (
             last_update.entries != self._entry_count
             or last_update.cost != self._cost
+            or last_update.slowness != self._usual_speed.published
         ):
             return False
         worker = self._worker
@@ -259,6 +264,7 @@
             owner.last_start_number,
             self._entry_count,
             self._cost,
+            self._usual_speed.published,
         )
 
     def _send_grants(self, owners: Owners, now: float) -> list[object]:
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -17,6 +17,7 @@
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -60,6 +61,8 @@
 
     :param on_refused: called with the name of the entry whose start was
         refused.
+    :param usual_speed: estimate of the worker's usual speed; by default
+        nothing is learnt and the worker counts as typical.
     :ivar worker: current incarnation of the worker; ``None`` if there is none.
     :ivar runs: runs that haven't certainly ended, by task name.
     """
@@ -70,6 +73,7 @@
         health_record: health.Health,
         run_reports: reports.Reports,
         on_refused: typing.Callable[[types.PeerName], None],
+        usual_speed: speeds.UsualSpeed | None = None,
     ) -> None:
         self.worker: workerapi.WorkerAnnounced | None = None
         self.runs: dict[str, runs.Run] = {}
@@ -77,6 +81,7 @@
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
+        self._usual_speed = usual_speed or speeds.UsualSpeed()
         self._list_requests = list_requests.ListRequests()
         self._announced_at = 0.0
         self._last_handled_end_number = 0
@@ -90,6 +95,7 @@
         # elsewhere, and a quote that the task files would be filed twice.
         self._earlier_runs_over = False
         self._persisted_worker: workerapi.WorkerAnnounced | None = None
+        self._persisted_slowness = speeds.UNKNOWN
 
     # The worker's incarnations
 
@@ -155,10 +161,14 @@
             persisted = dataclasses.replace(
                 announced, sequence=workerapi.NOT_ANNOUNCED
             )
-        if persisted == self._persisted_worker:
+        slowness = self._usual_speed.persistent
+        if persisted == self._persisted_worker and (
+            persisted is None or slowness == self._persisted_slowness
+        ):
             return []
         self._persisted_worker = persisted
-        return [workerapi.PersistWorker(persisted)]
+        self._persisted_slowness = slowness
+        return [workerapi.PersistWorker(persisted, slowness)]
 
     def handle_departure(
         self, event: workerapi.WorkerLeft, now: float
@@ -189,6 +199,7 @@
         self, event: workerapi.WorkerAnnounced, now: float
     ) -> list[object]:
         self.worker = event
+        self._usual_speed.meet(event)
         self._last_handled_end_number = 0
         # Runs that an earlier incarnation of this process started continue
         # until their lease expires, and use capacity meanwhile: the next list
@@ -519,16 +530,37 @@
         self.runs.pop(run.name)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
+        effects: list[object] = []
         if state in _RESULTS:
             ratio = seconds / max(run.expected_seconds, MIN_EXPECTED_SECONDS)
+            finished = state is types.RunState.FINISHED
             self._health.record_end(
-                state is types.RunState.FINISHED, ratio, now
+                finished, ratio / self._usual_speed.slowness, now
             )
+            if finished and run.expected_seconds:
+                effects += self._record_speed(ratio, now)
         self._reports.add(run.owner, run.ref, state, reason, seconds)
         if state is types.RunState.FINISHED:
-            return []
+            return effects
         return [runs.run_note('run_' + state.value, run, reason)]
 
+    def _record_speed(self, ratio: float, now: float) -> list[object]:
+        """Record a finished run in the estimate of the usual speed."""
+        speed = self._usual_speed
+        was_known = speed.is_known
+        if not speed.record(ratio, now):
+            return []
+        if not was_known:
+            self._health.rescale(1.0 / speed.slowness)
+        return [
+            core.note(
+                'worker_speed',
+                life=self.worker.incarnation if self.worker else '',
+                slowness=f'{speed.slowness:.2f}',
+                runs=speed.run_count,
+            )
+        ]
+
     def record_overdue_runs(self, now: float) -> None:
         """Record runs that exceed their expected time."""
         for run in self.runs.values():
@@ -536,6 +568,7 @@
                 continue
             expected_seconds = max(run.expected_seconds, MIN_EXPECTED_SECONDS)
             ratio = (now - run.requested_at) / expected_seconds
+            ratio /= self._usual_speed.slowness
             if ratio >= run.next_overdue_ratio:
                 run.next_overdue_ratio *= 2.0
                 self._health.record_overdue(ratio, now)
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -43,9 +43,24 @@
     """Effect: persist the worker for this process's next incarnation.
 
     :param worker: description to persist; ``None`` to delete it.
+    :param slowness: its usual slowness; 0 if there is nothing to remember.
     """
 
     worker: WorkerAnnounced | None
+    slowness: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlownessRecalled:
+    """Event: the usual slowness that an earlier incarnation persisted.
+
+    :param pool: pool, with the other fields the kind of worker it holds for.
+    """
+
+    pool: str
+    capacity: types.Needs
+    labels: tuple[str, ...]
+    slowness: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -59,6 +59,7 @@
     """A fake worker with capacity, leases and a clock that is 2% slow."""
 
     capacity = CAPACITY
+    labels = ()
 
     def __init__(self, world, name):
         self.world = world
@@ -201,6 +202,7 @@
         self.connected = {}
         self.nodes = {}
         self.workers = {}
+        self.persisted = {}
         for index in range(entries):
             self._add(f'entry-{index}', self._make_entry)
         for index in range(agents):
@@ -248,6 +250,8 @@
             self.feed(name, events.RoutesRead(table))
         if name in self.workers and not self.store_unavailable:
             self.feed(name, events.ZonesClosed(frozenset()))
+        if name in self.persisted:
+            self.feed(name, self.persisted[name])
         self._tick(name, node.incarnation)
         self._announce(name, node.incarnation)
         if self.listed and name in self.workers:
@@ -384,7 +388,7 @@
             next(self._order),
             'pool',
             worker.capacity,
-            (),
+            worker.labels,
             False,
             '',
         )
@@ -467,9 +471,19 @@
                 self._handle_start(node, effect, until)
             case workerapi.StopRun():
                 self._handle_stop(node, effect)
+            case workerapi.PersistWorker():
+                self._persist(node, effect)
             case workerapi.RequestLists():
                 self._handle_list_request(node, effect)
 
+    def _persist(self, node, effect):
+        worker = effect.worker
+        self.persisted.pop(node.name, None)
+        if worker is not None and effect.slowness:
+            self.persisted[node.name] = workerapi.SlownessRecalled(
+                worker.pool, worker.capacity, worker.labels, effect.slowness
+            )
+
     def _wake_later(self, node, at):
         # Each process has one timer, as in the shell.
         if self.now < node.wake_at <= at:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -35,6 +35,17 @@
     assert record.cost(NOW) < 1.8
 
 
+def test_a_record_is_compared_anew_once_the_usual_speed_is_known():
+    """A sound worker that takes 1.8 times as long as expected isn't sick."""
+    record = health.Health()
+    for _ in range(30):
+        record.record_end(True, 1.8, NOW)
+    record.rescale(1.0 / 1.8)
+    assert record.cost(NOW) < 1.05
+    record.rescale(0.1)
+    assert record.cost(NOW) >= 1.0
+
+
 def test_the_record_fades_so_that_a_worker_is_tried_again():
     record = health.Health()
     for _ in range(30):
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -8,6 +8,7 @@
 from agatepick.repeatable import publishing
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick import types
 
 NOW = 50.0
@@ -150,6 +151,23 @@
     assert update.message.free.cpu == 60.0
 
 
+def test_a_learnt_speed_is_published():
+    """Entries place by it; it is sent with the other news, not by itself."""
+    capacity = sharing.SharedCapacity()
+    capacity.resize(TASK)
+    speed = speeds.UsualSpeed(learns=True)
+    publisher = publishing.Publisher(1, capacity, health.Health(), speed)
+    owners = {'entry': runs.Owner('entry', 1)}
+    (update,) = publisher.publish(None, True, owners, NOW)
+    assert update.message.slowness == speeds.UNKNOWN
+    for _ in range(speeds.MIN_RUNS):
+        speed.record(1.8, NOW)
+    later = NOW + publishing.MIN_UPDATE_SECONDS + 0.001
+    (update,) = publisher.publish(None, True, owners, later)
+    assert update.message.slowness == speed.published > 1.5
+    assert publisher.publish(None, True, owners, later + 1.0) == []
+
+
 def test_a_leaving_entry_gets_an_update_at_once():
     """An agent serves another entry instead of one of its entries.
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -1,5 +1,8 @@
+import dataclasses
+
 import pytest
 
+from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
@@ -7,6 +10,7 @@
 from agatepick.repeatable import run_controller
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -224,3 +228,70 @@
     )
     controller.handle_start_answer(answer, NOW)
     assert refused == ['entry']
+
+
+def end_many(controller, ratio, count, first=0, now=NOW):
+    """Start and end runs that take a multiple of their expected time."""
+    effects = []
+    for number in range(first, first + count):
+        now += 1.0
+        spec = messages.RunSpec('k', number, 1, f'k.{number}', NEEDS, 0.2)
+        owner = runs.Owner('e', 1, lease_until=now + 60.0)
+        controller.start(owner, spec, b'', now)
+        end = workerapi.EndedRun(
+            number + 1, spec.name, 1, workerapi.EndKind.DONE, 'done'
+        )
+        lists = workerapi.ListsReceived('w@1', now, (), (end,))
+        effects += controller.handle_lists(lists, now + 0.2 * ratio)
+    return effects, now
+
+
+def make_learning_controller():
+    record = health.Health()
+    speed = speeds.UsualSpeed(learns=True)
+    controller = run_controller.RunController(
+        sharing.SharedCapacity(),
+        record,
+        reports.Reports(),
+        lambda entry: None,
+        speed,
+    )
+    announced = workerapi.WorkerAnnounced(
+        'w@1', 1, 1, 'p', CAPACITY, (), False, ''
+    )
+    controller.handle_announcement(announced, NOW)
+    return controller, record, speed, announced
+
+
+def test_a_sound_worker_of_a_slow_kind_is_not_recorded_as_sick():
+    """All its runs take 1.8 times as long as at the typical worker.
+
+    Entries would give it one task at a time, and it would stand idle.
+    """
+    controller, record, speed, _ = make_learning_controller()
+    effects, now = end_many(controller, 1.8, 40)
+    assert speed.slowness == pytest.approx(1.8, rel=0.02)
+    assert record.cost(now + 0.4) < 1.1
+    notes = filter_effects(effects, core.Note)
+    assert any(note.name == 'worker_speed' for note in notes)
+
+
+def test_a_slow_worker_that_becomes_sick_is_recorded_at_once():
+    """It becomes five times slower than it usually is."""
+    controller, record, _, _ = make_learning_controller()
+    _, now = end_many(controller, 1.8, 40)
+    _, now = end_many(controller, 9.0, 8, 40, now)
+    assert record.cost(now + 1.8) > 2.3
+
+
+def test_the_usual_slowness_is_stored_with_the_worker():
+    controller, _, speed, announced = make_learning_controller()
+    end_many(controller, 1.8, speeds.PERSISTABLE_RUNS)
+    later = dataclasses.replace(announced, sequence=2)
+    (effect,) = filter_effects(
+        controller.handle_announcement(later, NOW + 300.0),
+        workerapi.PersistWorker,
+    )
+    assert effect.slowness == pytest.approx(speed.slowness, rel=0.05)
+    later = dataclasses.replace(announced, sequence=3)
+    assert controller.handle_announcement(later, NOW + 301.0) == []
--- a/tests/test_worker_record.py
+++ b/tests/test_worker_record.py
@@ -39,11 +39,11 @@
         self.store = platform_standins.Store()
         self.worker = platform_standins.Worker()
 
-    async def store_worker(self, announced):
+    async def store_worker(self, announced, slowness=0.0):
         """Store a worker as one incarnation of the agent does."""
         client = rows.RowStore(self.store.address)
         record = worker_record.WorkerRecord(client, KEY, random.Random(1))
-        record.update(workerapi.PersistWorker(announced))
+        record.update(workerapi.PersistWorker(announced, slowness))
         work = asyncio.get_running_loop().create_task(record.write_changes())
         async with asyncio.timeout(10):
             while '/v1/rows-tx' not in self.store.calls:
@@ -125,6 +125,26 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize('name', [None, 'i-of-before'])
+def test_the_usual_slowness_of_the_same_kind_is_restored(name):
+    """An agent restarts, perhaps beside another worker than before.
+
+    Until it had seen enough runs a sound worker of a slow kind would look
+    sick; whether the worker is of that kind its announcement shows.
+    """
+
+    async def main():
+        agent = Incarnations()
+        stored = make_announcement(agent.worker, name)
+        await agent.store_worker(stored, 1.8)
+        event = (await agent.restore())[0]
+        assert event == workerapi.SlownessRecalled(
+            'pool', stored.capacity, stored.labels, 1.8
+        )
+
+    asyncio.run(main())
+
+
 def test_the_record_of_a_worker_that_left_is_removed():
     async def main():
         agent = Incarnations()
