--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -49,6 +49,7 @@
     :param name: id of the worker, without its incarnation.
     :param born: start of the announced incarnation in milliseconds; 0 in rows
         of earlier versions, which aren't used.
+    :param slowness: its usual slowness; 0 if there is nothing to remember.
     """
 
     name: str
@@ -58,6 +59,7 @@
     gpu: quantities.Count
     labels: tuple[str, ...] = ()
     born: int = 0
+    slowness: float = 0.0
 
 
 class WorkerRecord:
@@ -78,7 +80,9 @@
     def update(self, effect: workerapi.PersistWorker) -> None:
         """Replace the state that :meth:`write_changes` writes to the row."""
         announced = effect.worker
-        self._value = None if announced is None else _encode(announced)
+        self._value = None
+        if announced is not None:
+            self._value = _encode(announced, effect.slowness)
         self._changed.set()
 
     async def write_changes(self) -> None:
@@ -112,6 +116,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + GIVE_UP_SECONDS
         row = await self._read_until(deadline)
+        if row is not None and row.slowness:
+            feed(_recall_slowness(row))
         while row is not None and loop.time() < deadline:
             born = await client.fetch_born(row.name)
             if born == row.born:
@@ -152,7 +158,7 @@
         return row if row.born else None
 
 
-def _encode(announced: workerapi.WorkerAnnounced) -> bytes:
+def _encode(announced: workerapi.WorkerAnnounced, slowness: float) -> bytes:
     return msgspec.json.encode(
         _Row(
             worker.get_id(announced.incarnation),
@@ -162,10 +168,18 @@
             announced.capacity.accelerators,
             announced.labels,
             announced.born,
+            slowness,
         )
     )
 
 
+def _recall_slowness(row: _Row) -> workerapi.SlownessRecalled:
+    capacity = types.Needs(row.cpu, row.mem_mb, row.gpu)
+    return workerapi.SlownessRecalled(
+        row.pool, capacity, row.labels, row.slowness
+    )
+
+
 def _decode(row: _Row, address: str) -> workerapi.WorkerAnnounced:
     return workerapi.WorkerAnnounced(
         incarnation=worker.make_incarnation(row.name, row.born),
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -9,7 +9,7 @@
 """
 
 import dataclasses
-import itertools
+import functools
 import math
 
 from agatepick import core
@@ -19,22 +19,9 @@
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import spreading
+from agatepick.repeatable import wants
 from agatepick import types
 
-WANT_REPEAT_SECONDS = 0.25
-"""Pause before an entry repeats its capacity request; agents drop a request
-after four times that."""
-
-URGENCY_CHANGE_SECONDS = 0.05
-"""Time by which the latest start of the most urgent task must be earlier than
-in the last capacity request for another request to be sent at once: short wide
-jobs have a slack of 0.13 s in all."""
-
-MIN_WANT_INTERVAL_SECONDS = 0.03
-"""Shortest pause between two capacity requests to a pool."""
-
-NO_AGENTS: frozenset[types.PeerName] = frozenset()
-
 MAX_BLOCKED_JOBS = 24
 """Number of jobs without capacity after which a placement round ends for their
 pool: otherwise a queue of hundreds would be searched at each message, and an
@@ -45,6 +32,8 @@
 round ends for their pool: each of them is compared with all workers, and all
 later tasks with each of them."""
 
+NO_AGENTS: frozenset[types.PeerName] = frozenset()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobFault:
@@ -65,7 +54,7 @@
         self._starts: dict[types.PeerName, list[messages.RunSpec]] = {}
         self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
         self._open_grants: dict[types.PeerName, messages.Room] = {}
-        self._last_wants: dict[str, _LastWant] = {}
+        self._last_wants: dict[str, wants.LastWant] = {}
         self._faults: list[JobFault] = []
 
     def store_room(self, worker: pool.Worker, room: messages.Room) -> None:
@@ -93,17 +82,17 @@
 
         :param waiting: jobs with waiting tasks, the most urgent first.
         """
-        current = _Round(self._pool, now)
+        current = _Round(self._pool, self._estimator, now)
         self._place_jobs(waiting, current)
-        wants = current.build_wants()
-        effects = self._send_starts(wants, current)
-        for name, want in wants.items():
-            effects += self._send_want(name, want, now)
+        all_wants = current.build_wants()
+        effects = [*current.notes, *self._send_starts(all_wants, current)]
+        for name, pool_wants in all_wants.items():
+            effects += self._send_want(name, pool_wants, now)
         # No task waits for the other pools any more.  Their agents get no
         # message: an agent with a grant for this entry receives the entry's
         # answer, and the others drop the request after a while.
         for name, last_want in self._last_wants.items():
-            if name not in wants:
+            if name not in all_wants:
                 self._last_wants[name] = dataclasses.replace(
                     last_want, latest_start=math.inf
                 )
@@ -209,7 +198,7 @@
         )
 
     def _send_starts(
-        self, wants: dict[str, messages.Want], current: '_Round'
+        self, all_wants: dict[str, wants.Wants], current: '_Round'
     ) -> list[object]:
         effects: list[object] = []
         for name in dict.fromkeys([*self._starts, *self._open_grants]):
@@ -218,7 +207,9 @@
                 continue
             worker.last_start_number += 1
             grant = self._open_grants.pop(name, None)
-            want = wants.get(worker.pool, messages.NO_WANT)
+            want = messages.NO_WANT
+            if worker.pool in all_wants:
+                want = all_wants[worker.pool].get(worker)
             if name not in self._starts and current.is_limited(worker.pool):
                 # The agent would grant the same unused capacity once more, at
                 # once and without end.
@@ -244,43 +235,22 @@
         return effects
 
     def _send_want(
-        self, name: str, want: messages.Want, now: float
+        self, name: str, pool_wants: wants.Wants, now: float
     ) -> list[object]:
         """Send a pool's agents the capacity request, if it is due."""
         last_want = self._last_wants.get(name)
-        latest_start = now + want.slack
+        latest_start = now + pool_wants.slack
         if last_want is not None and not last_want.is_due(latest_start, now):
             return []
-        self._last_wants[name] = _LastWant(now, latest_start)
-        return [
-            core.Send(worker.name, want)
-            for worker in self._pool
-            if worker.connected and worker.pool == name
-        ]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _LastWant:
-    """Last capacity request that a pool's agents received.
-
-    :param sent_at: instant at which it was sent.
-    :param latest_start: latest start of the most urgent task; infinite once
-        no task waits.
-    """
-
-    sent_at: float
-    latest_start: float
-
-    def is_due(self, latest_start: float, now: float) -> bool:
-        """Return whether to send a request again.
-
-        :param latest_start: latest start of the most urgent task that waits
-            now.
-        """
-        if now >= self.sent_at + WANT_REPEAT_SECONDS:
-            return True
-        more_urgent = latest_start < self.latest_start - URGENCY_CHANGE_SECONDS
-        return more_urgent and now >= self.sent_at + MIN_WANT_INTERVAL_SECONDS
+        self._last_wants[name] = wants.LastWant(now, latest_start)
+        effects: list[object] = []
+        for worker in self._pool:
+            if not worker.connected or worker.pool != name:
+                continue
+            want = pool_wants.get(worker)
+            if want.count:
+                effects.append(core.Send(worker.name, want))
+        return effects
 
 
 def estimate_run_seconds(
@@ -303,27 +273,6 @@
     excluded: frozenset[types.PeerName]
 
 
-@dataclasses.dataclass(slots=True)
-class _Demand:
-    """Tasks of one pool without capacity.
-
-    :ivar least: needs of the smallest task that fits an empty worker, or of
-        the smallest one if none does: agents grant no capacity in which this
-        task doesn't fit.
-    :ivar least_rank: sort key of that task.
-    :ivar latest_start: latest start of the most urgent job.
-    :ivar limited: whether a job may use only some of the workers.
-    """
-
-    job_count: int = 0
-    task_count: int = 0
-    least: types.Needs = types.Needs()
-    least_rank: tuple[bool, float] = (True, math.inf)
-    total: types.Needs = types.Needs()
-    latest_start: float = math.inf
-    limited: bool = False
-
-
 class _Round:
     """State of one placement round.
 
@@ -331,16 +280,25 @@
     which fitted no worker isn't tried.
 
     :ivar exhausted_pools: pools of which no more jobs are tried.
+    :ivar notes: notes on tasks that wait although a worker has room.
     """
 
-    def __init__(self, workers: pool.Pool, now: float) -> None:
+    def __init__(
+        self,
+        workers: pool.Pool,
+        estimator: estimating.Estimator,
+        now: float,
+    ) -> None:
         self.now = now
         self.exhausted_pools: set[str] = set()
+        self.notes: list[object] = []
         self._workers = workers
+        self._estimator = estimator
         self._candidates: dict[tuple[str, str], pool.Candidates] = {}
         self._unplaced: dict[tuple[str, str], list[_Unplaced]] = {}
         self._shape_counts: dict[str, int] = {}
-        self._demands: dict[str, _Demand] = {}
+        self._demands: dict[str, list[wants.Demand]] = {}
+        self._limited_pools: set[str] = set()
         self._fits: dict[tuple[str, types.Needs], bool] = {}
 
     def pick(
@@ -364,8 +322,11 @@
         excluded = to_avoid | full if full else to_avoid
         if not self._is_worth_trying(job, index, excluded):
             return None
-        worker = candidates.pick(task.needs, excluded)
-        if worker is None:
+        demand = self._build_demand(job, index, candidates)
+        worker = candidates.pick(task.needs, excluded, demand)
+        if worker is None and candidates.held_back:
+            self._note_held_back(job, index)
+        elif worker is None:
             self._record_unplaced(job, index, excluded)
         return worker
 
@@ -384,38 +345,78 @@
 
     def add_demand(self, job: owned_jobs.OwnedJob, indexes: list[int]) -> None:
         """Add the tasks of a job for which there is no capacity."""
-        demand = self._demands.setdefault(job.spec.route.pool, _Demand())
-        demand.job_count += 1
-        if demand.job_count >= MAX_BLOCKED_JOBS:
-            self.exhausted_pools.add(job.spec.route.pool)
-        demand.latest_start = min(demand.latest_start, job.latest_start)
-        demand.limited = demand.limited or bool(job.spec.worker_limits)
-        # Tasks of a step share their needs.
-        all_needs = [job.spec.tasks[index].needs for index in indexes]
-        for needs, tasks in itertools.groupby(all_needs):
-            count = sum(1 for _ in tasks)
-            demand.task_count += count
-            demand.total = demand.total + needs.times(count)
-            rank = (not self._fits_any(job, needs), needs.cpu)
-            if rank < demand.least_rank:
-                demand.least, demand.least_rank = needs, rank
-
-    def build_wants(self) -> dict[str, messages.Want]:
-        """Return the capacity request for each pool without capacity."""
-        return {
-            name: messages.Want(
-                demand.task_count,
-                demand.least,
-                demand.latest_start - self.now,
-                demand.total,
+        pool_name = job.spec.route.pool
+        demands = self._demands.setdefault(pool_name, [])
+        demands.append(
+            wants.Demand.from_job(
+                job,
+                indexes,
+                self._compute_limit(job, indexes[0]),
+                functools.partial(self._fits_any, job),
             )
-            for name, demand in self._demands.items()
+        )
+        if len(demands) >= MAX_BLOCKED_JOBS:
+            self.exhausted_pools.add(pool_name)
+        if job.spec.worker_limits:
+            self._limited_pools.add(pool_name)
+
+    def build_wants(self) -> dict[str, wants.Wants]:
+        """Return the capacity requests for each pool without capacity."""
+        return {
+            name: wants.Wants(demands, self.now)
+            for name, demands in self._demands.items()
         }
 
     def is_limited(self, pool_name: str) -> bool:
         """Return whether a pool's tasks include some that not all may get."""
-        demand = self._demands.get(pool_name)
-        return demand is not None and demand.limited
+        return pool_name in self._limited_pools
+
+    def _compute_limit(self, job: owned_jobs.OwnedJob, index: int) -> float:
+        """Return the slowness up to which workers suit a waiting task."""
+        task = job.spec.tasks[index]
+        candidates = self._get_candidates(job, task.label)
+        return candidates.compute_limit(
+            task.needs,
+            job.records[index].agents_to_avoid,
+            self._build_demand(job, index, candidates),
+        )
+
+    def _build_demand(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        candidates: pool.Candidates,
+    ) -> pool.Demand | None:
+        """Return the time that a task needs and has, if that matters.
+
+        A job of several steps has no time to spare at a single one.
+        """
+        if not candidates.weighs_time:
+            return None
+        expected = estimate_run_seconds(self._estimator, job, index)
+        if len(job.spec.after) > 1:
+            return pool.Demand(expected, expected)
+        ends_at = job.objective_ends_at
+        if job.run_seconds:
+            # Finished siblings show the job's run time better than the
+            # estimate at its arrival did.
+            slack = job.spec.route.slack(expected)
+            ends_at = job.arrived_at + slack + expected
+        return pool.Demand(expected, ends_at - self.now)
+
+    def _note_held_back(self, job: owned_jobs.OwnedJob, index: int) -> None:
+        """Note once that a job waits although a slow worker has room."""
+        if job.held_back:
+            return
+        job.held_back = True
+        self.notes.append(
+            core.note(
+                'job_held_back',
+                job=job.spec.key,
+                queue=job.spec.route.name,
+                index=index,
+            )
+        )
 
     def _fits_any(self, job: owned_jobs.OwnedJob, needs: types.Needs) -> bool:
         """Return whether some worker of a job's pool is large enough."""
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -15,6 +15,7 @@
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import speeds
 from agatepick.repeatable import worker_lease
 from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
@@ -56,6 +57,8 @@
 
     :param on_refused: called with the name of the entry whose start was
         refused.
+    :param usual_speed: estimate of the worker's usual speed; by default
+        nothing is learnt and the worker counts as typical.
     :ivar runs: runs that haven't certainly ended, by task name.
     """
 
@@ -65,13 +68,15 @@
         health_record: health.Health,
         run_reports: reports.Reports,
         on_refused: typing.Callable[[types.PeerName], None],
+        usual_speed: speeds.UsualSpeed | None = None,
     ) -> None:
         self.runs: dict[str, runs.Run] = {}
         self._capacity = capacity
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
-        self._state = worker_state.WorkerState()
+        self._usual_speed = usual_speed or speeds.UsualSpeed()
+        self._state = worker_state.WorkerState(self._usual_speed)
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -471,16 +476,37 @@
         self.runs.pop(run.name)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
+        effects: list[object] = []
         if state in _RESULTS:
             ratio = seconds / max(run.expected_seconds, MIN_EXPECTED_SECONDS)
+            finished = state is types.RunState.FINISHED
             self._health.record_end(
-                state is types.RunState.FINISHED, ratio, now
+                finished, ratio / self._usual_speed.slowness, now
             )
+            if finished and run.expected_seconds:
+                effects += self._record_speed(ratio, now)
         self._reports.add(run.owner, run.ref, state, reason, seconds)
         if state is types.RunState.FINISHED:
-            return []
+            return effects
         return [runs.run_note('run_' + state.value, run, reason)]
 
+    def _record_speed(self, ratio: float, now: float) -> list[object]:
+        """Record a finished run in the estimate of the usual speed."""
+        speed = self._usual_speed
+        was_known = speed.is_known
+        if not speed.record(ratio, now):
+            return []
+        if not was_known:
+            self._health.rescale(1.0 / speed.slowness)
+        return [
+            core.note(
+                'worker_speed',
+                life=self._state.incarnation,
+                slowness=f'{speed.slowness:.2f}',
+                runs=speed.run_count,
+            )
+        ]
+
     def record_overdue_runs(self, now: float) -> None:
         """Record runs that exceed their expected time."""
         for run in self.runs.values():
@@ -488,6 +514,7 @@
                 continue
             expected_seconds = max(run.expected_seconds, MIN_EXPECTED_SECONDS)
             ratio = (now - run.requested_at) / expected_seconds
+            ratio /= self._usual_speed.slowness
             if ratio >= run.next_overdue_ratio:
                 run.next_overdue_ratio *= 2.0
                 self._health.record_overdue(ratio, now)
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from agatepick import core
+from agatepick.repeatable import speeds
 from agatepick.repeatable import workerapi
 
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
@@ -21,6 +22,8 @@
 class WorkerState:
     """The worker beside one agent.
 
+    :param usual_speed: estimate of its usual speed, which is persisted with
+        its description.
     :ivar incarnation: the incarnation that requests are sent to; empty if
         there is none.
     :ivar description: its last announcement; ``None`` if it has sent none, and
@@ -28,13 +31,14 @@
     :ivar leaving: whether it has said that it exits.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, usual_speed: speeds.UsualSpeed) -> None:
+        self._usual_speed = usual_speed
         self.incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
         self._born = 0
         self._announced_at = 0.0
-        self._persisted: workerapi.WorkerAnnounced | None = None
+        self._persisted = workerapi.PersistWorker(None)
 
     @property
     def draining(self) -> bool:
@@ -69,6 +73,7 @@
         self._announced_at = now
         effects: list[object] = []
         if former is None or former.incarnation != event.incarnation:
+            self._usual_speed.meet(event)
             effects.append(
                 core.note(
                     'worker_up',
@@ -101,9 +106,9 @@
         """Record that the worker exits; it isn't persisted any more."""
         self.description = None
         self.leaving = True
-        self._persisted = None
+        self._persisted = workerapi.PersistWorker(None)
         return [
-            workerapi.PersistWorker(None),
+            self._persisted,
             core.note('worker_left', life=self.incarnation),
         ]
 
@@ -135,12 +140,15 @@
         draining worker is deleted from the store: the next incarnation must
         not use it.
         """
-        persisted = None
+        persisted = workerapi.PersistWorker(None)
         if not announced.draining:
-            persisted = dataclasses.replace(
-                announced, sequence=workerapi.NOT_ANNOUNCED
+            persisted = workerapi.PersistWorker(
+                dataclasses.replace(
+                    announced, sequence=workerapi.NOT_ANNOUNCED
+                ),
+                self._usual_speed.persistent,
             )
         if persisted == self._persisted:
             return []
         self._persisted = persisted
-        return [workerapi.PersistWorker(persisted)]
+        return [persisted]
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -191,9 +191,9 @@
     picks = []
     pick = pool.Candidates.pick
 
-    def count(candidates, needs, to_avoid):
+    def count(candidates, needs, *args):
         picks.append(needs)
-        return pick(candidates, needs, to_avoid)
+        return pick(candidates, needs, *args)
 
     monkeypatch.setattr(pool.Candidates, 'pick', count)
     workers.add(make_worker('a'))
