Start the speed estimate from a median, and hold tasks for fast workers longer

A mean of clipped first runs is pulled towards 1, so a slow worker got tasks that are late there; tasks that began after a wait on slow workers made up most late answers at 0.95 of the load.

--- a/src/agatepick/repeatable/choosing.py
+++ b/src/agatepick/repeatable/choosing.py
@@ -23,9 +23,10 @@
 from agatepick.repeatable import pool
 from agatepick import types
 
-MIN_UNEVENNESS = 1.15
+MIN_UNEVENNESS = 1.25
 """Ratio of the slowest worker's usual run time to that of the fastest from
-which speeds matter: below it they differ by no more than estimates do."""
+which speeds matter: the estimates of two dozen equal workers, each within a
+twentieth, differ by a fifth."""
 
 SCARCE_SHARE = 0.2
 """Share of the fast workers' cores that are free below which slow workers are
@@ -33,13 +34,14 @@
 room."""
 
 HOLD_RATIO = 1.05
-"""Time left, as a multiple of what the task needs at a typical worker, down to
-which a task waits for a worker where it is in time.  A job that has not
-started is refused soon after, at a multiple of 1."""
+"""Time left, as a multiple of what the task needs at the fastest worker, down
+to which it waits for a worker where it is in time.  Less left would be used up
+by the messages; a job that hasn't started is refused at a multiple of 1 of
+what it needs at a typical worker."""
 
 RUN_MARGIN = 1.1
 """Factor on expected run times where a worker must be in time: they are wrong
-by a factor, and times at a worker vary."""
+by a factor, and a late answer on a slow worker costs its caller most."""
 
 MIN_EXPECTED_SECONDS = 0.02
 """Lower bound of expected run times; message delays hide shorter ones."""
@@ -108,7 +110,7 @@
         fastest = self._slownesses[0]
         if agents_to_avoid or needs.cpu > self._min_cores:
             fastest = self._find_fastest(needs, agents_to_avoid)
-        if limit < HOLD_RATIO * max(fastest, 1.0):
+        if limit < HOLD_RATIO * fastest:
             return math.inf
         return max(limit / RUN_MARGIN, fastest)
 
--- a/src/agatepick/repeatable/speeds.py
+++ b/src/agatepick/repeatable/speeds.py
@@ -8,8 +8,9 @@
 
 The usual slowness is a moving average of the logarithms of run time divided by
 expected run time.  Each deviation is clipped, so that neither runs with a long
-tail nor a worker that is sick for seconds move it far.  It is a mean over the
-first runs and then adapts within a minute.
+tail nor a worker that is sick for seconds move it far.  It starts from the
+median of the first runs, is a mean for a while and then adapts within a
+minute.
 
 The expected run times are those at the typical worker of a pool, which each
 entry derives from the slownesses that its agents send
@@ -19,6 +20,7 @@
 
 import dataclasses
 import math
+import statistics
 
 from agatepick.repeatable import workerapi
 from agatepick import types
@@ -54,7 +56,7 @@
 MIN_PERSIST_SECONDS = 60.0
 """Shortest pause between two changes of the stored value."""
 
-PERSISTABLE_RUNS = 200
+PERSISTABLE_RUNS = 100
 """Number of runs from which the estimate may be stored, and that a stored
 estimate counts for."""
 
@@ -93,6 +95,7 @@
         self._log = 0.0
         self._runs = 0
         self._last_run_at = 0.0
+        self._first_logs: list[float] = []
         self.published = 1.0
         self.persistent = UNKNOWN
         self._reset()
@@ -139,10 +142,15 @@
         """
         if not self._learns or ratio <= 0.0:
             return False
+        log = math.log(ratio)
         self._runs += 1
-        deviation = math.log(ratio) - self._log
-        deviation = min(MAX_DEVIATION, max(-MAX_DEVIATION, deviation))
-        self._set(self._log + self._weigh_run(now) * deviation)
+        weight = self._weigh_run(now)
+        if self._runs <= MIN_RUNS:
+            self._first_logs.append(log)
+            if self._runs == MIN_RUNS:
+                self._set(_average(self._first_logs))
+        else:
+            self._set(self._log + weight * _clip(log - self._log))
         self._update_persistent(now)
         return self._update_published()
 
@@ -194,5 +202,16 @@
         self._log = 0.0
         self._runs = 0
         self._last_run_at = 0.0
+        self._first_logs = []
         self.persistent = UNKNOWN
         self.published = UNKNOWN if self._learns else 1.0
+
+
+def _average(logs: list[float]) -> float:
+    """Return the mean of values clipped around their median."""
+    middle = statistics.median(logs)
+    return middle + statistics.mean(_clip(log - middle) for log in logs)
+
+
+def _clip(deviation: float) -> float:
+    return min(MAX_DEVIATION, max(-MAX_DEVIATION, deviation))
