--- a/src/agatepick/repeatable/wants.py
+++ b/src/agatepick/repeatable/wants.py
@@ -7,8 +7,8 @@
 
 import bisect
 import dataclasses
+import functools
 import itertools
-import math
 import operator
 import typing
 
@@ -44,12 +44,12 @@
     :param max_slowness: slowness up to which workers are suitable.
     """
 
-    task_count: int = 0
-    least: types.Needs = types.Needs()
-    least_rank: tuple[bool, float] = (True, math.inf)
-    total: types.Needs = types.Needs()
-    latest_start: float = math.inf
-    max_slowness: float = math.inf
+    task_count: int
+    least: types.Needs
+    least_rank: tuple[bool, float]
+    total: types.Needs
+    latest_start: float
+    max_slowness: float
 
     @classmethod
     def from_job(
@@ -63,14 +63,22 @@
 
         :param fits_any: returns whether some worker is large enough.
         """
-        demand = cls(latest_start=job.latest_start, max_slowness=max_slowness)
         # Tasks of a step share their needs.
         all_needs = [job.spec.tasks[index].needs for index in indexes]
+        demands = []
         for needs, tasks in itertools.groupby(all_needs):
             count = sum(1 for _ in tasks)
-            rank = (not fits_any(needs), needs.cpu)
-            demand = demand.merge(cls(count, needs, rank, needs.times(count)))
-        return demand
+            demands.append(
+                cls(
+                    count,
+                    needs,
+                    (not fits_any(needs), needs.cpu),
+                    needs.times(count),
+                    job.latest_start,
+                    max_slowness,
+                )
+            )
+        return functools.reduce(cls.merge, demands)
 
     def merge(self, other: 'Demand') -> 'Demand':
         """Return the demand of both; workers that suit one are suitable."""
