Guard a worker whose capacity changes while it runs

Cause: a start without an answer was repeated at a worker that had shrunk since, which brings one that doesn't guard itself over its capacity; grants out beyond the rest had each other's starts refused; a worker that refused starts before its next announcement got them over and over; and each change of capacity was a write of the worker's row.

Change, with the switch capacity_guard: starts are not repeated at an over-full worker, but given up once none can be answered any more; what was taken runs on (overcommit). A shrink withdraws the least urgent grants. A refusal for room counts for 0.25 s or until the next announcement. A new capacity goes to all entries at once. Note capacity_changed, gauge over_committed_cores.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -51,7 +51,7 @@
     def __init__(self, cfg: AgentConfig, incarnation: int):
         self._cfg = cfg
         self._incarnation = incarnation
-        self._capacity = sharing.SharedCapacity()
+        self._capacity = sharing.SharedCapacity(cfg.switches.capacity_guard)
         self._health = health.Health()
         self._publisher = publishing.Publisher(
             incarnation, self._capacity, self._health
@@ -132,6 +132,7 @@
             'entries': sum(owner.connected for owner in self._owners.values()),
             'worker_open': float(self._is_open(now)),
             'free_cores': self._capacity.free.cpu,
+            'over_committed_cores': self._capacity.excess.cpu,
         }
 
     # Entries
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -31,6 +31,7 @@
     'state_version': 'version of the desired state in force; 0 for none',
     'runs': 'runs at the worker that are not known to be over',
     'entries': 'entries that the agent is connected to',
+    'over_committed_cores': 'cores in use beyond what the worker has now',
     'worker_open': '1 while runs may be started at the worker',
 }
 """Gauges and their help texts by name.  The values are computed on each scrape
--- a/src/agatepick/repeatable/publishing.py
+++ b/src/agatepick/repeatable/publishing.py
@@ -188,6 +188,11 @@
             # Whether runs may be started here changes rarely and is sent at
             # once: after a restart callers wait until they may.
             return 0.0
+        if self._capacity.guarded and self._is_resized(last_update):
+            # A worker changes its capacity at most once an announcement, and
+            # with hundreds of agents the pause is as long as the slack of the
+            # jobs that wait.
+            return 0.0
         pause = max(
             MIN_UPDATE_SECONDS, UPDATE_SECONDS_PER_AGENT * self._max_agents
         )
@@ -199,6 +204,10 @@
             return math.inf
         return assumed.sent_at + max(MAX_STALE_SECONDS, pause)
 
+    def _is_resized(self, last_update: messages.Room) -> bool:
+        worker = self._worker
+        return worker is not None and last_update.capacity != worker.capacity
+
     def _changes_decisions(self, assumed_free: types.Needs) -> bool:
         """Return whether an entry would decide otherwise on current values.
 
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -12,6 +12,7 @@
 from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
+from agatepick.repeatable import overcommit
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
@@ -71,7 +72,7 @@
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
-        self._state = worker_state.WorkerState()
+        self._state = worker_state.WorkerState(capacity.guarded)
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -101,8 +102,22 @@
         effects = self._state.record_announcement(event, now)
         if known != event.incarnation:
             effects += self._switch_incarnation(now)
-        self._capacity.resize(event.capacity)
-        return effects
+        return effects + self._resize(event.capacity, known)
+
+    def _resize(
+        self, capacity: types.Needs, known_incarnation: str
+    ) -> list[object]:
+        before = self._capacity.announced
+        self._capacity.resize(capacity)
+        if before == capacity or known_incarnation != self._state.incarnation:
+            return []
+        fields = {
+            'from': f'{before.cpu:.1f}',
+            'to': f'{capacity.cpu:.1f}',
+            'used': f'{self._capacity.used.cpu:.1f}',
+            'memory_mb': capacity.memory_mb,
+        }
+        return [core.note('capacity_changed', **fields)]
 
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
@@ -208,11 +223,15 @@
             return []
         if now < run.start_sent_at + START_RETRY_SECONDS:
             return []
+        if overcommit.must_give_up(run, self._capacity.blocks_retries):
+            return self._give_up_start(run, 'no_room', now)
         return self._send_start(run, now)
 
     def _can_retry_start(self, run: runs.Run) -> bool:
         if self.worker is None or run.confirmed_at or run.stopping:
             return False
+        if run.unanswered_start_count and self._capacity.blocks_retries:
+            return False
         return run.start_count < MAX_START_ATTEMPTS
 
     def handle_start_answer(
@@ -228,6 +247,8 @@
             return []
         if run.confirmed_at or run.stopping:
             return []
+        if event.result is workerapi.StartResult.NO_ROOM:
+            self._capacity.record_refusal(run.needs, now)
         if event.result is workerapi.StartResult.UNKNOWN:
             if (
                 run.unanswered_start_count
@@ -240,10 +261,16 @@
             self.runs.pop(run.name)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
+        return self._give_up_start(
+            run, event.reason or event.result.value, now
+        )
+
+    def _give_up_start(
+        self, run: runs.Run, reason: str, now: float
+    ) -> list[object]:
         # An earlier start may still be carried out: the run has ended when the
         # worker has acknowledged a stop and doesn't list the run.
         run.confirmed_at = now
-        reason = event.reason or event.result.value
         return [
             runs.run_note('start_unanswered', run, reason),
             *self.stop(run, now),
--- a/src/agatepick/repeatable/sharing.py
+++ b/src/agatepick/repeatable/sharing.py
@@ -12,9 +12,15 @@
 urgency of its first task; released capacity is then reserved for the most
 urgent entry alone, as much as its tasks need, until its answer arrives.  The
 part that it doesn't use is granted to the next entry.
+
+A worker's capacity may shrink below what is used and reserved there.  Runs go
+on, and still count while they are being stopped; with the guard, grants that
+there is no room for any more are withdrawn, the least urgent first, so that
+the runs of the most urgent entry are not refused for the sake of another's.
 """
 
 import dataclasses
+import operator
 
 from agatepick.net import messages
 from agatepick import types
@@ -35,6 +41,16 @@
 WANT_TTL_SECONDS = 1.0
 """Lifetime of a capacity request; entries repeat theirs every 0.25 s."""
 
+REFUSAL_SECONDS = 0.25
+"""Time for which a worker counts as full after it refused a start that should
+have fitted, or until its next announcement: short, as it may grow at any time,
+and with some hundred starts a second the one that is refused then costs
+little."""
+
+MIN_EXCESS_CORES = 0.001
+"""Smallest excess of the used cores over the capacity: a thousandth, in which
+workers state theirs.  Less is a rounding error of the sum."""
+
 
 @dataclasses.dataclass(slots=True)
 class Share:
@@ -42,6 +58,7 @@
 
     :ivar grant_number: number of its grant; 0 if it has none.
     :ivar grant_seconds: seconds for which a grant to it is valid.
+    :ivar granted_latest_start: latest start of the task that got the grant.
     """
 
     want: messages.Want | None = None
@@ -50,6 +67,7 @@
     granted_capacity: types.Needs = types.Needs()
     granted_at: float = 0.0
     grant_seconds: float = GRANT_SECONDS
+    granted_latest_start: float = 0.0
 
     def latest_start(self) -> float:
         """Return the latest start of the entry's most urgent waiting task."""
@@ -73,11 +91,18 @@
     """Capacity of a worker: what is used, reserved and requested.
 
     :ivar change_count: number of changes of the free capacity.
+    :ivar guarded: whether it adapts to a worker whose capacity changes.
+    :ivar announced: capacity that the worker announced last.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, guarded: bool = False) -> None:
         self.change_count = 0
+        self.guarded = guarded
+        self.announced = types.Needs()
+        # At most what is announced, and less after the worker refused a start
+        # that should have fitted.
         self._capacity = types.Needs()
+        self._refused_until = 0.0
         self._used = types.Needs()
         self._shares: dict[types.PeerName, Share] = {}
         self._last_grant_number = 0
@@ -91,10 +116,48 @@
                 free = free - share.granted_capacity
         return free
 
+    @property
+    def used(self) -> types.Needs:
+        """Capacity of all runs that may go on, also of those being stopped."""
+        return self._used
+
+    @property
+    def excess(self) -> types.Needs:
+        """Capacity that is used beyond the worker's."""
+        excess = self._used - self._capacity
+        if excess.cpu < MIN_EXCESS_CORES:
+            excess = dataclasses.replace(excess, cpu=0.0)
+        return excess
+
+    @property
+    def blocks_retries(self) -> bool:
+        """Whether a run that may not have begun must not be started again."""
+        return self.guarded and self.excess != types.Needs()
+
     def resize(self, capacity: types.Needs) -> None:
-        """Set the total capacity of the worker."""
+        """Set the total capacity of the worker, as it announced it."""
+        self.announced = capacity
         self._capacity = capacity
+        self._refused_until = 0.0
         self.change_count += 1
+        if self.guarded:
+            self._withdraw_grants()
+
+    def record_refusal(self, needs: types.Needs, now: float) -> None:
+        """Record that the worker refused a start for lack of capacity.
+
+        It has shrunk and not said so yet.  For a while no more is used there
+        than now, without the refused run; otherwise each entry would find out
+        by refused starts of its own, over and over.
+
+        :param needs: capacity that is still acquired for the refused run.
+        """
+        if not self.guarded:
+            return
+        self._capacity = self._capacity.at_most(self._used - needs)
+        self._refused_until = now + REFUSAL_SECONDS
+        self.change_count += 1
+        self._withdraw_grants()
 
     def add_entry(self, entry: types.PeerName) -> None:
         """Add an entry that connected."""
@@ -176,12 +239,14 @@
         return grants
 
     def next_expiry(self) -> float | None:
-        """Return the instant at which the next grant expires, or ``None``."""
+        """Return when the next grant or refusal expires, or ``None``."""
         ends = [
             share.granted_at + share.grant_seconds
             for share in self._shares.values()
             if share.grant_number
         ]
+        if self._refused_until:
+            ends.append(self._refused_until)
         return min(ends, default=None)
 
     def _grant(
@@ -195,12 +260,30 @@
         share.grant_number = self._last_grant_number
         share.granted_capacity = capacity
         share.granted_at = now
+        share.granted_latest_start = share.latest_start()
         # The entry's answer to the grant contains a new request if tasks still
         # wait.
         share.want = None
         return Grant(name, share.grant_number, capacity)
 
+    def _withdraw_grants(self) -> None:
+        """Withdraw the least urgent grants that there is no room for."""
+        room = self._capacity - self._used
+        granted = sorted(
+            (share for share in self._shares.values() if share.grant_number),
+            key=operator.attrgetter('granted_latest_start'),
+        )
+        for share in granted:
+            if share.granted_capacity.fits(room):
+                room = room - share.granted_capacity
+            else:
+                share.grant_number = 0
+
     def _expire(self, now: float) -> None:
+        if self._refused_until and now >= self._refused_until:
+            self._refused_until = 0.0
+            self._capacity = self.announced
+            self.change_count += 1
         for share in self._shares.values():
             if (
                 share.grant_number
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -11,7 +11,9 @@
 import dataclasses
 
 from agatepick import core
+from agatepick.repeatable import stored_capacity
 from agatepick.repeatable import workerapi
+from agatepick import types
 
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
 """Time without announcements after which a worker counts as gone: three
@@ -21,6 +23,7 @@
 class WorkerState:
     """The worker beside one agent.
 
+    :param guarded: whether its capacity may change while it runs.
     :ivar incarnation: the incarnation that requests are sent to; empty if
         there is none.
     :ivar description: its last announcement; ``None`` if it has sent none, and
@@ -28,7 +31,10 @@
     :ivar leaving: whether it has said that it exits.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, guarded: bool = False) -> None:
+        self._stored_capacity = (
+            stored_capacity.StoredCapacity() if guarded else None
+        )
         self.incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
@@ -85,7 +91,13 @@
                     now=event.draining,
                 )
             )
-        return effects + self._persist(event)
+        if former is None or former.incarnation != event.incarnation:
+            self._reset_stored_capacity()
+        return effects + self._persist(event, now)
+
+    def _reset_stored_capacity(self) -> None:
+        if self._stored_capacity is not None:
+            self._stored_capacity.reset()
 
     def record_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered
@@ -126,7 +138,9 @@
         self._announced_at = now
         return True
 
-    def _persist(self, announced: workerapi.WorkerAnnounced) -> list[object]:
+    def _persist(
+        self, announced: workerapi.WorkerAnnounced, now: float
+    ) -> list[object]:
         """Persist the worker for the next incarnation of this process.
 
         Without this, after a kill or a power loss, the agent would have no
@@ -138,9 +152,18 @@
         persisted = None
         if not announced.draining:
             persisted = dataclasses.replace(
-                announced, sequence=workerapi.NOT_ANNOUNCED
+                announced,
+                sequence=workerapi.NOT_ANNOUNCED,
+                capacity=self._choose_stored(announced.capacity, now),
             )
         if persisted == self._persisted:
             return []
         self._persisted = persisted
         return [workerapi.PersistWorker(persisted)]
+
+    def _choose_stored(
+        self, announced: types.Needs, now: float
+    ) -> types.Needs:
+        if self._stored_capacity is None:
+            return announced
+        return self._stored_capacity.choose(announced, now)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -8,6 +8,7 @@
 from agatepick.repeatable import publishing
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
+from agatepick.repeatable import workerapi
 from agatepick import types
 
 NOW = 50.0
@@ -170,3 +171,30 @@
             None, True, {'entry': owner}, NOW + 0.001
         )
         assert update.message.open is not leaving
+
+
+@pytest.mark.parametrize(
+    ('guarded', 'from_cores', 'to_cores'),
+    [(True, 12.0, 60.0), (True, 60.0, 12.0), (False, 12.0, 60.0)],
+)
+def test_a_changed_capacity_is_published_at_once(
+    guarded, from_cores, to_cores
+):
+    """A worker grows while jobs wait at an entry of 300 agents.
+
+    With the usual pause its new capacity would stay idle for 0.8 s.
+    """
+    capacity = sharing.SharedCapacity(guarded)
+    publisher = publishing.Publisher(1, capacity, health.Health())
+    owners = {'entry': runs.Owner('entry', 1, agent_count=300)}
+    sent = []
+    for number, cores in enumerate((from_cores, to_cores)):
+        size = types.Needs(cores, 640, 0)
+        worker = workerapi.WorkerAnnounced(
+            'w@1', 1, number, 'p', size, (), False, ''
+        )
+        capacity.resize(size)
+        sent += publisher.publish(worker, True, owners, NOW + number * 0.01)
+    assert len(sent) == (2 if guarded else 1)
+    if guarded:
+        assert sent[-1].message.free.cpu == to_cores
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -1,5 +1,8 @@
+import dataclasses
+
 import pytest
 
+from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
@@ -442,3 +445,108 @@
     )
     controller.handle_start_answer(answer, NOW)
     assert refused == ['entry']
+
+
+def make_shrinking():
+    """Return the controller of an unconfirmed run, and what it controls."""
+    capacity = sharing.SharedCapacity(guarded=True)
+    controller = make_controller(capacity)
+    controller.handle_announcement(make_announcement(1), NOW)
+    capacity.acquire(NEEDS)
+    owner = runs.Owner('e', 1, lease_until=NOW + 60.0)
+    controller.start(owner, SPEC, b'', NOW)
+    return controller, capacity
+
+
+def announce_capacity(controller, cores, sequence=2):
+    event = dataclasses.replace(
+        make_announcement(sequence),
+        capacity=dataclasses.replace(CAPACITY, cpu=cores),
+    )
+    return controller.handle_announcement(event, NOW + 0.01)
+
+
+def test_an_unanswered_start_is_not_repeated_at_an_over_full_worker():
+    """A start gets no answer, and its worker has shrunk meanwhile.
+
+    Sent again, it would bring a worker that doesn't guard itself over its
+    capacity.  Its task is placed elsewhere once it is known not to run there.
+    """
+    controller, capacity = make_shrinking()
+    (note,) = filter_effects(announce_capacity(controller, 4.0), core.Note)
+    assert note.name == 'capacity_changed'
+    assert dict(note.fields)['to'] == '4.0'
+    for step in range(20):
+        effects = controller.enforce_leases(NOW + 0.02 + step * 0.005)
+        assert filter_effects(effects, workerapi.StartRun) == []
+        assert filter_effects(effects, workerapi.StopRun) == []
+        due = controller.next_due(NOW + 0.02 + step * 0.005)
+        assert due > NOW + 0.02 + step * 0.005
+    answer_start(controller, UNKNOWN, NOW + 0.12)
+    effects = controller.enforce_leases(NOW + 0.121)
+    assert len(filter_effects(effects, workerapi.StopRun)) == 1
+    assert capacity.used == NEEDS
+    stopped = workerapi.StopAnswered('w@1', 'j.0', 1, True)
+    controller.handle_stop_answer(stopped, NOW + 0.13)
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.14, (), ()), NOW + 0.15
+    )
+    assert controller.runs == {}
+    assert capacity.used == types.Needs()
+
+
+def test_a_confirmed_run_goes_on_at_an_over_full_worker():
+    controller, capacity = make_shrinking()
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    announce_capacity(controller, 4.0)
+    assert controller.enforce_leases(NOW + 0.1) == []
+    assert capacity.excess.cpu == 2.0
+
+
+def test_an_unanswered_start_is_repeated_once_the_worker_has_grown():
+    controller, _ = make_shrinking()
+    announce_capacity(controller, 4.0)
+    assert controller.enforce_leases(NOW + 0.05) == []
+    announce_capacity(controller, 64.0, sequence=3)
+    effects = controller.enforce_leases(NOW + 0.06)
+    assert len(filter_effects(effects, workerapi.StartRun)) == 1
+
+
+def test_a_refusal_for_room_limits_later_starts():
+    controller, capacity = make_shrinking()
+    answer_start(controller, workerapi.StartResult.NO_ROOM, NOW + 0.002)
+    assert capacity.used == types.Needs()
+    assert not capacity.acquire(NEEDS)
+    announce_capacity(controller, 64.0)
+    assert capacity.acquire(NEEDS)
+
+
+def test_without_the_guard_a_start_is_repeated_as_before():
+    capacity = sharing.SharedCapacity()
+    controller = make_controller(capacity)
+    controller.handle_announcement(make_announcement(1), NOW)
+    capacity.acquire(NEEDS)
+    owner = runs.Owner('e', 1, lease_until=NOW + 60.0)
+    controller.start(owner, SPEC, b'', NOW)
+    announce_capacity(controller, 4.0)
+    effects = controller.enforce_leases(NOW + 0.05)
+    assert len(filter_effects(effects, workerapi.StartRun)) == 1
+
+
+def test_a_restarted_agent_gets_no_more_than_its_worker_announced():
+    """An agent restarts after its worker shrank, and before it announces.
+
+    What is stored for it must not bring the former capacity back.
+    """
+    controller, _ = make_shrinking()
+    stored = []
+    for sequence, cores in enumerate((64.0, 32.0, 48.0, 64.0), 2):
+        effects = announce_capacity(controller, cores, sequence)
+        stored += filter_effects(effects, workerapi.PersistWorker)
+    assert [effect.worker.capacity.cpu for effect in stored] == [32.0]
+    capacity = sharing.SharedCapacity(guarded=True)
+    restarted = make_controller(capacity)
+    restarted.handle_announcement(stored[-1].worker, NOW + 0.02)
+    assert not capacity.acquire(types.Needs(33.0, 64, 0))
+    announce_capacity(restarted, 16.0, 6)
+    assert capacity.announced.cpu == 16.0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -127,3 +127,103 @@
     capacity = make_capacity(cores=5.0)
     capacity.record_want('far', make_want(0.1), NOW)
     assert capacity.issue_grants(NOW) == []
+
+
+def make_guarded(cores=64.0, entries=('near', 'far')):
+    """Return the empty capacity of a worker that may shrink."""
+    capacity = sharing.SharedCapacity(guarded=True)
+    capacity.resize(types.Needs(cores, 4096, 0))
+    for name in entries:
+        capacity.add_entry(name)
+    return capacity
+
+
+def test_nothing_is_acquired_beyond_a_capacity_that_shrank():
+    """A worker shrinks below its runs; what is being stopped still counts."""
+    capacity = make_guarded()
+    acquire_all(capacity)
+    capacity.resize(types.Needs(15.0, 4096, 0))
+    assert capacity.excess.cpu == 45.0
+    for _ in range(8):
+        assert not capacity.acquire(TASK)
+        capacity.release(TASK)
+    assert capacity.used.cpu == 12.0
+    assert capacity.excess == types.Needs()
+    assert not capacity.acquire(TASK)
+    capacity.release(TASK)
+    assert capacity.acquire(TASK)
+
+
+def test_a_shrink_withdraws_the_least_urgent_grants():
+    """Capacity is granted to two entries, and half of it is gone.
+
+    If both grants stayed, each entry's starts would be refused for the sake of
+    the other's, and the most urgent task would wait beside free capacity.
+    """
+    capacity = make_guarded(cores=13.0)
+    capacity.record_want('near', make_want(0.5), NOW)
+    capacity.record_want('far', make_want(0.1), NOW)
+    far, near = capacity.issue_grants(NOW)
+    assert (far.entry, near.entry) == ('far', 'near')
+    capacity.resize(types.Needs(7.0, 4096, 0))
+    capacity.end_grant('near', near.number)
+    assert not capacity.acquire(TASK)
+    capacity.end_grant('far', far.number)
+    assert capacity.acquire(TASK)
+
+
+def test_grants_stay_as_they_are_without_the_guard():
+    capacity = make_capacity(cores=13.0)
+    for name in ('near', 'far'):
+        capacity.record_want(name, make_want(0.1), NOW)
+    capacity.issue_grants(NOW)
+    capacity.resize(types.Needs(7.0, 4096, 0))
+    assert capacity.next_expiry() == NOW + sharing.GRANT_SECONDS
+    capacity.record_refusal(TASK, NOW)
+    assert capacity.free.cpu == 0.0
+    capacity.end_grant('far', 1)
+    capacity.end_grant('near', 2)
+    assert capacity.free.cpu == 7.0
+    capacity.acquire(TASK)
+    capacity.resize(types.Needs(1.0, 4096, 0))
+    assert not capacity.blocks_retries
+
+
+def test_a_refusal_by_the_worker_shows_that_it_has_shrunk():
+    """A worker refuses a start that should fit, and says so a second later.
+
+    Otherwise the starts of every entry would be refused there in turn.
+    """
+    capacity = make_guarded()
+    for _ in range(3):
+        assert capacity.acquire(TASK)
+    capacity.record_refusal(TASK, NOW)
+    capacity.release(TASK)
+    assert capacity.free.cpu == 0.0
+    capacity.release(TASK)
+    assert capacity.free.cpu == 6.0
+    capacity.resize(types.Needs(64.0, 4096, 0))
+    assert capacity.free.cpu == 58.0
+
+
+def test_a_rounding_error_is_no_excess():
+    capacity = make_guarded(cores=0.6)
+    for _ in range(6):
+        capacity.acquire(types.Needs(0.1, 1, 0))
+    capacity.resize(types.Needs(capacity.used.cpu - 1e-12, 4096, 0))
+    assert capacity.excess == types.Needs()
+
+
+def test_a_refusal_by_the_worker_counts_for_a_moment_only():
+    """The worker has grown again, and its next announcement is a beat away."""
+    capacity = make_guarded()
+    assert capacity.acquire(TASK)
+    capacity.record_refusal(TASK, NOW)
+    capacity.release(TASK)
+    assert capacity.issue_grants(NOW + 0.1) == []
+    assert capacity.free.cpu == 0.0
+    over_at = capacity.next_expiry()
+    assert over_at == NOW + sharing.REFUSAL_SECONDS
+    capacity.issue_grants(over_at)
+    assert capacity.free.cpu == 64.0
+    assert capacity.next_expiry() is None
