End jobs at once whose room is gone

Cause: a job with a task that no worker can hold any more waited to its deadline: in a simulation where all workers shrink for good its caller got the answer after 16.3 s.

Change, with the switch capacity_guard: after a worker has shrunk, a waiting job with a task that fits on no known worker ends with reason no_room_left, as not run if none of its tasks may have started; for 2 s the queue is checked for jobs whose predicted wait is more than twice their slack, the most urgent being kept (shrinking).

Tests: test_shrinking and test_changing_capacity pass.

--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -22,6 +22,7 @@
     'overloaded': 'more work waited than could start in time',
     'waited_too_long': 'no worker had capacity before its latest start',
     'no_worker': 'no known worker is large enough or has its label',
+    'no_room_left': 'workers shrank: its tasks fit nowhere, or not in time',
     'cut_off': 'the entry reached no agent',
     'stopping': 'the entry was stopping and the job would not have ended',
     'deadline': 'its deadline expired',
--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -261,6 +261,10 @@
             return Refusal('overloaded', after, load)
         return None
 
+    def predict_load(self, job: owned_jobs.OwnedJob, now: float) -> Load:
+        """Return the load that a waiting job meets."""
+        return self._compute_load(job.spec, job.latest_start, now)
+
     def record_start(self, arrived_at: float, in_time: bool) -> None:
         """Record whether an admitted job started in time.
 
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -22,6 +22,7 @@
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
+from agatepick.repeatable import shrinking
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
 from agatepick import types
@@ -74,6 +75,12 @@
             self._admission.release_rate,
             self._end_job,
         )
+        self._shrinking = shrinking.Shrinking(
+            self._pool,
+            self._waiting,
+            self._admission,
+            cfg.switches.capacity_guard,
+        )
         self._stragglers = stragglers.Stragglers(self._pool, self._estimator)
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
         self._checked_at = 0.0
@@ -384,6 +391,7 @@
     def _handle_room(
         self, worker: pool.Worker, room: messages.Room, now: float
     ) -> list[object]:
+        self._shrinking.observe(worker, room, now)
         self._placing.store_room(worker, room)
         return []
 
@@ -427,6 +435,8 @@
         self._former_workers = [
             worker for worker in self._former_workers if worker.placed
         ]
+        for ending in self._shrinking.find_endings(now):
+            effects += self._end_job(ending.job, ending.answer, now)
         for job in self._jobs.open_jobs():
             effects += self._check_job(job, now)
         return effects
