Let capacities shrink and grow in the soak test

Cause: the soak never changed a worker's capacity, and its workers take every start, so nothing showed whether starts stay within it.

Change: fault change_capacity, and a check that no start exceeds what the worker had 4 s ago (3 s and one announcement); the programs run with the deployment's switches. The tuple of former faults stays as it is, so that the seeds that once showed a violation draw the same faults.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,7 @@
 - a job whose every request was refused as not run has never run;
 - a process that is asked to stop answers the requests that it has accepted;
 - nothing starts in a zone that was closed some seconds ago;
+- no start brings a worker over the capacity that it had some seconds ago;
 - a queue that was removed some seconds ago is not served, and no process
   returns to an older desired state;
 - once the faults are over, jobs complete again.
@@ -43,6 +44,7 @@
 AGENTS = 4
 POOL = 'pool'
 HOST = 'clubs.example'
+POLICIES = 'deploy/policies.toml'
 
 RESEND_SECONDS = 1.3
 """Pause before callers submit a job again whose answer was lost."""
@@ -51,6 +53,13 @@
 ZONE_CLOSE_SECONDS = 5.0
 """Time after which nothing may start in a closed zone."""
 
+CAPACITY_SECONDS = 4.0
+"""Time after which a shrunk capacity holds for each start: 3 s to take notice,
+and one announcement."""
+
+FULL_MILLICORES = 64000
+TASK_MILLICORES = 6200
+
 IN_FORCE_SECONDS = 3.0
 """Time until a desired state is in force: 2 s, and a margin for a pause."""
 
@@ -157,6 +166,21 @@
         self.soak = soak
         self.zone = ZONES[number % len(ZONES)]
         self.name = f'w-{number}'
+        self.millicores = self.former_millicores = FULL_MILLICORES
+        self.shrunk_at = 0.0
+
+    def resize(self, millicores):
+        """Change the capacity; a shrunk one holds some seconds later."""
+        if millicores < self.millicores:
+            self.former_millicores = self.millicores
+            self.shrunk_at = _now()
+        self.millicores = millicores
+
+    def get_limit(self):
+        """Return the millicores that no start may exceed now."""
+        if _now() > self.shrunk_at + CAPACITY_SECONDS:
+            return self.millicores
+        return max(self.millicores, self.former_millicores)
 
     def start_run(self, task, run):
         self.soak.checks.record_start(self, task, run)
@@ -179,7 +203,8 @@
         self.born += 1
 
     def make_heartbeat(self, sequence, state='ready', **fields):
-        fields = {'zone': self.zone, **fields}
+        capacity = {'cpu': self.millicores, 'mem_mb': 262144, 'gpu': 0}
+        fields = {'zone': self.zone, 'capacity': capacity, **fields}
         return super().make_heartbeat(sequence, state, **fields)
 
 
@@ -230,6 +255,9 @@
         closed_at = self.closed.get(worker.zone)
         if closed_at and _now() > closed_at + ZONE_CLOSE_SECONDS:
             self.record_violation('zone_closed', f'{task} in {worker.zone}')
+        used = (len(worker.runs) + 1) * TASK_MILLICORES
+        if used > worker.get_limit():
+            self.record_violation('capacity', f'{task} at {worker.name}')
         self.running[task] = worker.name
         self.started.add(task.partition('.')[0])
 
@@ -288,7 +316,7 @@
             settings.SETTINGS_PATH_VARIABLE: str(self.write_settings()),
         }
         self.process = subprocess.Popen(
-            [sys.executable, 'deploy/start.py', self.role],
+            [sys.executable, 'deploy/start.py', self.role, POLICIES],
             env=env,
             stdout=self.log,
             stderr=self.log,
@@ -411,6 +439,7 @@
             process.store.mode = process.links.mode = 'calm'
         for worker in self.workers:
             worker.silent = False
+            worker.resize(FULL_MILLICORES)
         self.store.mode = platform_standins.CALM
         for zone in list(self.checks.closed):
             self._open_zone(zone)
@@ -473,7 +502,8 @@
         entry = self.rng.choice(self.entries)
         prefix = self.rng.choice(['/dates/', *self.extra_prefixes])
         url = f'http://127.0.0.1:{entry.ports[0]}{prefix}{key}'
-        step = {'count': count, 'cpu': 6200, 'mem_mb': 64, 'estimated_ms': 200}
+        cpu = TASK_MILLICORES
+        step = {'count': count, 'cpu': cpu, 'mem_mb': 64, 'estimated_ms': 200}
         body = {'best_effort': True, 'spec': 'x', 'steps': [step]}
         headers = {'Host': HOST, 'X-Deadline-Ms': '4000'}
         sent = _now()
@@ -610,6 +640,15 @@
         worker.silent = False
         self._record_fault()
 
+    async def change_capacity(self):
+        """Let a worker that doesn't guard its capacity shrink for a while."""
+        worker = self.rng.choice(self.workers)
+        if worker.millicores < FULL_MILLICORES:
+            return
+        worker.resize(self.rng.choice((4000, 13000, 32000)))
+        await asyncio.sleep(self.rng.uniform(1.0, 12.0))
+        worker.resize(FULL_MILLICORES)
+
     async def change_routes(self):
         """Add a queue, or remove one that was added before."""
         if self.extra_prefixes and self.rng.random() < 0.5:
@@ -650,6 +689,11 @@
 )
 
 
+ALL_FAULTS = (*FAULTS, Soak.change_capacity)
+"""Faults with those added later; they are drawn in another order, and the
+seeds that once showed a violation stay as they were."""
+
+
 def run_seed(seed, seconds, folder, faults=FAULTS):
     """Run one seed; return the violations and the counts of answers.
 
@@ -700,7 +744,7 @@
         # Each run has its own folder, as a later run must not overwrite the
         # logs of an earlier one that failed.
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=logs)
-        violations, answered = run_seed(seed, args.seconds, folder)
+        violations, answered = run_seed(seed, args.seconds, folder, ALL_FAULTS)
         print(f'seed={seed} broken={len(violations)} answers={answered}')
         for violation in violations[:5]:
             print(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,3 +17,11 @@
     violations, answered = soak.run_seed(seed, seconds, tmp_path)
     assert violations == []
     assert answered[200] > 0
+
+
+def test_no_start_exceeds_a_capacity_that_shrank(tmp_path):
+    """Workers that don't guard their capacity shrink beside other faults."""
+    faults = (soak.Soak.change_capacity,) * 6 + soak.FAULTS
+    violations, answered = soak.run_seed(4, 12.0, tmp_path, faults)
+    assert violations == []
+    assert answered[200] > 0
