Rely on a changing capacity for 4 s without announcements

Cause: a worker whose announcements get lost while it answers otherwise may shrink unseen, and starts bring it over its capacity.

Change, with the switch capacity_guard: where the capacity has changed before, no starts from 4 s after the last announcement until the next.

Tests: test_run_controller, test_changing_capacity, test_repeatable, test_busy_world, test_soak, test_worker_record and test_sharing pass (190), as do test_explain and test_measures.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -38,6 +38,10 @@
 MAX_START_ATTEMPTS = 3
 """Largest number of times that one run's start is sent."""
 
+MAX_CAPACITY_AGE_SECONDS = 4.0
+"""Time without announcements after which a capacity that has changed before
+isn't relied on: two announcements in a row were lost."""
+
 NO_LIST_YET = -1
 """Number of the last acknowledged end while no lists have arrived yet."""
 
@@ -78,6 +82,8 @@
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._unowned_stopped_at = 0.0
+        self._capacity_announced_at = 0.0
+        self._capacity_changes = False
         # Whether no run that an earlier incarnation of this process started is
         # left at the worker.  Each start extends the lease of all runs there:
         # if tasks were started beside an earlier run whose stop got lost, that
@@ -102,15 +108,17 @@
         effects = self._state.record_announcement(event, now)
         if known != event.incarnation:
             effects += self._switch_incarnation(now)
-        return effects + self._resize(event.capacity, known)
+        return effects + self._resize(event.capacity, known, now)
 
     def _resize(
-        self, capacity: types.Needs, known_incarnation: str
+        self, capacity: types.Needs, known_incarnation: str, now: float
     ) -> list[object]:
         before = self._capacity.announced
         self._capacity.resize(capacity)
+        self._capacity_announced_at = now
         if before == capacity or known_incarnation != self._state.incarnation:
             return []
+        self._capacity_changes = True
         fields = {
             'from': f'{before.cpu:.1f}',
             'to': f'{capacity.cpu:.1f}',
@@ -352,13 +360,21 @@
     def blocks_starts(self, now: float) -> bool:
         """Return whether no more runs should be started at the worker.
 
-        This is the case if the worker has been silent for too long, or if it
-        may still have runs that an earlier incarnation of this process
-        started.
+        This is the case if the worker has been silent for too long, if it may
+        still have runs that an earlier incarnation of this process started, or
+        if it may have shrunk since its last announcement.
         """
         return (
             not self._earlier_runs_over
             or self._list_requests.blocks_starts(now)
+            or self._may_have_shrunk(now)
+        )
+
+    def _may_have_shrunk(self, now: float) -> bool:
+        return (
+            self._capacity.guarded
+            and self._capacity_changes
+            and now > self._capacity_announced_at + MAX_CAPACITY_AGE_SECONDS
         )
 
     def _has_renewed_run(self, now: float) -> bool:
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -550,3 +550,27 @@
     assert not capacity.acquire(types.Needs(33.0, 64, 0))
     announce_capacity(restarted, 16.0, 6)
     assert capacity.announced.cpu == 16.0
+
+
+@pytest.mark.parametrize('changes', [True, False])
+def test_a_capacity_that_changes_is_not_relied_on_for_long(changes):
+    """The announcements of a worker are lost, but it answers otherwise.
+
+    If it shrank meanwhile, starts would bring it over its capacity.  A worker
+    that has never changed is used as before.
+    """
+    controller, _ = make_shrinking()
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW, (), ()), NOW + 0.01
+    )
+    announce_capacity(controller, 32.0 if changes else 64.0)
+    later = NOW + 0.02 + run_controller.MAX_CAPACITY_AGE_SECONDS
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', later - 0.1, (), ()), later - 0.05
+    )
+    assert not controller.blocks_starts(later - 0.04)
+    assert controller.blocks_starts(later) is changes
+    if changes:
+        event = dataclasses.replace(make_announcement(3), capacity=CAPACITY)
+        controller.handle_announcement(event, later)
+        assert not controller.blocks_starts(later + 0.01)
