--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -41,10 +41,9 @@
     ],
 )
 def test_the_cause_of_each_kind_of_failure_is_named(job, text):
-    """Jobs are rejected, fail on faulty workers, are lost with an entry or with
-    their room.
+    """Jobs are rejected, fail on faulty workers, or are lost with an entry.
 
-    The explanation must name the cause of each.
+    Others end with their room.  The explanation must name the cause of each.
     """
     lines = explain.collect_lines([*ENTRY, *AGENT], job)
     assert explain.find_cause(lines).startswith(text)
