--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -286,6 +286,10 @@
             return None
         return Refusal('no_worker', self.pick_retry_delay())
 
+    def predict_load(self, job: owned_jobs.OwnedJob, now: float) -> Load:
+        """Return the load that a waiting job meets."""
+        return self._compute_load(job.spec, job.latest_start, now)
+
     def record_start(self, arrived_at: float, in_time: bool) -> None:
         """Record whether an admitted job started in time.
 
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -53,7 +53,7 @@
     def __init__(self, cfg: AgentConfig, incarnation: int):
         self._cfg = cfg
         self._incarnation = incarnation
-        self._capacity = sharing.SharedCapacity()
+        self._capacity = sharing.SharedCapacity(cfg.switches.capacity_guard)
         self._health = health.Health()
         self._usual_speed = speeds.UsualSpeed(cfg.switches.worker_speeds)
         self._publisher = publishing.Publisher(
@@ -158,6 +158,7 @@
             'worker_open': float(self._is_open(now)),
             'free_cores': self._capacity.free.cpu,
             'worker_slowness': self._usual_speed.slowness,
+            'over_committed_cores': self._capacity.excess.cpu,
         }
 
     # Entries
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -25,6 +25,7 @@
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
+from agatepick.repeatable import shrinking
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
 from agatepick.repeatable import weighing
@@ -88,6 +89,12 @@
         self._stragglers = stragglers.Stragglers(
             self._pool, self._estimator, weigher
         )
+        self._shrinking = shrinking.Shrinking(
+            self._pool,
+            self._waiting,
+            self._admission,
+            cfg.switches.capacity_guard,
+        )
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
         self._checked_at = 0.0
         self._placement_due = False
@@ -472,6 +479,7 @@
         self, worker: pool.Worker, room: messages.Room, now: float
     ) -> list[object]:
         former = worker.room
+        self._shrinking.observe(worker, room, now)
         self._placing.store_room(worker, room)
         if self._speeds is not None and kinds.has_news(former, room):
             self._speeds.update()
@@ -525,6 +533,8 @@
         self._former_workers = [
             worker for worker in self._former_workers if worker.placed
         ]
+        for ending in self._shrinking.find_endings(now):
+            effects += self._end_job(ending.job, ending.answer, now)
         for job in self._jobs.open_jobs():
             try:
                 effects += self._check_job(job, now)
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -12,6 +12,7 @@
 from agatepick.net import messages
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
+from agatepick.repeatable import overcommit
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
@@ -38,6 +39,10 @@
 MAX_START_ATTEMPTS = 3
 """Largest number of times that one run's start is sent."""
 
+MAX_CAPACITY_AGE_SECONDS = 4.0
+"""Time without announcements after which a capacity that has changed before
+isn't relied on: two announcements in a row were lost."""
+
 NO_LIST_YET = -1
 """Number of the last acknowledged end while no lists have arrived yet."""
 
@@ -76,12 +81,16 @@
         self._reports = run_reports
         self._on_refused = on_refused
         self._usual_speed = usual_speed or speeds.UsualSpeed()
-        self._state = worker_state.WorkerState(self._usual_speed)
+        self._state = worker_state.WorkerState(
+            self._usual_speed, capacity.guarded
+        )
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._unowned_stopped_at = 0.0
+        self._capacity_announced_at = 0.0
+        self._capacity_changes = False
         # Whether no run that an earlier incarnation of this process started is
         # left at the worker.  Each start extends the lease of all runs there:
         # if tasks were started beside an earlier run whose stop got lost, that
@@ -106,8 +115,24 @@
         effects = self._state.record_announcement(event, now)
         if known != event.incarnation:
             effects += self._switch_incarnation(now)
-        self._capacity.resize(event.capacity)
-        return effects
+        return effects + self._resize(event.capacity, known, now)
+
+    def _resize(
+        self, capacity: types.Needs, known_incarnation: str, now: float
+    ) -> list[object]:
+        before = self._capacity.announced
+        self._capacity.resize(capacity)
+        self._capacity_announced_at = now
+        if before == capacity or known_incarnation != self._state.incarnation:
+            return []
+        self._capacity_changes = True
+        fields = {
+            'from': f'{before.cpu:.1f}',
+            'to': f'{capacity.cpu:.1f}',
+            'used': f'{self._capacity.used.cpu:.1f}',
+            'memory_mb': capacity.memory_mb,
+        }
+        return [core.note('capacity_changed', **fields)]
 
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
@@ -213,11 +238,15 @@
             return []
         if now < run.start_sent_at + START_RETRY_SECONDS:
             return []
+        if overcommit.must_give_up(run, self._capacity.blocks_retries):
+            return self._give_up_start(run, 'no_room', now)
         return self._send_start(run, now)
 
     def _can_retry_start(self, run: runs.Run) -> bool:
         if self.worker is None or run.confirmed_at or run.stopping:
             return False
+        if run.unanswered_start_count and self._capacity.blocks_retries:
+            return False
         return run.start_count < MAX_START_ATTEMPTS
 
     def handle_start_answer(
@@ -233,6 +262,8 @@
             return []
         if run.confirmed_at or run.stopping:
             return []
+        if event.result is workerapi.StartResult.NO_ROOM:
+            self._capacity.record_refusal(run.needs, now)
         if event.result is workerapi.StartResult.UNKNOWN:
             if (
                 run.unanswered_start_count
@@ -245,10 +276,16 @@
             self.runs.pop(run.name)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
+        return self._give_up_start(
+            run, event.reason or event.result.value, now
+        )
+
+    def _give_up_start(
+        self, run: runs.Run, reason: str, now: float
+    ) -> list[object]:
         # An earlier start may still be carried out: the run has ended when the
         # worker has acknowledged a stop and doesn't list the run.
         run.confirmed_at = now
-        reason = event.reason or event.result.value
         return [
             runs.run_note('start_unanswered', run, reason),
             *self.stop(run, now),
@@ -330,13 +367,21 @@
     def blocks_starts(self, now: float) -> bool:
         """Return whether no more runs should be started at the worker.
 
-        This is the case if the worker has been silent for too long, or if it
-        may still have runs that an earlier incarnation of this process
-        started.
+        This is the case if the worker has been silent for too long, if it may
+        still have runs that an earlier incarnation of this process started, or
+        if it may have shrunk since its last announcement.
         """
         return (
             not self._earlier_runs_over
             or self._list_requests.blocks_starts(now)
+            or self._may_have_shrunk(now)
+        )
+
+    def _may_have_shrunk(self, now: float) -> bool:
+        return (
+            self._capacity.guarded
+            and self._capacity_changes
+            and now > self._capacity_announced_at + MAX_CAPACITY_AGE_SECONDS
         )
 
     def _has_renewed_run(self, now: float) -> bool:
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -12,7 +12,9 @@
 
 from agatepick import core
 from agatepick.repeatable import speeds
+from agatepick.repeatable import stored_capacity
 from agatepick.repeatable import workerapi
+from agatepick import types
 
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
 """Time without announcements after which a worker counts as gone: three
@@ -24,6 +26,7 @@
 
     :param usual_speed: estimate of its usual speed, which is persisted with
         its description.
+    :param guarded: whether its capacity may change while it runs.
     :ivar incarnation: the incarnation that requests are sent to; empty if
         there is none.
     :ivar description: its last announcement; ``None`` if it has sent none, and
@@ -31,8 +34,13 @@
     :ivar leaving: whether it has said that it exits.
     """
 
-    def __init__(self, usual_speed: speeds.UsualSpeed) -> None:
+    def __init__(
+        self, usual_speed: speeds.UsualSpeed, guarded: bool = False
+    ) -> None:
         self._usual_speed = usual_speed
+        self._stored_capacity = (
+            stored_capacity.StoredCapacity() if guarded else None
+        )
         self.incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
@@ -90,7 +98,13 @@
                     now=event.draining,
                 )
             )
-        return effects + self._persist(event)
+        if former is None or former.incarnation != event.incarnation:
+            self._reset_stored_capacity()
+        return effects + self._persist(event, now)
+
+    def _reset_stored_capacity(self) -> None:
+        if self._stored_capacity is not None:
+            self._stored_capacity.reset()
 
     def record_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered
@@ -131,7 +145,9 @@
         self._announced_at = now
         return True
 
-    def _persist(self, announced: workerapi.WorkerAnnounced) -> list[object]:
+    def _persist(
+        self, announced: workerapi.WorkerAnnounced, now: float
+    ) -> list[object]:
         """Persist the worker for the next incarnation of this process.
 
         Without this, after a kill or a power loss, the agent would have no
@@ -144,7 +160,9 @@
         if not announced.draining:
             persisted = workerapi.PersistWorker(
                 dataclasses.replace(
-                    announced, sequence=workerapi.NOT_ANNOUNCED
+                    announced,
+                    sequence=workerapi.NOT_ANNOUNCED,
+                    capacity=self._choose_stored(announced.capacity, now),
                 ),
                 self._usual_speed.persistent,
             )
@@ -152,3 +170,10 @@
             return []
         self._persisted = persisted
         return [persisted]
+
+    def _choose_stored(
+        self, announced: types.Needs, now: float
+    ) -> types.Needs:
+        if self._stored_capacity is None:
+            return announced
+        return self._stored_capacity.choose(announced, now)
