Move only where the worker is the likelier cause

Cause: after gains at workers that hung, moves away from sound ones became likelier, and moves at even odds were made for a small expected gain; test_faulty_workers_are_left_beside_long_tasks[0.5-1000.0] failed with 1.1% of the work thrown away. Change: a run moves at a probability of 0.6 or more; earlier gains make up for losses only. Result: tests of the touched modules 68 passed (test_weighed_moves, moves, weighing, run_ratios, estimates, stragglers, explain).

--- a/src/agatepick/repeatable/moves.py
+++ b/src/agatepick/repeatable/moves.py
@@ -69,6 +69,9 @@
 OVERHEAD_SECONDS = 0.05
 """Time until a moved task runs again: a stop, its report and a start."""
 
+MIN_PROBABILITY = 0.6
+"""Least probability that the worker is the cause with which a run moves."""
+
 MIN_GAIN = 0.05
 """Least part of the expected remaining time that a move must gain."""
 
@@ -88,8 +91,9 @@
 """Share by which the budget refills of the work that a gaining move left."""
 
 MIN_TRUST = 0.1
-MAX_TRUST = 2.0
-"""Bounds of the factor on the odds by the gains of earlier moves."""
+MAX_TRUST = 1.0
+"""Bounds of the factor on the odds by the gains of earlier moves.  Moves that
+gained show the fault of the worker they left, not of another one."""
 
 TRUST_MOVES = 2.0
 """Number of gaining and of other moves that are assumed to begin with."""
@@ -249,8 +253,10 @@
     reason = Reason.MOVED
     if run.moved and (run.moved_without_proof or not proven):
         reason = Reason.SECOND
+    elif probability < MIN_PROBABILITY:
+        reason = Reason.OWN_TAIL
     elif not _gains(here, there, (1.0 - probability) * run.seconds):
-        reason = Reason.OWN_TAIL if probability < 0.5 else Reason.NO_GAIN
+        reason = Reason.NO_GAIN
     work = run.cores * run.seconds
     waste = work * (1.0 - probability)
     return Choice(
