--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -21,10 +21,12 @@
 import random
 import statistics
 
+from agatepick import core
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
+from agatepick.repeatable import shares
 
 RATE_TIME_CONSTANT_SECONDS = 1.0
 """Time constant of the moving average of the release rate: longer than several
@@ -220,6 +222,7 @@
         estimator: estimating.Estimator,
         waiting: owned_jobs.WaitingQueue,
         rng: random.Random,
+        queue_shares: shares.Shares | None = None,
     ) -> None:
         self._pool = workers
         self._estimator = estimator
@@ -228,7 +231,8 @@
         self._last_reachable_at = math.inf
         self._reachable_since = math.inf
         self.release_rate = ReleaseRate()
-        self._margin = Margin()
+        self._shares = queue_shares
+        self._margins: dict[str, Margin] = {}
 
     def update_reachability(self, now: float) -> None:
         """Check whether any agent is reachable, and record since when."""
@@ -240,6 +244,49 @@
         if self._last_reachable_at > now:
             self._last_reachable_at = now + STARTUP_SECONDS
 
+    def record_demand(self, spec: jobs.Job, now: float) -> None:
+        """Record a submitted job in its queue's demand."""
+        if self._shares is not None:
+            work = self._estimator.estimate_core_seconds(spec)
+            route = spec.route
+            self._shares.add_demand(route.name, route.pool, work, now)
+
+    def update_shares(
+        self, open_jobs: list[owned_jobs.OwnedJob], now: float
+    ) -> list[object]:
+        """Update the queues' shares, and note the ones now over theirs."""
+        if self._shares is None:
+            return []
+        before = self._shares.over
+        capacity: dict[str, float] = {}
+        for worker in self._pool:
+            if worker.room is not None and worker.is_usable(now):
+                part = worker.room.capacity.cpu / max(1, worker.room.entries)
+                pool_cores = capacity.get(worker.pool, 0.0)
+                capacity[worker.pool] = pool_cores + USABLE_CORE_SHARE * part
+        self._shares.update(_sum_held(open_jobs), capacity, now)
+        after = self._shares.over
+        return [
+            *[self._note_over(name) for name in sorted(after - before)],
+            *[
+                core.note('queue_within_share', queue=name)
+                for name in sorted(before - after)
+            ],
+        ]
+
+    def _note_over(self, queue: str) -> core.Note:
+        assert self._shares is not None
+        standing = self._shares.get(queue)
+        assert standing is not None
+        return core.note(
+            'queue_over_share',
+            queue=queue,
+            usual=f'{standing.usual:.1f}',
+            recent=f'{standing.recent:.1f}',
+            share=f'{standing.share:.1f}',
+            held=f'{standing.held:.1f}',
+        )
+
     def compute_latest_start(self, spec: jobs.Job, now: float) -> float:
         """Return the latest start at which a job still meets its objective."""
         return now + spec.route.slack(
@@ -254,14 +301,21 @@
             return Refusal('cut_off', self.pick_retry_delay())
         slack = self.compute_latest_start(spec, now) - now
         load = self._compute_load(spec, now + slack, now)
+        reason = 'overloaded'
+        if self._shares and self._shares.is_over(spec.route.name):
+            load = self._limit_to_share(load, spec)
+            reason = 'over_share'
+        wait_share = self._get_margin(spec.route.name).wait_share
         if load.released_cores_per_second and not starts_in_time(
-            load, slack, self._margin.wait_share
+            load, slack, wait_share
         ):
             after = retry_after(load, slack, self._rng)
-            return Refusal('overloaded', after, load)
+            return Refusal(reason, after, load)
         return None
 
-    def record_start(self, arrived_at: float, in_time: bool) -> None:
+    def record_start(
+        self, queue: str, arrived_at: float, in_time: bool
+    ) -> None:
         """Record whether an admitted job started in time.
 
         A job that never started counts as late.  Jobs that arrived before any
@@ -269,7 +323,16 @@
         entry without load refuse other jobs.
         """
         if arrived_at >= self._reachable_since:
-            self._margin.record_start(in_time)
+            self._get_margin(queue).record_start(in_time)
+
+    def _get_margin(self, queue: str) -> Margin:
+        """Return the margin of a queue, or of all without queue shares.
+
+        With one margin for all, each late start of a long job would refuse
+        short ones of other queues.
+        """
+        name = queue if self._shares is not None else ''
+        return self._margins.setdefault(name, Margin())
 
     def pick_retry_delay(self) -> float:
         """Return a random retry delay in seconds.
@@ -309,8 +372,9 @@
         # urgent jobs would be refused although they could get all cores that
         # are released.
         needed = 0.0
+        key = self._waiting.sort_key_of(spec.route.name, latest_start)
         for job in self._waiting.in_order():
-            if not job.started and job.latest_start > latest_start:
+            if self._waiting.sort_key(job) > key:
                 break
             needed += sum(
                 job.spec.tasks[index].needs.cpu for index in job.waiting
@@ -337,3 +401,45 @@
             else 0.0
         )
         return Load(needed, free, rate, round_trip_seconds)
+
+    def _limit_to_share(self, load: Load, spec: jobs.Job) -> Load:
+        """Return what a job of a queue over its share may count on.
+
+        Its queue gets the cores that the others leave, but at least its share.
+        What it holds beyond them returns to the others before its own jobs
+        start.
+        """
+        assert self._shares is not None
+        standing = self._shares.get(spec.route.name)
+        assert standing is not None
+        allowed = standing.share + standing.lent
+        backlog = sum(
+            job.spec.tasks[index].needs.cpu
+            for job in self._waiting.in_order()
+            if job.spec.route.name == spec.route.name
+            for index in job.waiting
+        )
+        seconds = self._estimator.estimate_longest_chain(spec)
+        rate = allowed / max(seconds, MIN_RUN_SECONDS)
+        free = max(0.0, allowed - standing.held)
+        excess = max(0.0, standing.held - allowed)
+        return dataclasses.replace(
+            load,
+            needed_cores=backlog + excess,
+            free_cores=min(free, load.free_cores),
+            released_cores_per_second=min(
+                rate, load.released_cores_per_second
+            ),
+        )
+
+
+def _sum_held(open_jobs: list[owned_jobs.OwnedJob]) -> dict[str, float]:
+    """Return the cores that the runs of each queue hold."""
+    held: dict[str, float] = {}
+    for job in open_jobs:
+        name = job.spec.route.name
+        cores = sum(
+            job.spec.tasks[index].needs.cpu for index in job.placed_indexes()
+        )
+        held[name] = held.get(name, 0.0) + cores
+    return held
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -22,6 +22,7 @@
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
+from agatepick.repeatable import shares
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
 from agatepick import types
@@ -61,10 +62,11 @@
     def __init__(self, cfg: EntryConfig, rng: random.Random):
         self._pool = pool.Pool(rng)
         self._estimator = estimating.Estimator()
-        self._waiting = owned_jobs.WaitingQueue()
+        self._shares = shares.Shares() if cfg.switches.queue_shares else None
+        self._waiting = owned_jobs.WaitingQueue(self._shares)
         self._jobs = owned_jobs.Jobs()
         self._admission = admission.Admission(
-            self._pool, self._estimator, self._waiting, rng
+            self._pool, self._estimator, self._waiting, rng, self._shares
         )
         self._placing = placing.Placing(self._pool, self._estimator)
         self._outcomes = outcomes.Outcomes(
@@ -188,6 +190,7 @@
         longest = self._estimator.estimate_longest_chain(spec)
         if not self._stopping.accepts(longest, now):
             return self._refuse_call(event.call, spec, 'stopping', 1.0)
+        self._admission.record_demand(spec, now)
         refusal = self._admission.find_refusal(spec, now)
         if refusal is not None:
             return self._refuse_call(
@@ -291,7 +294,9 @@
         """Answer a job's callers and stop the runs that remain."""
         if answer.verdict is jobs.Verdict.COMPLETE:
             in_time = not job.started_late()
-            self._admission.record_start(job.arrived_at, in_time)
+            self._admission.record_start(
+                job.spec.route.name, job.arrived_at, in_time
+            )
         job.answered = True
         job.waiting.clear()
         for call in job.calls:
@@ -419,6 +424,7 @@
         self._checked_at = now
         effects: list[object] = []
         self._admission.update_reachability(now)
+        effects += self._admission.update_shares(self._jobs.open_jobs(), now)
         for worker in [*self._pool, *self._former_workers]:
             if worker.placed and worker.lease_expired(now):
                 effects += self._outcomes.requeue_all(
@@ -438,7 +444,9 @@
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
         if not job.started and now >= job.latest_start:
-            self._admission.record_start(job.arrived_at, False)
+            self._admission.record_start(
+                job.spec.route.name, job.arrived_at, False
+            )
             after = self._admission.pick_retry_delay()
             answer = jobs.Answer(
                 jobs.Verdict.NOT_RUN, 'waited_too_long', after
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -14,8 +14,13 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import jobs
+from agatepick.repeatable import shares
 from agatepick import types
 
+SortKey = tuple[bool, bool, float]
+"""Whether no task has started, whether the queue is over its share, and the
+latest start."""
+
 
 class TaskState(enum.Enum):
     """State of one task.
@@ -219,7 +224,8 @@
     be late.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, queue_shares: shares.Shares | None = None) -> None:
+        self._shares = queue_shares
         self._jobs: list[OwnedJob] = []
         self._queued: set[types.JobKey] = set()
 
@@ -242,12 +248,22 @@
             self._queued = {job.spec.key for job in self._jobs}
         # The list is nearly sorted from the last call, which makes sorting
         # fast.
-        self._jobs.sort(key=_sort_key)
+        self._jobs.sort(key=self.sort_key)
         return self._jobs
 
+    def sort_key(self, job: OwnedJob) -> SortKey:
+        """Return the position of a job in the order."""
+        if job.started:
+            return False, False, job.latest_start
+        return self.sort_key_of(job.spec.route.name, job.latest_start)
 
-def _sort_key(job: OwnedJob) -> tuple[bool, float]:
-    return not job.started, job.latest_start
+    def sort_key_of(self, queue: str, latest_start: float) -> SortKey:
+        """Return the position of a job of which no task has started.
+
+        Jobs of a queue over its share wait after those of the others.
+        """
+        over = self._shares is not None and self._shares.is_over(queue)
+        return True, over, latest_start
 
 
 def stop_runs(job: OwnedJob, indexes: list[int]) -> list[object]:
