--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -302,10 +302,11 @@
         slack = self.compute_latest_start(spec, now) - now
         load = self._compute_load(spec, now + slack, now)
         reason = 'overloaded'
-        if self._shares and self._shares.is_over(spec.route.name):
+        over = self.is_over_share(spec)
+        if over:
             load = self._limit_to_share(load, spec)
             reason = 'over_share'
-        wait_share = self._get_margin(spec.route.name).wait_share
+        wait_share = self._get_margin(spec.route.name, over).wait_share
         if load.released_cores_per_second and not starts_in_time(
             load, slack, wait_share
         ):
@@ -313,26 +314,29 @@
             return Refusal(reason, after, load)
         return None
 
-    def record_start(
-        self, queue: str, arrived_at: float, in_time: bool
-    ) -> None:
+    def is_over_share(self, spec: jobs.Job) -> bool:
+        """Return whether a job's queue presses beyond its share."""
+        shares_known = self._shares is not None
+        return shares_known and self._shares.is_over(spec.route.name)
+
+    def record_start(self, job: owned_jobs.OwnedJob, in_time: bool) -> None:
         """Record whether an admitted job started in time.
 
         A job that never started counts as late.  Jobs that arrived before any
         worker was reachable don't count: after a power loss they would make an
         entry without load refuse other jobs.
         """
-        if arrived_at >= self._reachable_since:
-            self._get_margin(queue).record_start(in_time)
+        if job.arrived_at >= self._reachable_since:
+            name = job.spec.route.name
+            self._get_margin(name, job.over_share).record_start(in_time)
 
-    def _get_margin(self, queue: str) -> Margin:
-        """Return the margin of a queue, or of all without queue shares.
+    def _get_margin(self, queue: str, over_share: bool) -> Margin:
+        """Return the margin of a queue over its share, or that of the others.
 
-        With one margin for all, each late start of a long job would refuse
-        short ones of other queues.
+        With one margin for all, each late start of a queue that presses would
+        refuse jobs of the others.
         """
-        name = queue if self._shares is not None else ''
-        return self._margins.setdefault(name, Margin())
+        return self._margins.setdefault(queue if over_share else '', Margin())
 
     def pick_retry_delay(self) -> float:
         """Return a random retry delay in seconds.
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -207,6 +207,7 @@
             self._admission.compute_latest_start(spec, now),
             longest,
         )
+        job.over_share = self._admission.is_over_share(spec)
         self._jobs_by_call[event.call] = job
         self._jobs.add(job)
         job.queue_ready_tasks()
@@ -294,9 +295,7 @@
         """Answer a job's callers and stop the runs that remain."""
         if answer.verdict is jobs.Verdict.COMPLETE:
             in_time = not job.started_late()
-            self._admission.record_start(
-                job.spec.route.name, job.arrived_at, in_time
-            )
+            self._admission.record_start(job, in_time)
         job.answered = True
         job.waiting.clear()
         for call in job.calls:
@@ -444,9 +443,7 @@
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
         if not job.started and now >= job.latest_start:
-            self._admission.record_start(
-                job.spec.route.name, job.arrived_at, False
-            )
+            self._admission.record_start(job, False)
             after = self._admission.pick_retry_delay()
             answer = jobs.Answer(
                 jobs.Verdict.NOT_RUN, 'waited_too_long', after
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -72,6 +72,7 @@
     :ivar calls: requests that wait for its answer; more than one if a caller
         submitted the job again.
     :ivar open_task_count: number of tasks that haven't finished.
+    :ivar over_share: whether its queue was over its share on admission.
     :ivar run_seconds: run times of finished tasks by step.
     """
 
@@ -92,6 +93,7 @@
         self.waiting: collections.deque[int] = collections.deque()
         self.started_at: float | None = None
         self.answered = False
+        self.over_share = False
         self.check_at = 0.0
         self.open_task_count = len(spec.tasks)
         self.run_seconds: dict[int, list[float]] = {}
