--- a/src/agatepick/net/httpcalls.py
+++ b/src/agatepick/net/httpcalls.py
@@ -6,6 +6,12 @@
 This module therefore pools connections itself, and httptools parses the
 responses: calls to its worker are most of an agent's work, and a parser in
 Python would take most of each call.
+
+Connections may go silent without being reset, all at once, while new ones
+work.  A call can't tell such a connection before its timeout, and with a pool
+of them each further call would wait for one more timeout.  After calls without
+a response the client therefore gives up its idle connections too, and the next
+call opens one.
 """
 
 import asyncio
@@ -20,6 +26,10 @@
 """Statuses below this are interim; another response follows."""
 
 
+class NotSent(OSError):
+    """Raised for a request that wasn't valid any more when it was due."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A complete response."""
@@ -34,10 +44,16 @@
     :param address: ``ip:port``.
     :param max_connections: largest number of open connections; further calls
         wait for one of them.
+    :param max_unanswered: number of timeouts without a response between them
+        at which all idle connections are closed.
     """
 
-    def __init__(self, address: str, max_connections: int) -> None:
+    def __init__(
+        self, address: str, max_connections: int, max_unanswered: int = 1
+    ) -> None:
         self.address = address
+        self._max_unanswered = max_unanswered
+        self._unanswered = 0
         self._slots = asyncio.Semaphore(max_connections)
         self._idle: list[_Connection] = []
         self._buffer = reading.make_buffer()
@@ -49,11 +65,16 @@
         timeout_seconds: float,
         body: bytes = b'',
         headers: typing.Mapping[str, str] | None = None,
+        is_valid: typing.Callable[[], bool] | None = None,
     ) -> Response:
         """Send one request and return its response.
 
         :param timeout_seconds: timeout of the whole call, including the wait
             for a free connection.
+        :param is_valid: returns whether the request may still be sent; it is
+            called just before the request is written.  By default a request
+            is always valid.
+        :raises NotSent: if ``is_valid`` returned false.
         :raises ConnectionRefusedError: if no process listens at the address.
         :raises TimeoutError: if the timeout has expired.
         :raises OSError: if the connection was lost, or the response isn't
@@ -67,9 +88,17 @@
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(lines) + '\r\n\r\n'
         data = head.encode('latin-1') + body
-        async with asyncio.timeout(timeout_seconds):
-            async with self._slots:
-                return await self._send(method == 'GET', data)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                async with self._slots:
+                    response = await self._send(
+                        method == 'GET', data, is_valid
+                    )
+        except TimeoutError:
+            self._record_timeout()
+            raise
+        self._unanswered = 0
+        return response
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -77,18 +106,35 @@
             conn.close()
         self._idle.clear()
 
-    async def _send(self, retryable: bool, data: bytes) -> Response:
+    def _record_timeout(self) -> None:
+        self._unanswered += 1
+        if self._unanswered >= self._max_unanswered:
+            # An idle connection proves nothing, however new it is: it may
+            # have gone silent at any time before this timeout.  One in use
+            # will prove itself by a response.
+            self.close()
+
+    async def _send(
+        self,
+        retryable: bool,
+        data: bytes,
+        is_valid: typing.Callable[[], bool] | None,
+    ) -> Response:
         if retryable and self._idle:
             # The server may have closed the idle connection meanwhile.
             try:
-                return await self._call_once(data)
+                return await self._call_once(data, is_valid)
             except ConnectionError:
                 self.close()
-        return await self._call_once(data)
+        return await self._call_once(data, is_valid)
 
-    async def _call_once(self, data: bytes) -> Response:
+    async def _call_once(
+        self, data: bytes, is_valid: typing.Callable[[], bool] | None
+    ) -> Response:
         conn = await self._acquire()
         try:
+            if is_valid is not None and not is_valid():
+                raise NotSent('not valid any more')
             return await conn.send_request(data)
         finally:
             if conn.reusable:
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -16,6 +16,7 @@
 from agatepick.net import clocks
 from agatepick.net import links
 from agatepick.net import messages
+from agatepick.repeatable import faults
 from agatepick.repeatable import measures
 from agatepick.runtime import shell
 from agatepick.telemetry import logs
@@ -69,7 +70,7 @@
         self._zone = zone
         self._incarnation = incarnation
         self._address = ''
-        self.shell = shell.Shell(reducer, clock)
+        self.shell = shell.Shell(reducer, clock, faults.note)
         self.links = links.Links(
             self._make_hello,
             self.shell.feed,
@@ -95,6 +96,25 @@
         """Register the handler of effects of class ``kind``."""
         self.shell.handle(kind, handler)
 
+    def guard(
+        self, where: str, step: typing.Callable[[typing.Any], None]
+    ) -> typing.Callable[[typing.Any], None]:
+        """Return a callback that notes an exception of ``step``.
+
+        Otherwise the coroutine that calls it would end, and with it all that
+        it follows.
+
+        :param where: name of the step in the note.
+        """
+
+        def guarded(value: typing.Any) -> None:
+            try:
+                step(value)
+            except Exception as exc:
+                self._record_note(faults.note(where, exc))
+
+        return guarded
+
     def listen(self, address: str) -> None:
         """Accept connections of peers at ``ip:port``."""
         host, _, port = address.rpartition(':')
--- a/src/agatepick/repeatable/shares.py
+++ b/src/agatepick/repeatable/shares.py
@@ -56,6 +56,7 @@
     :param held: cores that its runs hold.
     :param share: cores that it may use while other queues want theirs.
     :param lent: cores that it may use as the other queues don't.
+    :param reserve: cores that the other queues usually hold, and now don't.
     :param over: whether it presses beyond its share.
     """
 
@@ -64,6 +65,7 @@
     held: float
     share: float
     lent: float
+    reserve: float = 0.0
     over: bool = False
 
 
@@ -90,6 +92,19 @@
         standing = self._standings.get(queue)
         return standing is not None and standing.over
 
+    def holds_back(self, queue: str, free_cores: float) -> bool:
+        """Return whether jobs of a queue must leave the free cores to others.
+
+        A queue over its share may start jobs within what it may use, and on
+        cores beyond those that the usual demand of the others still takes.
+
+        :param free_cores: cores that would be free after the job's start.
+        """
+        standing = self._standings.get(queue)
+        if standing is None or not standing.over:
+            return False
+        return free_cores < standing.reserve
+
     def add_demand(
         self, queue: str, pool: str, core_seconds: float, now: float
     ) -> None:
@@ -227,6 +242,11 @@
             held.get(name, 0.0),
             share,
             max(0.0, capacity - others_recent - share),
+            sum(
+                max(0.0, usual[other] - held.get(other, 0.0))
+                for other in demands
+                if other != name
+            ),
             recent[name] > limit,
         )
     return standings
