--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -20,6 +20,7 @@
 
 REASON_TEXTS = {
     'overloaded': 'more work waited than could start in time',
+    'over_share': 'its queue pressed beyond its share of the cores',
     'waited_too_long': 'no worker had capacity before its latest start',
     'no_worker': 'no known worker is large enough or has its label',
     'cut_off': 'the entry reached no agent',
--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -21,7 +21,6 @@
 import random
 import statistics
 
-from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
@@ -133,12 +132,16 @@
     :param round_trip_seconds: round trip of a message to an agent.  It is
         long while the entry's link or processor is saturated, when more jobs
         would only make all of them wait longer.
+    :param share_cores: share of the job's queue if it is over it.
+    :param held_cores: cores that runs of this queue hold then.
     """
 
     needed_cores: float
     free_cores: float
     released_cores_per_second: float
     round_trip_seconds: float = 0.0
+    share_cores: float = 0.0
+    held_cores: float = 0.0
 
     def compute_wait(self) -> float:
         """Return the predicted seconds until the job starts."""
@@ -237,7 +240,7 @@
         self._last_reachable_at = math.inf
         self._reachable_since = math.inf
         self.release_rate = ReleaseRate()
-        self._shares = queue_shares
+        self._shares = queue_shares or shares.Shares(enabled=False)
         self._margins: dict[str, Margin] = {}
 
     def update_reachability(self, now: float) -> None:
@@ -252,46 +255,25 @@
 
     def record_demand(self, spec: jobs.Job, now: float) -> None:
         """Record a submitted job in its queue's demand."""
-        if self._shares is not None:
-            work = self._estimator.estimate_core_seconds(spec)
-            route = spec.route
-            self._shares.add_demand(route.name, route.pool, work, now)
+        if not self._shares.enabled:
+            return
+        work = self._estimator.estimate_core_seconds(spec)
+        self._shares.add_demand(spec.route.name, spec.route.pool, work, now)
 
     def update_shares(
         self, open_jobs: list[owned_jobs.OwnedJob], now: float
     ) -> list[object]:
-        """Update the queues' shares, and note the ones now over theirs."""
-        if self._shares is None:
+        """Update the queues' shares, and note which press beyond theirs."""
+        if not self._shares.enabled:
             return []
-        before = self._shares.over
         capacity: dict[str, float] = {}
         for worker in self._pool:
             if worker.room is not None and worker.is_usable(now):
                 part = worker.room.capacity.cpu / max(1, worker.room.entries)
                 pool_cores = capacity.get(worker.pool, 0.0)
                 capacity[worker.pool] = pool_cores + USABLE_CORE_SHARE * part
-        self._shares.update(_sum_held(open_jobs), capacity, now)
-        after = self._shares.over
-        return [
-            *[self._note_over(name) for name in sorted(after - before)],
-            *[
-                core.note('queue_within_share', queue=name)
-                for name in sorted(before - after)
-            ],
-        ]
-
-    def _note_over(self, queue: str) -> core.Note:
-        assert self._shares is not None
-        standing = self._shares.get(queue)
-        assert standing is not None
-        return core.note(
-            'queue_over_share',
-            queue=queue,
-            usual=f'{standing.usual:.1f}',
-            recent=f'{standing.recent:.1f}',
-            share=f'{standing.share:.1f}',
-            held=f'{standing.held:.1f}',
-        )
+        held = owned_jobs.sum_held_cores(open_jobs)
+        return self._shares.update(held, capacity, now)
 
     def compute_latest_start(self, spec: jobs.Job, now: float) -> float:
         """Return the latest start at which a job still meets its objective."""
@@ -308,11 +290,12 @@
         slack = self.compute_latest_start(spec, now) - now
         load = self._compute_load(spec, now + slack, now)
         reason = 'overloaded'
-        over = self.is_over_share(spec)
-        if over:
-            load = self._limit_to_share(load, spec)
+        standing = self._shares.get(spec.route.name)
+        over_share = standing is not None and standing.over
+        if standing is not None and standing.over:
+            load = self._limit_to_share(load, spec, standing)
             reason = 'over_share'
-        wait_share = self._get_margin(spec.route.name, over).wait_share
+        wait_share = self._get_margin(spec.route.name, over_share).wait_share
         if load.released_cores_per_second and not starts_in_time(
             load, slack, wait_share
         ):
@@ -320,11 +303,6 @@
             return Refusal(reason, after, load)
         return None
 
-    def is_over_share(self, spec: jobs.Job) -> bool:
-        """Return whether a job's queue presses beyond its share."""
-        shares_known = self._shares is not None
-        return shares_known and self._shares.is_over(spec.route.name)
-
     def knows_workers(self, spec: jobs.Job) -> bool:
         """Return whether any worker of a job's pool is known."""
         return bool(self._get_rooms(spec))
@@ -431,17 +409,15 @@
         )
         return Load(needed, free, rate, round_trip_seconds)
 
-    def _limit_to_share(self, load: Load, spec: jobs.Job) -> Load:
+    def _limit_to_share(
+        self, load: Load, spec: jobs.Job, standing: shares.Standing
+    ) -> Load:
         """Return what a job of a queue over its share may count on.
 
         Its queue gets the cores that the others leave, but at least its share.
         What it holds beyond them returns to the others before its own jobs
         start.
         """
-        assert self._shares is not None
-        standing = self._shares.get(spec.route.name)
-        assert standing is not None
-        allowed = standing.share + standing.lent
         backlog = sum(
             job.spec.tasks[index].needs.cpu
             for job in self._waiting.in_order()
@@ -449,26 +425,15 @@
             for index in job.waiting
         )
         seconds = self._estimator.estimate_longest_chain(spec)
-        rate = allowed / max(seconds, MIN_RUN_SECONDS)
-        free = max(0.0, allowed - standing.held)
-        excess = max(0.0, standing.held - allowed)
+        rate = standing.allowed / max(seconds, MIN_RUN_SECONDS)
+        spare = standing.allowed - standing.held
         return dataclasses.replace(
             load,
-            needed_cores=backlog + excess,
-            free_cores=min(free, load.free_cores),
+            needed_cores=backlog + max(0.0, -spare),
+            free_cores=min(max(0.0, spare), load.free_cores),
             released_cores_per_second=min(
                 rate, load.released_cores_per_second
             ),
+            share_cores=standing.share,
+            held_cores=standing.held,
         )
-
-
-def _sum_held(open_jobs: list[owned_jobs.OwnedJob]) -> dict[str, float]:
-    """Return the cores that the runs of each queue hold."""
-    held: dict[str, float] = {}
-    for job in open_jobs:
-        name = job.spec.route.name
-        cores = sum(
-            job.spec.tasks[index].needs.cpu for index in job.placed_indexes()
-        )
-        held[name] = held.get(name, 0.0) + cores
-    return held
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -63,15 +63,13 @@
     def __init__(self, cfg: EntryConfig, rng: random.Random):
         self._pool = pool.Pool(rng)
         self._estimator = estimating.Estimator()
-        self._shares = shares.Shares() if cfg.switches.queue_shares else None
+        self._shares = shares.Shares(cfg.switches.queue_shares)
         self._waiting = owned_jobs.WaitingQueue(self._shares)
         self._jobs = owned_jobs.Jobs()
         self._admission = admission.Admission(
             self._pool, self._estimator, self._waiting, rng, self._shares
         )
-        self._placing = placing.Placing(
-            self._pool, self._estimator, self._shares
-        )
+        self._placing = placing.Placing(self._pool, self._estimator)
         self._outcomes = outcomes.Outcomes(
             self._jobs,
             self._waiting,
@@ -195,6 +193,7 @@
             'longest_wait_seconds': max(waits, default=0.0),
             'workers_usable': len(usable),
             'free_cores': sum(worker.free.cpu for worker in usable),
+            'queues_over_share': len(self._shares.over),
             'state_version': self.routes.version if self.routes else 0,
         }
 
@@ -236,7 +235,7 @@
             self._admission.compute_latest_start(spec, now),
             longest,
         )
-        job.over_share = self._admission.is_over_share(spec)
+        job.over_share = self._shares.is_over(spec.route.name)
         job.fit_unknown = not self._admission.knows_workers(spec)
         self._jobs_by_call[event.call] = job
         self._jobs.add(job)
@@ -270,6 +269,9 @@
                 'rate': f'{load.released_cores_per_second:.0f}',
                 'wait': f'{load.compute_wait():.3f}',
             }
+        if reason == 'over_share' and load is not None:
+            inputs['share'] = f'{load.share_cores:.1f}'
+            inputs['held'] = f'{load.held_cores:.1f}'
         return [
             core.note(
                 'job_refused',
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -28,6 +28,7 @@
     'longest_wait_seconds': 'age of the oldest job that has not begun',
     'workers_usable': 'workers to which runs may be sent now',
     'free_cores': 'cores that are free for more runs, as far as is known',
+    'queues_over_share': 'queues that press beyond their share of the cores',
     'state_version': 'version of the desired state in force; 0 for none',
     'runs': 'runs at the worker that are not known to be over',
     'entries': 'entries that the agent is connected to',
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -246,7 +246,7 @@
     """
 
     def __init__(self, queue_shares: shares.Shares | None = None) -> None:
-        self._shares = queue_shares
+        self._shares = queue_shares or shares.Shares(enabled=False)
         self._jobs: list[OwnedJob] = []
         self._queued: set[types.JobKey] = set()
 
@@ -283,8 +283,7 @@
 
         Jobs of a queue over its share wait after those of the others.
         """
-        over = self._shares is not None and self._shares.is_over(queue)
-        return True, over, latest_start
+        return True, self._shares.is_over(queue), latest_start
 
 
 def stop_runs(job: OwnedJob, indexes: list[int]) -> list[object]:
@@ -301,3 +300,12 @@
         core.Send(agent, messages.StopRuns(tuple(refs)))
         for agent, refs in by_agent.items()
     ]
+
+
+def sum_held_cores(open_jobs: list[OwnedJob]) -> dict[str, float]:
+    """Return the cores that the runs of each queue hold."""
+    held: dict[str, float] = collections.defaultdict(float)
+    for job in open_jobs:
+        for index in job.placed_indexes():
+            held[job.spec.route.name] += job.spec.tasks[index].needs.cpu
+    return dict(held)
--- a/src/agatepick/repeatable/shares.py
+++ b/src/agatepick/repeatable/shares.py
@@ -23,6 +23,8 @@
 import math
 import statistics
 
+from agatepick import core
+
 BUCKET_SECONDS = 2.0
 """Length of the periods whose demands are compared."""
 
@@ -46,6 +48,11 @@
 """Standard deviations of the recent demand by which it must exceed the share
 in addition: a few jobs more than usual are chance."""
 
+HEADROOM_SHARE = 0.2
+"""Share of the capacity that isn't lent to a queue over its share: on full
+workers, jobs with little slack would be late although their queue is within
+its share."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
@@ -55,8 +62,8 @@
     :param recent: demand of the last seconds.
     :param held: cores that its runs hold.
     :param share: cores that it may use while other queues want theirs.
-    :param lent: cores that it may use as the other queues don't.
-    :param reserve: cores that the other queues usually hold, and now don't.
+    :param allowed: cores that it may use now: its share, or more as long as
+        the other queues leave them.
     :param over: whether it presses beyond its share.
     """
 
@@ -64,15 +71,18 @@
     recent: float
     held: float
     share: float
-    lent: float
-    reserve: float = 0.0
+    allowed: float
     over: bool = False
 
 
 class Shares:
-    """Usual demands of one entry's queues, and the standing of each."""
+    """Usual demands of one entry's queues, and the standing of each.
+
+    :ivar enabled: whether any queue can be over its share.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, enabled: bool = True) -> None:
+        self.enabled = enabled
         self._demands: dict[str, _Demand] = {}
         self._standings: dict[str, Standing] = {}
 
@@ -92,19 +102,6 @@
         standing = self._standings.get(queue)
         return standing is not None and standing.over
 
-    def holds_back(self, queue: str, free_cores: float) -> bool:
-        """Return whether jobs of a queue must leave the free cores to others.
-
-        A queue over its share may start jobs within what it may use, and on
-        cores beyond those that the usual demand of the others still takes.
-
-        :param free_cores: cores that would be free after the job's start.
-        """
-        standing = self._standings.get(queue)
-        if standing is None or not standing.over:
-            return False
-        return free_cores < standing.reserve
-
     def add_demand(
         self, queue: str, pool: str, core_seconds: float, now: float
     ) -> None:
@@ -121,12 +118,26 @@
 
     def update(
         self, held: dict[str, float], capacity: dict[str, float], now: float
-    ) -> None:
-        """Compute the standing of each queue.
+    ) -> list[object]:
+        """Compute the standing of each queue, and note the changes.
 
         :param held: cores that runs hold, by queue.
         :param capacity: this entry's part of the cores, by pool.
         """
+        over_before = self.over
+        self._standings = {}
+        for pool, demands in self._known_by_pool(now).items():
+            if len(demands) > 1:
+                cores = capacity.get(pool, 0.0)
+                self._standings.update(_divide(demands, held, cores, now))
+        over = self.over
+        ended = sorted(over_before - over)
+        return [
+            *[self._note_over(name) for name in sorted(over - over_before)],
+            *[core.note('queue_within_share', queue=name) for name in ended],
+        ]
+
+    def _known_by_pool(self, now: float) -> dict[str, dict[str, '_Demand']]:
         by_pool: dict[str, dict[str, _Demand]] = {}
         for name, demand in list(self._demands.items()):
             demand.advance(now)
@@ -134,12 +145,18 @@
                 del self._demands[name]
             elif demand.is_known:
                 by_pool.setdefault(demand.pool, {})[name] = demand
-        self._standings = {}
-        for pool, demands in by_pool.items():
-            if len(demands) > 1:
-                self._standings.update(
-                    _divide(demands, held, capacity.get(pool, 0.0), now)
-                )
+        return by_pool
+
+    def _note_over(self, queue: str) -> core.Note:
+        standing = self._standings[queue]
+        return core.note(
+            'queue_over_share',
+            queue=queue,
+            usual=f'{standing.usual:.1f}',
+            recent=f'{standing.recent:.1f}',
+            share=f'{standing.share:.1f}',
+            held=f'{standing.held:.1f}',
+        )
 
 
 class _Demand:
@@ -194,13 +211,15 @@
         """Return the demand of the last seconds in cores."""
         return self._work * self._decay_factor(now) / RECENT_SECONDS
 
-    def deviation(self, usual: float) -> float:
-        """Return the standard deviation of the recent demand in cores.
+    def variance(self, mean: float) -> float:
+        """Return the variance of the recent demand in square cores.
+
+        Jobs are assumed to arrive independently of one another.
 
-        :param usual: mean demand in cores, as jobs that arrive independently.
+        :param mean: mean demand in cores.
         """
         job_work = self._squares / self._work if self._work else 0.0
-        return math.sqrt(usual * job_work / (2.0 * RECENT_SECONDS))
+        return mean * job_work / (2.0 * RECENT_SECONDS)
 
     def _decay_factor(self, now: float) -> float:
         return math.exp(-max(0.0, now - self._updated_at) / RECENT_SECONDS)
@@ -215,38 +234,29 @@
     """Return the standings of a pool's queues."""
     usual = {name: demand.usual for name, demand in demands.items()}
     recent = {name: demand.recent(now) for name, demand in demands.items()}
+    variance = {
+        name: demand.variance(recent[name]) for name, demand in demands.items()
+    }
     all_usual = sum(usual.values())
     all_recent = sum(recent.values())
     standings: dict[str, Standing] = {}
     for name, demand in demands.items():
-        others_usual = all_usual - usual[name]
+        share = capacity * usual[name] / all_usual
         others_recent = all_recent - recent[name]
-        share = usual[name] * capacity / all_usual
-        common = usual[name] * others_recent / others_usual
-        limit = max(share, common, usual[name])
-        limit = OVER_FACTOR * limit + OVER_DEVIATIONS * math.hypot(
-            demand.deviation(limit),
-            usual[name]
-            / others_usual
-            * math.hypot(
-                *(
-                    other.deviation(recent[other_name])
-                    for other_name, other in demands.items()
-                    if other_name != name
-                )
-            ),
+        # Own demand in units of the other queues' demand.
+        ratio = usual[name] / (all_usual - usual[name])
+        limit = max(share, ratio * others_recent, usual[name])
+        others_variance = sum(variance.values()) - variance[name]
+        deviation = math.sqrt(
+            demand.variance(limit) + ratio**2 * others_variance
         )
+        left = (1.0 - HEADROOM_SHARE) * capacity - others_recent
         standings[name] = Standing(
             usual[name],
             recent[name],
             held.get(name, 0.0),
             share,
-            max(0.0, capacity - others_recent - share),
-            sum(
-                max(0.0, usual[other] - held.get(other, 0.0))
-                for other in demands
-                if other != name
-            ),
-            recent[name] > limit,
+            max(share, left),
+            recent[name] > OVER_FACTOR * limit + OVER_DEVIATIONS * deviation,
         )
     return standings
