--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -18,7 +18,6 @@
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
-from agatepick.repeatable import shares
 from agatepick.repeatable import spreading
 from agatepick import types
 
@@ -59,13 +58,9 @@
     """Starts and capacity requests of one entry."""
 
     def __init__(
-        self,
-        workers: pool.Pool,
-        estimator: estimating.Estimator,
-        queue_shares: shares.Shares | None = None,
+        self, workers: pool.Pool, estimator: estimating.Estimator
     ) -> None:
         self._pool = workers
-        self._shares = queue_shares
         self._estimator = estimator
         self._starts: dict[types.PeerName, list[messages.RunSpec]] = {}
         self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
@@ -130,25 +125,10 @@
             if job.spec.route.pool in current.exhausted_pools:
                 continue
             try:
-                if not self._must_leave_room(job, current.now):
-                    self._place_job(job, current)
+                self._place_job(job, current)
             except Exception as exc:
                 self._faults.append(JobFault(job, exc))
 
-    def _must_leave_room(self, job: owned_jobs.OwnedJob, now: float) -> bool:
-        """Return whether a job must leave the free cores to other queues."""
-        route = job.spec.route
-        if self._shares is None or job.started:
-            return False
-        if not self._shares.is_over(route.name):
-            return False
-        free = sum(
-            worker.free.cpu
-            for worker in self._pool.usable_workers(route.pool, '', now)
-        )
-        cores = sum(job.spec.tasks[index].needs.cpu for index in job.waiting)
-        return self._shares.holds_back(route.name, free - cores)
-
     def _place_job(self, job: owned_jobs.OwnedJob, current: '_Round') -> None:
         """Assign the tasks of one job that fit; the others wait.
 
