--- a/src/agatepick/repeatable/shares.py
+++ b/src/agatepick/repeatable/shares.py
@@ -110,6 +110,8 @@
         :param pool: pool of workers that serves the queue.
         :param core_seconds: expected work of the job.
         """
+        if not self.enabled:
+            return
         demand = self._demands.get(queue)
         if demand is None:
             demand = self._demands[queue] = _Demand(now)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,8 @@
     'time=10.100000 level=info process=e event=job_refused job=b2 queue=q '
     'reason=overloaded retry_after=1.5\n',
     'time=10.200000 level=info process=e event=job_admitted job=c3 queue=q\n',
+    'time=10.300000 level=info process=e event=job_refused job=d4 queue=q '
+    'reason=over_share retry_after=1.5 share=20.0 held=31.2\n',
 )
 AGENT = (
     'noise that is no event\n',
@@ -35,9 +37,10 @@
         ('a1', 'task_failed: a task failed as often'),
         ('b2', 'overloaded: more work waited'),
         ('c3', 'no end was logged'),
+        ('d4', 'over_share: its queue pressed beyond its share'),
     ],
 )
-def test_the_cause_of_three_kinds_of_failure_is_named(job, text):
+def test_the_cause_of_each_kind_of_failure_is_named(job, text):
     """Jobs are rejected, fail on faulty workers or are lost with an entry.
 
     The explanation must name the cause of each.
