--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -292,7 +292,11 @@
         reason = 'overloaded'
         standing = self._shares.get(spec.route.name)
         over_share = standing is not None and standing.over
-        if standing is not None and standing.over:
+        if (
+            standing is not None
+            and standing.over
+            and not _has_spare_room(load, spec, standing)
+        ):
             load = self._limit_to_share(load, spec, standing)
             reason = 'over_share'
         wait_share = self._get_margin(spec.route.name, over_share).wait_share
@@ -437,3 +441,12 @@
             share_cores=standing.share,
             held_cores=standing.held,
         )
+
+
+def _has_spare_room(
+    load: Load, spec: jobs.Job, standing: shares.Standing
+) -> bool:
+    """Return whether a job takes no room that other queues may want."""
+    cores = sum(task.needs.cpu for task in spec.tasks)
+    spare = load.free_cores - load.needed_cores - cores
+    return spare >= standing.headroom
--- a/src/agatepick/repeatable/shares.py
+++ b/src/agatepick/repeatable/shares.py
@@ -64,6 +64,7 @@
     :param share: cores that it may use while other queues want theirs.
     :param allowed: cores that it may use now: its share, or more as long as
         the other queues leave them.
+    :param headroom: free cores from which on nobody presses for room.
     :param over: whether it presses beyond its share.
     """
 
@@ -72,6 +73,7 @@
     held: float
     share: float
     allowed: float
+    headroom: float
     over: bool = False
 
 
@@ -259,6 +261,7 @@
             held.get(name, 0.0),
             share,
             max(share, left),
+            HEADROOM_SHARE * capacity,
             recent[name] > OVER_FACTOR * limit + OVER_DEVIATIONS * deviation,
         )
     return standings
