--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -14,6 +14,9 @@
 (:class:`Margin`).  An admitted job whose latest start passes before any of its
 tasks started is refused as well: the prediction was wrong, and an early answer
 lets its caller try elsewhere.
+
+While room is short, a job of a queue over its share is admitted by that
+queue's own backlog and cores (:mod:`~agatepick.repeatable.shares`).
 """
 
 import dataclasses
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -4,7 +4,8 @@
 to end within its objective: short urgent jobs overtake long ones that can
 still wait, and a long one advances as its latest start approaches.  Jobs that
 have started precede all that have not: a job is answered only when its last
-task ends, and the work of its first tasks is wasted if that is late.
+task ends, and the work of its first tasks is wasted if that is late.  Jobs of
+a queue over its share (:mod:`~agatepick.repeatable.shares`) come last.
 """
 
 import collections
