--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -14,6 +14,9 @@
 (:class:`Margin`).  An admitted job whose latest start passes before any of its
 tasks started is refused as well: the prediction was wrong, and an early answer
 lets its caller try elsewhere.
+
+While room is short, a job of a queue over its share is admitted by that
+queue's own backlog and cores (:mod:`~agatepick.repeatable.shares`).
 """
 
 import dataclasses
@@ -27,6 +30,7 @@
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
+from agatepick.repeatable import shares
 from agatepick.repeatable import spreading
 
 RATE_TIME_CONSTANT_SECONDS = 1.0
@@ -132,12 +136,16 @@
     :param round_trip_seconds: round trip of a message to an agent.  It is
         long while the entry's link or processor is saturated, when more jobs
         would only make all of them wait longer.
+    :param share_cores: share of the job's queue if it is over it.
+    :param held_cores: cores that runs of this queue hold then.
     """
 
     needed_cores: float
     free_cores: float
     released_cores_per_second: float
     round_trip_seconds: float = 0.0
+    share_cores: float = 0.0
+    held_cores: float = 0.0
 
     def compute_wait(self) -> float:
         """Return the predicted seconds until the job starts."""
@@ -228,6 +236,7 @@
         waiting: owned_jobs.WaitingQueue,
         rng: random.Random,
         by_speed: bool = False,
+        queue_shares: shares.Shares | None = None,
     ) -> None:
         self._pool = workers
         self._by_speed = by_speed
@@ -237,7 +246,8 @@
         self._last_reachable_at = math.inf
         self._reachable_since = math.inf
         self.release_rate = ReleaseRate()
-        self._margin = Margin()
+        self._shares = queue_shares or shares.Shares(enabled=False)
+        self._margins: dict[str, Margin] = {}
 
     def update_reachability(self, now: float) -> None:
         """Check whether any agent is reachable, and record since when."""
@@ -249,6 +259,28 @@
         if self._last_reachable_at > now:
             self._last_reachable_at = now + STARTUP_SECONDS
 
+    def record_demand(self, spec: jobs.Job, now: float) -> None:
+        """Record a submitted job in its queue's demand."""
+        if not self._shares.enabled:
+            return
+        work = self._estimator.estimate_core_seconds(spec)
+        self._shares.add_demand(spec.route.name, spec.route.pool, work, now)
+
+    def update_shares(
+        self, open_jobs: list[owned_jobs.OwnedJob], now: float
+    ) -> list[object]:
+        """Update the queues' shares, and note which press beyond theirs."""
+        if not self._shares.enabled:
+            return []
+        capacity: dict[str, float] = {}
+        for worker in self._pool:
+            if worker.room is not None and worker.is_usable(now):
+                part = worker.room.capacity.cpu / max(1, worker.room.entries)
+                pool_cores = capacity.get(worker.pool, 0.0)
+                capacity[worker.pool] = pool_cores + USABLE_CORE_SHARE * part
+        held = owned_jobs.sum_held_cores(open_jobs)
+        return self._shares.update(held, capacity, now)
+
     def compute_latest_start(self, spec: jobs.Job, now: float) -> float:
         """Return the latest start at which a job still meets its objective."""
         return now + spec.route.slack(
@@ -263,11 +295,22 @@
             return Refusal('cut_off', self.pick_retry_delay())
         slack = self.compute_latest_start(spec, now) - now
         load = self._compute_load(spec, now + slack, now)
+        reason = 'overloaded'
+        standing = self._shares.get(spec.route.name)
+        over_share = standing is not None and standing.over
+        if (
+            standing is not None
+            and standing.over
+            and not _has_spare_room(load, spec, standing)
+        ):
+            load = self._limit_to_share(load, spec, standing)
+            reason = 'over_share'
+        wait_share = self._get_margin(spec.route.name, over_share).wait_share
         if load.released_cores_per_second and not starts_in_time(
-            load, slack, self._margin.wait_share
+            load, slack, wait_share
         ):
             after = retry_after(load, slack, self._rng)
-            return Refusal('overloaded', after, load)
+            return Refusal(reason, after, load)
         return None
 
     def knows_workers(self, spec: jobs.Job) -> bool:
@@ -290,15 +333,24 @@
         """Return the load that a waiting job meets."""
         return self._compute_load(job.spec, job.latest_start, now)
 
-    def record_start(self, arrived_at: float, in_time: bool) -> None:
+    def record_start(self, job: owned_jobs.OwnedJob, in_time: bool) -> None:
         """Record whether an admitted job started in time.
 
         A job that never started counts as late.  Jobs that arrived before any
         worker was reachable don't count: after a power loss they would make an
         entry without load refuse other jobs.
         """
-        if arrived_at >= self._reachable_since:
-            self._margin.record_start(in_time)
+        if job.arrived_at >= self._reachable_since:
+            name = job.spec.route.name
+            self._get_margin(name, job.over_share).record_start(in_time)
+
+    def _get_margin(self, queue: str, over_share: bool) -> Margin:
+        """Return the margin of a queue over its share, or that of the others.
+
+        With one margin for all, each late start of a queue that presses would
+        refuse jobs of the others.
+        """
+        return self._margins.setdefault(queue if over_share else '', Margin())
 
     def pick_retry_delay(self) -> float:
         """Return a random retry delay in seconds.
@@ -341,9 +393,10 @@
         # urgent jobs would be refused although they could get all cores that
         # are released.
         needed = 0.0
+        key = self._waiting.sort_key_of(spec.route.name, latest_start)
         workers = self._pool.usable_workers(spec.route.pool, '', now)
         for job in self._waiting.in_order():
-            if not job.started and job.latest_start > latest_start:
+            if self._waiting.sort_key(job) > key:
                 break
             if job.spec.route.pool != spec.route.pool:
                 continue
@@ -373,3 +426,41 @@
             return None
         longest = self._estimator.estimate_longest_chain(spec)
         return pool.Demand(longest, longest + slack)
+
+    def _limit_to_share(
+        self, load: Load, spec: jobs.Job, standing: shares.Standing
+    ) -> Load:
+        """Return what a job of a queue over its share may count on.
+
+        Its queue gets the cores that the others leave, but at least its share.
+        What it holds beyond them returns to the others before its own jobs
+        start.
+        """
+        backlog = sum(
+            job.spec.tasks[index].needs.cpu
+            for job in self._waiting.in_order()
+            if job.spec.route.name == spec.route.name
+            for index in job.waiting
+        )
+        seconds = self._estimator.estimate_longest_chain(spec)
+        rate = standing.allowed / max(seconds, MIN_RUN_SECONDS)
+        spare = standing.allowed - standing.held
+        return dataclasses.replace(
+            load,
+            needed_cores=backlog + max(0.0, -spare),
+            free_cores=min(max(0.0, spare), load.free_cores),
+            released_cores_per_second=min(
+                rate, load.released_cores_per_second
+            ),
+            share_cores=standing.share,
+            held_cores=standing.held,
+        )
+
+
+def _has_spare_room(
+    load: Load, spec: jobs.Job, standing: shares.Standing
+) -> bool:
+    """Return whether a job takes no room that other queues may want."""
+    cores = sum(task.needs.cpu for task in spec.tasks)
+    spare = load.free_cores - load.needed_cores - cores
+    return spare >= standing.headroom
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -25,6 +25,7 @@
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
 from agatepick.repeatable import routes
+from agatepick.repeatable import shares
 from agatepick.repeatable import shrinking
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
@@ -68,10 +69,16 @@
         self._pool = pool.Pool(rng, choosing.Candidates if by_speed else None)
         self._speeds = kinds.RelativeSpeeds(self._pool) if by_speed else None
         self._estimator = estimating.Estimator()
-        self._waiting = owned_jobs.WaitingQueue()
+        self._shares = shares.Shares(cfg.switches.queue_shares)
+        self._waiting = owned_jobs.WaitingQueue(self._shares)
         self._jobs = owned_jobs.Jobs()
         self._admission = admission.Admission(
-            self._pool, self._estimator, self._waiting, rng, by_speed
+            self._pool,
+            self._estimator,
+            self._waiting,
+            rng,
+            by_speed,
+            self._shares,
         )
         self._placing = placing.Placing(self._pool, self._estimator)
         weigher = None
@@ -212,6 +219,7 @@
             'free_cores_slow': sum(
                 worker.free.cpu for worker in usable if kinds.is_slow(worker)
             ),
+            'queues_over_share': len(self._shares.over),
             'state_version': self.routes.version if self.routes else 0,
         }
 
@@ -236,6 +244,7 @@
         longest = self._estimator.estimate_longest_chain(spec)
         if not self._stopping.accepts(longest, now):
             return self._refuse_call(event.call, spec, 'stopping', 1.0)
+        self._admission.record_demand(spec, now)
         refusal = self._admission.find_refusal(spec, now)
         if refusal is not None:
             return self._refuse_call(
@@ -252,6 +261,7 @@
             self._admission.compute_latest_start(spec, now),
             longest,
         )
+        job.over_share = self._shares.is_over(spec.route.name)
         job.fit_unknown = not self._admission.knows_workers(spec)
         self._jobs_by_call[event.call] = job
         self._jobs.add(job)
@@ -285,6 +295,9 @@
                 'rate': f'{load.released_cores_per_second:.0f}',
                 'wait': f'{load.compute_wait():.3f}',
             }
+        if reason == 'over_share' and load is not None:
+            inputs['share'] = f'{load.share_cores:.1f}'
+            inputs['held'] = f'{load.held_cores:.1f}'
         return [
             core.note(
                 'job_refused',
@@ -353,7 +366,7 @@
     ) -> list[object]:
         if answer.verdict is jobs.Verdict.COMPLETE:
             in_time = not job.started_late()
-            self._admission.record_start(job.arrived_at, in_time)
+            self._admission.record_start(job, in_time)
         return [
             core.note(
                 'job_ended',
@@ -525,6 +538,7 @@
         self._checked_at = now
         effects: list[object] = []
         self._admission.update_reachability(now)
+        effects += self._admission.update_shares(self._jobs.open_jobs(), now)
         for worker in [*self._pool, *self._former_workers]:
             if worker.placed and worker.lease_expired(now):
                 effects += self._outcomes.requeue_all(
@@ -549,7 +563,7 @@
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
         if not job.started and now >= job.latest_start:
-            self._admission.record_start(job.arrived_at, False)
+            self._admission.record_start(job, False)
             after = self._admission.pick_retry_delay()
             answer = jobs.Answer(
                 jobs.Verdict.NOT_RUN, 'waited_too_long', after
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -4,7 +4,8 @@
 to end within its objective: short urgent jobs overtake long ones that can
 still wait, and a long one advances as its latest start approaches.  Jobs that
 have started precede all that have not: a job is answered only when its last
-task ends, and the work of its first tasks is wasted if that is late.
+task ends, and the work of its first tasks is wasted if that is late.  Jobs of
+a queue over its share (:mod:`~agatepick.repeatable.shares`) come last.
 """
 
 import collections
@@ -14,8 +15,13 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import jobs
+from agatepick.repeatable import shares
 from agatepick import types
 
+SortKey = tuple[bool, bool, float]
+"""Whether no task has started, whether the queue is over its share, and the
+latest start."""
+
 
 class TaskState(enum.Enum):
     """State of one task.
@@ -104,6 +110,7 @@
     :ivar calls: requests that wait for its answer; more than one if a caller
         submitted the job again.
     :ivar open_task_count: number of tasks that haven't finished.
+    :ivar over_share: whether its queue was over its share on admission.
     :ivar fit_unknown: whether no worker of its pool was known when it came.
     :ivar run_seconds: run times of finished tasks by step, as they would be
         at a typical worker.
@@ -127,6 +134,7 @@
         self.waiting: collections.deque[int] = collections.deque()
         self.started_at: float | None = None
         self.answered = False
+        self.over_share = False
         self.fit_unknown = False
         self.check_at = 0.0
         self.open_task_count = len(spec.tasks)
@@ -278,7 +286,8 @@
     be late.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, queue_shares: shares.Shares | None = None) -> None:
+        self._shares = queue_shares or shares.Shares(enabled=False)
         self._jobs: list[OwnedJob] = []
         self._queued: set[types.JobKey] = set()
 
@@ -301,12 +310,21 @@
             self._queued = {job.spec.key for job in self._jobs}
         # The list is nearly sorted from the last call, which makes sorting
         # fast.
-        self._jobs.sort(key=_sort_key)
+        self._jobs.sort(key=self.sort_key)
         return self._jobs
 
+    def sort_key(self, job: OwnedJob) -> SortKey:
+        """Return the position of a job in the order."""
+        if job.started:
+            return False, False, job.latest_start
+        return self.sort_key_of(job.spec.route.name, job.latest_start)
+
+    def sort_key_of(self, queue: str, latest_start: float) -> SortKey:
+        """Return the position of a job of which no task has started.
 
-def _sort_key(job: OwnedJob) -> tuple[bool, float]:
-    return not job.started, job.latest_start
+        Jobs of a queue over its share wait after those of the others.
+        """
+        return True, self._shares.is_over(queue), latest_start
 
 
 def stop_runs(job: OwnedJob, indexes: list[int]) -> list[object]:
@@ -323,3 +341,12 @@
         core.Send(agent, messages.StopRuns(tuple(refs)))
         for agent, refs in by_agent.items()
     ]
+
+
+def sum_held_cores(open_jobs: list[OwnedJob]) -> dict[str, float]:
+    """Return the cores that the runs of each queue hold."""
+    held: dict[str, float] = collections.defaultdict(float)
+    for job in open_jobs:
+        for index in job.placed_indexes():
+            held[job.spec.route.name] += job.spec.tasks[index].needs.cpu
+    return dict(held)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,6 +13,8 @@
     'time=10.200000 level=info process=e event=job_admitted job=c3 queue=q\n',
     'time=10.300000 level=info process=e event=job_ended job=e5 queue=q '
     'verdict=not_run reason=no_room_left seconds=0.500 late=0.1\n',
+    'time=10.300000 level=info process=e event=job_refused job=d4 queue=q '
+    'reason=over_share retry_after=1.5 share=20.0 held=31.2\n',
 )
 AGENT = (
     'noise that is no event\n',
@@ -38,6 +40,7 @@
         ('b2', 'overloaded: more work waited'),
         ('c3', 'no end was logged'),
         ('e5', 'no_room_left: workers shrank'),
+        ('d4', 'over_share: its queue pressed beyond its share'),
     ],
 )
 def test_the_cause_of_each_kind_of_failure_is_named(job, text):
