Never let a task of a job of several steps wait for a faster worker

Its time left was taken as its expected time, at any instant, so it could wait for a fast worker for ever once the limit counted from the fastest worker.

--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -186,13 +186,14 @@
     ) -> pool.Demand | None:
         """Return the time that a task needs and has, if that matters.
 
-        A job of several steps has no time to spare at a single one.
+        The time left to one of several steps isn't known, so its tasks wait
+        for no faster worker than is free.
         """
         if not candidates.weighs_time:
             return None
         expected = estimate_run_seconds(self._estimator, job, index)
         if len(job.spec.after) > 1:
-            return pool.Demand(expected, expected)
+            return pool.Demand(expected, 0.0)
         ends_at = job.objective_ends_at
         if job.run_seconds:
             # Finished siblings show the job's run time better than the
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,6 +6,7 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import choosing
 from agatepick.repeatable import estimating
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
@@ -133,3 +134,85 @@
         placer.place([job], NOW + 0.02), messages.StartRuns
     )['a']
     assert starts.want == messages.NO_WANT
+
+
+def make_paced_worker(name, slowness, free):
+    worker = make_worker(name)
+    worker.renewed_at = NOW + 2.0
+    worker.update_room(
+        messages.Room(
+            1,
+            True,
+            'p',
+            (),
+            types.Needs(24.0, 4096, 0),
+            types.Needs(free, 4096, 0),
+            slowness=slowness,
+        )
+    )
+    return worker
+
+
+def make_timed_job(key, seconds, after=(frozenset(),)):
+    """Return a job that has just arrived, with one task."""
+    route = routes.Route('q', 'host', '/q/', 'p')
+    task = jobs.Task(f'{key}.0', 0, TASK, seconds)
+    spec = jobs.Job(key, route, b'', (task,), after, NOW + 10.0)
+    latest = NOW + route.slack(seconds)
+    job = owned_jobs.OwnedJob(1, spec, NOW, latest, seconds)
+    job.queue_ready_tasks()
+    return job
+
+
+@pytest.fixture
+def paced():
+    """Return a placer with a full fast worker and an empty slow one."""
+    members = pool.Pool(random.Random(1), choosing.Candidates)
+    members.add(make_paced_worker('fast', 0.83, 0.0))
+    members.add(make_paced_worker('slow', 1.82, 24.0))
+    return placing.Placing(members, estimating.Estimator())
+
+
+def test_a_long_task_waits_for_a_fast_worker_alone(paced):
+    """A long task would be late on the slow worker, which is empty.
+
+    If its agent were asked too, it would reserve its cores for this task, and
+    short tasks of other entries would wait.
+    """
+    long, short = make_timed_job('l', 1.5), make_timed_job('s', 0.1)
+    effects = paced.place([long, short], NOW)
+    starts = collect_messages(effects, messages.StartRuns)
+    assert list(starts) == ['slow']
+    assert [run.job for run in starts['slow'][0].runs] == ['s']
+    assert starts['slow'][0].want == messages.NO_WANT
+    assert list(collect_messages(effects, messages.Want)) == ['fast']
+    notes = [effect for effect in effects if isinstance(effect, core.Note)]
+    assert [note.name for note in notes] == ['job_held_back']
+    later = paced.place([long], NOW + 0.05)
+    assert not any(isinstance(effect, core.Note) for effect in later)
+
+
+def test_a_task_starts_late_rather_than_never(paced):
+    """No fast worker got free until the last moment."""
+    long = make_timed_job('l', 1.5)
+    long.mark_started(NOW)
+    assert paced.place([long], NOW + 1.0)
+    assert long.waiting
+    effects = paced.place([long], NOW + 1.2)
+    assert list(collect_messages(effects, messages.StartRuns)) == ['slow']
+
+
+def test_a_job_of_several_steps_waits_for_no_faster_worker(paced):
+    """The time that a step has isn't known before the others have ended."""
+    job = make_timed_job('l', 1.5, (frozenset(), frozenset({0})))
+    effects = paced.place([job], NOW)
+    assert list(collect_messages(effects, messages.StartRuns)) == ['slow']
+
+
+def test_a_task_waits_for_no_faster_worker_by_default(workers):
+    """Without the switch usual speeds don't matter."""
+    workers.add(make_paced_worker('fast', 0.83, 0.0))
+    workers.add(make_paced_worker('slow', 1.82, 24.0))
+    placer = placing.Placing(workers, estimating.Estimator())
+    effects = placer.place([make_timed_job('l', 1.5)], NOW)
+    assert list(collect_messages(effects, messages.StartRuns)) == ['slow']
