--- a/src/agatepick/repeatable/health.py
+++ b/src/agatepick/repeatable/health.py
@@ -48,7 +48,10 @@
         return slowness / max(success, MIN_SUCCESS_RATE)
 
     def record_end(self, ok: bool, ratio: float, now: float) -> None:
-        """Record a run that ended after ``ratio`` times its expected time."""
+        """Record a run that ended.
+
+        :param ratio: its run time divided by that expected at this worker.
+        """
         self._apply_fade(now)
         outcome = 1.0 if ok else 0.0
         self._success_rate += SUCCESS_WEIGHT * (outcome - self._success_rate)
