Report the runs during which a worker crashed

An agent reported such runs as 'absent', 'worker_lost' or 'lapsed', like those of a worker that leaves or is cut off, so an entry could not know that a task crashes its workers.

The agent reports a crash by reason (worker_crashed, with the number of runs there) if another incarnation is in the place of one that has not said that it exits; a silent worker's runs are reported as worker_silent and once more if the crash shows later. It remembers the tasks for two minutes and refuses them to an entry that does not know of each crash. RunReport and RunSpec get two fields each; with the switch off, reasons are as before.

--- a/src/agatepick/net/messages.capnp
+++ b/src/agatepick/net/messages.capnp
@@ -251,6 +251,8 @@
   name @3 :Text;
   needs @4 :Needs;
   expected @5 :Float64;
+  crashes @6 :UInt32;
+  apart @7 :Bool;
 }
 
 struct Payload {
@@ -283,6 +285,8 @@
   state @3 :Text;
   reason @4 :Text;
   seconds @5 :Float64;
+  beside @6 :UInt32;
+  crashes @7 :UInt32;
 }
 
 struct RunReports {
--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -389,6 +389,10 @@
     :param run: number of the run, from 1; a later run has a higher number.
     :param name: the task's name at the worker.
     :param expected: expected duration in seconds.
+    :param crashes: crashes of the receiver's worker under the task that the
+        sender knows of.
+    :param apart: whether it must not run beside another such run, as workers
+        crashed under the task.
     """
 
     job: str
@@ -397,6 +401,8 @@
     name: str
     needs: types.Needs
     expected: float = 0.0
+    crashes: int = 0
+    apart: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -447,6 +453,10 @@
     """State of a run; ``state`` is a ``RunState``.
 
     :param seconds: time from the request of the run to its end.
+    :param beside: number of runs at the worker when it crashed, this one
+        included.
+    :param crashes: crashes of the worker under the task that a refusal is
+        about.
     """
 
     job: str
@@ -455,6 +465,8 @@
     state: str
     reason: str = ''
     seconds: float = 0.0
+    beside: int = 0
+    crashes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -10,6 +10,7 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import events
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
@@ -58,11 +59,15 @@
         )
         self._owners: dict[types.PeerName, runs.Owner] = {}
         self._reports = reports.Reports()
+        self._crashes = crash_evidence.CrashEvidence(
+            self._reports, cfg.switches.crash_guard
+        )
         self._controller = run_controller.RunController(
             self._capacity,
             self._health,
             self._reports,
             self._publisher.clear_capacity,
+            self._crashes,
         )
         self._serving = serving.Serving(cfg.name)
         # None until the operator's rows are read: an agent that starts while
@@ -262,6 +267,11 @@
         self._publisher.subtract_start(owner.name, spec.needs)
         if payload is None:
             return self._controller.refuse(owner, ref, reports.NO_PAYLOAD)
+        crashes = self._crashes.count(spec.name, now)
+        if crashes > spec.crashes:
+            return self._controller.refuse(
+                owner, ref, reports.CRASHED_BEFORE, crashes
+            )
         reason = self._find_refusal(owner, spec, now)
         if reason:
             return self._controller.refuse(owner, ref, reason)
@@ -278,6 +288,10 @@
             return 'lease'
         if spec.name in self._controller.runs:
             return 'busy'
+        if spec.apart and any(
+            run.apart for run in self._controller.runs.values()
+        ):
+            return reports.SUSPECT_THERE
         if not self._capacity.acquire(spec.needs):
             return 'room'
         return ''
--- /dev/null
+++ b/src/agatepick/repeatable/crash_evidence.py
@@ -0,0 +1,169 @@
+"""What an agent knows of the runs during which its worker crashed.
+
+Load pattern: a task crashes each worker that starts it, and the worker is back
+some seconds later.  If its entry learnt only that the run is over, it would
+start the task again, and one task would take down worker after worker with all
+that runs beside it.
+
+A crash is shown by a refused connection or by another incarnation in place of
+the last one, which has neither said that it exits nor announced it.  An agent
+that was suspended or has just started hasn't seen what happened meanwhile, so
+it reports no crash.  A silent worker may have crashed or be cut off: its runs
+are reported as such, and once more if its next incarnation shows a crash.
+"""
+
+import dataclasses
+
+from agatepick import core
+from agatepick.repeatable import reports
+from agatepick.repeatable import runs
+from agatepick import types
+
+WORKER_CRASHED = 'worker_crashed'
+"""Reason code of reports on runs during which the worker crashed.  With the
+state ``RUNNING`` it doesn't tell that the run is over: a start in transit may
+reach the next incarnation."""
+
+WORKER_SILENT = 'worker_silent'
+"""Reason code of reports on runs that are over as the worker was silent."""
+
+MAX_DOWN_SECONDS = 20.0
+"""Time after the end of a silent worker's run up to which another incarnation
+shows that it crashed; later, other causes are as likely."""
+
+SUSPENDED_SECONDS = 1.0
+"""Time without any event that shows that this process was suspended: it has a
+timer several times a second."""
+
+DISTRUST_SECONDS = 1.5
+"""Time after a suspension during which other incarnations show no crash: the
+runs may have ended with their lease before."""
+
+MEMORY_SECONDS = 120.0
+"""Time for which the names of such tasks are kept: a job's callers submit it
+again within two minutes."""
+
+MAX_REMEMBERED = 512
+"""Largest number of names kept: the runs of some twenty crashes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Remembered:
+    """Crashes under one task.
+
+    :param at: instant of the last one.
+    """
+
+    count: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SilentEnd:
+    """A run that is over, of a worker that has been silent since."""
+
+    run: runs.Run
+    at: float
+
+
+class CrashEvidence:
+    """Record of the runs during which one agent's worker crashed.
+
+    :param enabled: whether crashes are reported at all.
+    """
+
+    def __init__(self, run_reports: reports.Reports, enabled: bool) -> None:
+        self.enabled = enabled
+        self._reports = run_reports
+        self._watched = ''
+        self._silent_ends: list[_SilentEnd] = []
+        self._remembered: dict[str, _Remembered] = {}
+        self._last_step_at: float | None = None
+        self._distrust_until = 0.0
+
+    def record_step(self, now: float) -> None:
+        """Record that this process handles an event."""
+        last, self._last_step_at = self._last_step_at, now
+        if last is not None and now > last + SUSPENDED_SECONDS:
+            self._distrust_until = now + DISTRUST_SECONDS
+            self._silent_ends.clear()
+
+    def watch(self, incarnation: str) -> None:
+        """Expect an incarnation to stay; empty for one that says it exits."""
+        self._watched = incarnation
+
+    def record_answer(self) -> None:
+        """Record that the watched incarnation answers: it hasn't crashed."""
+        self._silent_ends.clear()
+
+    def record_silent_end(self, run: runs.Run, now: float) -> str:
+        """Record a run that is over as its worker was silent.
+
+        :returns: reason code of the report.
+        """
+        if not self.enabled or not self._watched or now < self._distrust_until:
+            return 'lapsed'
+        self._silent_ends.append(_SilentEnd(run, now))
+        return WORKER_SILENT
+
+    def record_incarnation(
+        self, incarnation: str, present: list[runs.Run], now: float
+    ) -> list[object]:
+        """Report a crash if another incarnation is in the place of the last.
+
+        :param present: runs that aren't known to be over.
+        """
+        if not self._watched or incarnation == self._watched:
+            return []
+        return self.record_crash(present, now)
+
+    def record_crash(
+        self, present: list[runs.Run], now: float
+    ) -> list[object]:
+        """Report that the worker crashed, and remember its tasks.
+
+        :param present: runs that aren't known to be over.
+        """
+        self._watched = ''
+        silent_ends = [
+            end.run
+            for end in self._silent_ends
+            if now <= end.at + MAX_DOWN_SECONDS
+        ]
+        self._silent_ends.clear()
+        if not self.enabled or now < self._distrust_until:
+            return []
+        beside = len(present) + len(silent_ends)
+        for run in present:
+            if run.crashed:
+                # A start in transit outlasts the crash that was reported.
+                continue
+            run.crashed = True
+            self._report(run, types.RunState.RUNNING, beside, now)
+        for run in silent_ends:
+            self._report(run, types.RunState.OVER, beside, now)
+        return [core.note('worker_crashed', runs=beside)]
+
+    def _report(
+        self, run: runs.Run, state: types.RunState, beside: int, now: float
+    ) -> None:
+        self._reports.add(
+            run.owner,
+            run.ref,
+            state,
+            WORKER_CRASHED,
+            now - run.requested_at,
+            beside=beside,
+        )
+        count = self.count(run.name, now) + 1
+        self._remembered.pop(run.name, None)
+        self._remembered[run.name] = _Remembered(count, now)
+        if len(self._remembered) > MAX_REMEMBERED:
+            del self._remembered[next(iter(self._remembered))]
+
+    def count(self, name: str, now: float) -> int:
+        """Return how often the worker crashed under a task, of late."""
+        remembered = self._remembered.get(name)
+        if remembered is None or now > remembered.at + MEMORY_SECONDS:
+            return 0
+        return remembered.count
--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -16,6 +16,13 @@
 NO_PAYLOAD = 'payload'
 """Reason code for refusing a run whose payload the agent doesn't have."""
 
+CRASHED_BEFORE = 'crashed_before'
+"""Reason code for refusing a run under whose task the worker crashed, unless
+the entry knows of each crash."""
+
+SUSPECT_THERE = 'suspect_there'
+"""Reason code for refusing a run that must not run beside another such one."""
+
 RETENTION_SECONDS = 5.0
 """Time for which reports are kept for an entry whose connection broke."""
 
@@ -42,6 +49,9 @@
         state: types.RunState,
         reason: str,
         seconds: float,
+        *,
+        beside: int = 0,
+        crashes: int = 0,
     ) -> None:
         """Queue a report on a run's new state.
 
@@ -51,7 +61,14 @@
         if owner.replaced:
             return
         report = messages.RunReport(
-            ref.job, ref.index, ref.run, state.value, reason, seconds
+            ref.job,
+            ref.index,
+            ref.run,
+            state.value,
+            reason,
+            seconds,
+            beside,
+            crashes,
         )
         self._queued.setdefault(owner, []).append(report)
 
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -10,6 +10,7 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import reports
@@ -56,6 +57,7 @@
 
     :param on_refused: called with the name of the entry whose start was
         refused.
+    :param crashes: record of the worker's crashes; by default none is kept.
     :ivar runs: runs that haven't certainly ended, by task name.
     """
 
@@ -65,12 +67,16 @@
         health_record: health.Health,
         run_reports: reports.Reports,
         on_refused: typing.Callable[[types.PeerName], None],
+        crashes: crash_evidence.CrashEvidence | None = None,
     ) -> None:
         self.runs: dict[str, runs.Run] = {}
         self._capacity = capacity
         self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
+        self._crashes = crashes or crash_evidence.CrashEvidence(
+            run_reports, enabled=False
+        )
         self._state = worker_state.WorkerState()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
@@ -100,7 +106,11 @@
         known = self._state.incarnation
         effects = self._state.record_announcement(event, now)
         if known != event.incarnation:
+            effects += self._crashes.record_incarnation(
+                event.incarnation, list(self.runs.values()), now
+            )
             effects += self._switch_incarnation(now)
+        self._crashes.watch('' if event.draining else event.incarnation)
         self._capacity.resize(event.capacity)
         return effects
 
@@ -114,6 +124,10 @@
         if not self._state.addresses(event.incarnation):
             return []
         effects = self._state.record_other_incarnation(event)
+        effects += self._crashes.record_incarnation(
+            event.new_incarnation, list(self.runs.values()), now
+        )
+        self._crashes.watch(event.new_incarnation)
         return effects + self._switch_incarnation(now)
 
     def handle_departure(
@@ -127,6 +141,7 @@
         if self._state.leaving or not self._state.addresses(event.incarnation):
             return []
         effects = self._state.record_departure()
+        self._crashes.watch('')
         for run in self.runs.values():
             effects += self.stop(run, now)
         return effects
@@ -184,6 +199,7 @@
             owner,
             now,
             spec.expected,
+            apart=spec.apart,
         )
         self.runs[spec.name] = run
         return self._send_start(run, now)
@@ -250,11 +266,21 @@
         ]
 
     def refuse(
-        self, owner: runs.Owner, ref: messages.RunRef, reason: str
+        self,
+        owner: runs.Owner,
+        ref: messages.RunRef,
+        reason: str,
+        crashes: int = 0,
     ) -> list[object]:
-        """Report that a run was not started."""
+        """Report that a run was not started.
+
+        :param crashes: crashes of the worker under the task, if these are the
+            reason.
+        """
         self._on_refused(owner.name)
-        self._reports.add(owner, ref, types.RunState.REFUSED, reason, 0.0)
+        self._reports.add(
+            owner, ref, types.RunState.REFUSED, reason, 0.0, crashes=crashes
+        )
         return [
             core.note(
                 'run_refused',
@@ -348,6 +374,7 @@
         if not self._state.addresses(event.incarnation):
             return []
         self._list_requests.record_answer(now)
+        self._crashes.record_answer()
         self._last_acknowledged_end_number = self._last_handled_end_number
         effects: list[object] = []
         for end in event.ended:
@@ -385,6 +412,9 @@
         crashed = event.refused and not self._state.draining
         effects = self._state.record_loss()
         if crashed:
+            effects += self._crashes.record_crash(
+                list(self.runs.values()), now
+            )
             effects += self._end_answered_runs('worker_lost', now)
         return effects
 
@@ -450,12 +480,11 @@
 
         Starts and stops that are unanswered for too long are sent again.
         """
+        self._crashes.record_step(now)
         effects: list[object] = []
         for run in list(self.runs.values()):
             if self._lease.is_over(now):
-                effects += self._end_run(
-                    run, types.RunState.OVER, 'lapsed', now
-                )
+                effects += self._end_lapsed(run, now)
             elif run.stopping:
                 effects += self.stop(run, now)
             elif run.owner.lease_until <= now:
@@ -465,6 +494,12 @@
                 effects += self._retry_start(run, now)
         return effects
 
+    def _end_lapsed(self, run: runs.Run, now: float) -> list[object]:
+        reason = 'lapsed'
+        if not self._state.incarnation or self._list_requests.is_silent(now):
+            reason = self._crashes.record_silent_end(run, now)
+        return self._end_run(run, types.RunState.OVER, reason, now)
+
     def _end_run(
         self, run: runs.Run, state: types.RunState, reason: str, now: float
     ) -> list[object]:
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -50,6 +50,8 @@
     :ivar stop_acknowledged_at: when the worker acknowledged a stop; 0 before.
     :ivar next_overdue_ratio: multiple of the expected time at which the run
         next counts as overdue.
+    :ivar apart: whether it must not run beside another such run.
+    :ivar crashed: whether a crash of the worker was reported for it.
     """
 
     ref: messages.RunRef
@@ -67,6 +69,8 @@
     stop_sent_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     next_overdue_ratio: float = health.OVERDUE_RATIO
+    apart: bool = False
+    crashed: bool = False
 
 
 def run_note(name: str, run: Run, reason: str) -> core.Note:
