Answer a job as failed whose task has used up its starts

Such a job is answered failed at its deadline and when its entry stops. A task that another entry started before gets no start beyond three known crashes, as that entry may have used those that are left.

Tests: test_crashing_tasks and test_suspects pass; the deadline test fails without the rule, and the tests of the budget fail without the bounds.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -454,7 +454,7 @@
 
     def _check_job(self, job: owned_jobs.OwnedJob, now: float) -> list[object]:
         if now >= job.spec.deadline:
-            answer = jobs.Answer(jobs.Verdict.GIVEN_UP, 'deadline')
+            answer = self._make_unfinished_answer(job, 'deadline')
             if not job.started:
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
@@ -469,6 +469,15 @@
         stops = owned_jobs.stop_runs(job, [run.index for run in slow_runs])
         return [*[run.note for run in slow_runs], *stops]
 
+    def _make_unfinished_answer(
+        self, job: owned_jobs.OwnedJob, reason: str, retry_after: float = 0.0
+    ) -> jobs.Answer:
+        """Return the answer for a started job that isn't done in time."""
+        count = len(job.spec.tasks)
+        if self._suspects.has_bounded_task(job.spec.key, count):
+            return jobs.Answer(jobs.Verdict.FAILED, 'crashes_workers')
+        return jobs.Answer(jobs.Verdict.GIVEN_UP, reason, retry_after)
+
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
         self._stopping.request(now)
         return [core.note('stopping', jobs=len(self._jobs_by_call))]
@@ -477,10 +486,10 @@
         effects: list[object] = []
         if self._stopping.must_give_up(now):
             for job in self._jobs.open_jobs():
-                verdict = jobs.Verdict.GIVEN_UP
+                answer = self._make_unfinished_answer(job, 'stopping', 1.0)
                 if not job.started:
                     verdict = jobs.Verdict.NOT_RUN
-                answer = jobs.Answer(verdict, 'stopping', 1.0)
+                    answer = jobs.Answer(verdict, 'stopping', 1.0)
                 effects += self._end_job(job, answer, now)
         if self._stopping.try_exit(bool(self._jobs_by_call), now):
             effects.append(core.Exit())
--- a/src/agatepick/repeatable/suspects.py
+++ b/src/agatepick/repeatable/suspects.py
@@ -10,7 +10,7 @@
 evidence if the task was the only run or the only suspect there, and if neither
 many workers crashed at that moment nor the same worker shortly before.  Two of
 these give the task up.  Whatever the evidence, a task is started only twice
-more after three crashes.
+more after three crashes, and not at all if another entry started it before.
 """
 
 import collections
@@ -118,12 +118,14 @@
     :ivar bounded_starts: number of starts since the number of crashes reached
         the bound.
     :ivar last_start_bounded: whether the last start is one of these.
+    :ivar adopted: whether another entry started the task before.
     """
 
     crashes: list[Crash] = dataclasses.field(default_factory=list)
     apart_at: types.PeerName = ''
     bounded_starts: int = 0
     last_start_bounded: bool = False
+    adopted: bool = False
 
     def count(self, now: float) -> int:
         """Return the number of crashes, those not proven yet included."""
@@ -145,11 +147,10 @@
         strong = sum(crash.strong is True for crash in self.crashes)
         if strong >= STRONG_CRASHES:
             return True
-        return (
-            not self.apart_at
-            and self.count_proven() >= BOUNDED_CRASHES
-            and self.bounded_starts >= MAX_BOUNDED_STARTS
-        )
+        if self.apart_at or self.count_proven() < BOUNDED_CRASHES:
+            return False
+        # Another entry may have used the starts that are left.
+        return self.adopted or self.bounded_starts >= MAX_BOUNDED_STARTS
 
     def awaits_judgement(self) -> bool:
         """Return whether a crash to be weighed may give the task up."""
@@ -232,7 +233,9 @@
             Crash(now, agent, 0, False, True, False) for _ in range(missing)
         ]
         if crashes:
-            self._add(key).crashes.extend(crashes)
+            suspect = self._add(key)
+            suspect.adopted = True
+            suspect.crashes.extend(crashes)
 
     def readmit(self, job: types.JobKey, count: int) -> None:
         """Expect that a job's runs are numbered from 1 again.
@@ -343,6 +346,21 @@
 
     # Judgement
 
+    def has_bounded_task(self, job: types.JobKey, count: int) -> bool:
+        """Return whether starts of one of a job's tasks are bounded.
+
+        If such a job isn't done in time, its caller must not submit it again:
+        at another entry its task would be started as often once more.
+
+        :param count: number of its tasks.
+        """
+        return any(
+            suspect is not None and suspect.count_proven() >= BOUNDED_CRASHES
+            for suspect in (
+                self._by_task.get((job, index)) for index in range(count)
+            )
+        )
+
     def judge(self, now: float) -> list[GivenUp]:
         """Weigh the evidence, and return the tasks to give up."""
         given_up: list[GivenUp] = []
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -6,6 +6,7 @@
 
 from agatepick.repeatable import jobs
 from agatepick.repeatable import policies
+from agatepick.repeatable import suspects
 from agatepick.repeatable import workerapi
 from tests import repeatable_world
 
@@ -212,6 +213,18 @@
     assert not world.double_runs
 
 
+def test_a_culprit_s_job_is_not_tried_again_after_its_deadline(monkeypatch):
+    """A job isn't done in time: its caller would submit it elsewhere."""
+    monkeypatch.setattr(suspects, 'STRONG_CRASHES', 9)
+    monkeypatch.setattr(suspects, 'MAX_BOUNDED_STARTS', 9)
+    world = World({'j0.0'})
+    spec = repeatable_world.make_job('j0', deadline=world.now + 4.0)
+    world.submit(spec)
+    world.run(10.0)
+    assert len(world.crashes) >= suspects.BOUNDED_CRASHES
+    assert world.get_failed() == ['j0']
+
+
 def test_an_agent_warns_the_next_entry():
     """An entry dies: its task starts nowhere unwarned."""
     world = World({'j0.0'}, entries=2, agents=1)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -86,7 +86,9 @@
 
 def test_a_refused_start_is_not_counted():
     record = suspects.Suspects(enabled=True)
-    record.adopt(KEY, 'a', suspects.BOUNDED_CRASHES, NOW)
+    for run in range(suspects.BOUNDED_CRASHES):
+        report = suspects.Report(f'agent-{run}', run, 12, True)
+        record.record_crash(KEY, report, NOW)
     for _ in range(5):
         record.record_start(KEY, 'b', NOW)
         record.record_end(KEY, refused=True)
@@ -124,6 +126,16 @@
     assert record.find_crashed(KEY) == {'a'}
 
 
+def test_a_task_that_another_entry_started_gets_no_starts_beyond_three():
+    """An entry dies after three crashes: the next one must not go on."""
+    record = suspects.Suspects(enabled=True)
+    record.adopt(KEY, 'a', 2, NOW)
+    assert record.may_start(KEY, NOW)
+    crash(record, KEY, 'b', 1, NOW)
+    assert not record.may_start(KEY, NOW)
+    assert record.judge(NOW) == [suspects.GivenUp(KEY, 3)]
+
+
 def test_suspects_are_forgotten_and_bounded():
     record = suspects.Suspects(enabled=True)
     for index in range(suspects.MAX_SUSPECTS + 10):
