Play tasks that crash their workers in the soak test

The fault is not among those of the pinned seeds, as one more would change what each of these does; the programs get the switches only with it.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,6 +12,8 @@
 - nothing starts in a zone that was closed some seconds ago;
 - a queue that was removed some seconds ago is not served, and no process
   returns to an older desired state;
+- no task is started three times more after three workers crashed under it, and
+  only a job with such a task is answered as failed;
 - once the faults are over, jobs complete again.
 
 Run it by hand with ``python -m tests.soak --first=1 --count=50``.
@@ -71,6 +73,17 @@
 
 CALLERS = 6
 
+MAX_CRASHES = 5
+"""Largest number of workers that may crash under one task: three, and two
+starts more."""
+
+FAILED_CRASHES = 3
+"""Number of crashes under one of its tasks from which a job may be answered as
+failed, whatever caused them."""
+
+CRASH_SECONDS = 0.04
+"""Time from the start of a task that crashes its workers until the crash."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Violation:
@@ -163,6 +176,14 @@
         # Runs last long enough that faults occur during them.
         self.run_seconds = 0.05 + (sum(task.encode()) % 50) / 100.0
         super().start_run(task, run)
+        if task in self.soak.checks.culprits:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CRASH_SECONDS, self.crash_under, task, run)
+
+    def crash_under(self, task, run):
+        """Crash by a task that still runs."""
+        if self.runs.get(task) == run:
+            self.crash()
 
     def end_run(self, task, run, how):
         if self.runs.get(task) == run:
@@ -172,6 +193,7 @@
     def crash(self):
         """Lose all runs and restart as another incarnation."""
         for task, run in list(self.runs.items()):
+            self.soak.checks.record_crash(task)
             self.end_run(task, run, 'crashed')
         self.ended.clear()
         self.highest_runs.clear()
@@ -206,6 +228,9 @@
     :ivar closed: instants at which zones were closed, by zone.
     :ivar removed_prefixes: instants at which queues were removed, by prefix.
     :ivar faults: instants of injected faults.
+    :ivar bounded: whether crashes under a task should be bounded.
+    :ivar culprits: tasks that crash their workers.
+    :ivar crashes: number of crashes of workers by task that ran there.
     :ivar answered: number of jobs by the status of their last answer.
     """
 
@@ -217,6 +242,9 @@
         self.closed = {}
         self.removed_prefixes = {}
         self.faults = []
+        self.bounded = False
+        self.culprits = set()
+        self.crashes = collections.Counter()
         self.answered = collections.Counter()
 
     def record_violation(self, guarantee, detail):
@@ -238,6 +266,16 @@
         if how == 'done':
             self.done[task] += 1
 
+    def record_crash(self, task):
+        self.crashes[task] += 1
+        if self.bounded and self.crashes[task] > MAX_CRASHES:
+            self.record_violation('budget', f'{task} crashed its workers')
+
+    def check_failed(self, key, count):
+        tasks = [f'{key}.0.0.{index}' for index in range(count)]
+        if all(self.crashes[task] < FAILED_CRASHES for task in tasks):
+            self.record_violation('false_failure', f'{key} could be done')
+
     def check_completed(self, key, count):
         for index in range(count):
             if not self.done[f'{key}.0.0.{index}']:
@@ -288,7 +326,7 @@
             settings.SETTINGS_PATH_VARIABLE: str(self.write_settings()),
         }
         self.process = subprocess.Popen(
-            [sys.executable, 'deploy/start.py', self.role],
+            [sys.executable, 'deploy/start.py', self.role, *self.soak.options],
             env=env,
             stdout=self.log,
             stderr=self.log,
@@ -334,10 +372,15 @@
 
     def __init__(self, seed, seconds, folder, faults):
         self.faults = faults
+        self.checks = Checks()
+        # Without the switches, nothing bounds the crashes under a task.
+        self.checks.bounded = Soak.submit_culprit in faults
+        self.options = []
+        if self.checks.bounded:
+            self.options = ['deploy/policies.toml']
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
-        self.checks = Checks()
         self.store = Store(self)
         self.workers = [Worker(self, number) for number in range(AGENTS)]
         self.entries = [
@@ -350,6 +393,8 @@
         self.version = 1
         self.extra_prefixes = []
         self.calls = 0
+        self.failed_keys = set()
+        self.session = None
         self.tasks = []
 
     async def run(self):
@@ -371,6 +416,7 @@
         return self.checks.violations
 
     async def _run(self, session):
+        self.session = session
         for agent, worker in zip(self.agents, self.workers, strict=True):
             self._spawn(self._announce(session, agent, worker))
         for process in [*self.entries, *self.agents]:
@@ -450,10 +496,17 @@
             await self._submit_job(session)
             await asyncio.sleep(self.rng.uniform(0.0, 0.2))
 
-    async def _submit_job(self, session, tries=TRIES, count=None):
-        """Submit a job until it is answered; return the last status."""
+    async def _submit_job(
+        self, session, tries=TRIES, count=None, culprit=False
+    ):
+        """Submit a job until it is answered; return the last status.
+
+        :param culprit: whether its first task crashes each worker.
+        """
         self.calls += 1
         key = f'{self.calls:016x}'
+        if culprit:
+            self.checks.culprits.add(f'{key}.0.0.0')
         count = count or self.rng.choice((1, 2, 8))
         refused, status = True, 0
         for _ in range(tries):
@@ -463,7 +516,9 @@
                 break
             await asyncio.sleep(RESEND_SECONDS)
         self.checks.answered[status] += 1
-        if status == 200:
+        if status == 200 and key in self.failed_keys:
+            self.checks.check_failed(key, count)
+        elif status == 200:
             self.checks.check_completed(key, count)
         if refused:
             self.checks.check_refused(key)
@@ -485,7 +540,8 @@
                 timeout=aiohttp.ClientTimeout(total=4.5),
             ) as answer:
                 status = answer.status
-                await answer.read()
+                if b'"failed"' in await answer.read():
+                    self.failed_keys.add(key)
         except (aiohttp.ClientError, TimeoutError) as exc:
             self._check_disconnect(entry, key, sent, exc)
             return 0
@@ -602,6 +658,12 @@
         self._record_fault()
         self.rng.choice(self.workers).crash()
 
+    async def submit_culprit(self):
+        """Submit a job with a task that crashes each worker."""
+        self._record_fault()
+        await self._submit_job(self.session, culprit=True)
+        self._record_fault()
+
     async def silence_worker(self):
         self._record_fault()
         worker = self.rng.choice(self.workers)
@@ -648,6 +710,9 @@
     Soak.change_routes,
     Soak.close_zone,
 )
+ALL_FAULTS = (*FAULTS, Soak.submit_culprit)
+"""All faults.  The seeds of tests draw from the others, as one more would
+change what each of these seeds does."""
 
 
 def run_seed(seed, seconds, folder, faults=FAULTS):
@@ -700,7 +765,7 @@
         # Each run has its own folder, as a later run must not overwrite the
         # logs of an earlier one that failed.
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=logs)
-        violations, answered = run_seed(seed, args.seconds, folder)
+        violations, answered = run_seed(seed, args.seconds, folder, ALL_FAULTS)
         print(f'seed={seed} broken={len(violations)} answers={answered}')
         for violation in violations[:5]:
             print(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,3 +17,11 @@
     violations, answered = soak.run_seed(seed, seconds, tmp_path)
     assert violations == []
     assert answered[200] > 0
+
+
+def test_a_task_that_crashes_its_workers_is_given_up(tmp_path):
+    """A task crashes each worker: its caller gets ``failed``, and only it."""
+    faults = (soak.Soak.submit_culprit,)
+    violations, answered = soak.run_seed(1, 8.0, tmp_path, faults)
+    assert violations == []
+    assert answered[200] > 0
