--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -29,6 +29,7 @@
 from agatepick.repeatable import shrinking
 from agatepick.repeatable import stopping
 from agatepick.repeatable import stragglers
+from agatepick.repeatable import suspects
 from agatepick.repeatable import weighing
 from agatepick import types
 
@@ -80,7 +81,10 @@
             by_speed,
             self._shares,
         )
-        self._placing = placing.Placing(self._pool, self._estimator)
+        self._suspects = suspects.Suspects(cfg.switches.crash_guard)
+        self._placing = placing.Placing(
+            self._pool, self._estimator, self._suspects
+        )
         weigher = None
         if cfg.switches.weigh_moves:
             weigher = weighing.Weigher(self._pool, self._jobs, self._estimator)
@@ -92,6 +96,7 @@
             self._end_job,
             self._fail_job,
             weigher,
+            self._suspects,
         )
         self._stragglers = stragglers.Stragglers(
             self._pool, self._estimator, weigher
@@ -221,6 +226,7 @@
             ),
             'queues_over_share': len(self._shares.over),
             'state_version': self.routes.version if self.routes else 0,
+            'tasks_suspected': self._suspects.count,
         }
 
     # Callers
@@ -265,6 +271,7 @@
         job.fit_unknown = not self._admission.knows_workers(spec)
         self._jobs_by_call[event.call] = job
         self._jobs.add(job)
+        self._suspects.readmit(spec.key, len(spec.tasks))
         job.queue_ready_tasks()
         self._waiting.add(job)
         return [
@@ -549,6 +556,8 @@
         ]
         for ending in self._shrinking.find_endings(now):
             effects += self._end_job(ending.job, ending.answer, now)
+        for given_up in self._suspects.judge(now):
+            effects += self._give_up(given_up, now)
         for job in self._jobs.open_jobs():
             try:
                 effects += self._check_job(job, now)
@@ -556,9 +565,21 @@
                 effects += self._fail_job(job, 'check', exc, now)
         return effects
 
+    def _give_up(self, given_up: suspects.GivenUp, now: float) -> list[object]:
+        """Answer the job of a task that crashes its workers."""
+        key, index = given_up.key
+        job = self._jobs.get(key)
+        if job is None or job.answered:
+            return []
+        note = core.note(
+            'task_given_up', job=key, index=index, count=given_up.count
+        )
+        answer = jobs.Answer(jobs.Verdict.FAILED, 'crashes_workers')
+        return [note, *self._end_job(job, answer, now)]
+
     def _check_job(self, job: owned_jobs.OwnedJob, now: float) -> list[object]:
         if now >= job.spec.deadline:
-            answer = jobs.Answer(jobs.Verdict.GIVEN_UP, 'deadline')
+            answer = self._make_unfinished_answer(job, 'deadline')
             if not job.started:
                 answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
             return self._end_job(job, answer, now)
@@ -582,6 +603,15 @@
         )
         return [*[run.note for run in slow_runs], *stops]
 
+    def _make_unfinished_answer(
+        self, job: owned_jobs.OwnedJob, reason: str, retry_after: float = 0.0
+    ) -> jobs.Answer:
+        """Return the answer for a started job that isn't done in time."""
+        count = len(job.spec.tasks)
+        if self._suspects.has_bounded_task(job.spec.key, count):
+            return jobs.Answer(jobs.Verdict.FAILED, 'crashes_workers')
+        return jobs.Answer(jobs.Verdict.GIVEN_UP, reason, retry_after)
+
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
         self._stopping.request(now)
         return [core.note('stopping', jobs=len(self._jobs_by_call))]
@@ -590,10 +620,10 @@
         effects: list[object] = []
         if self._stopping.must_give_up(now):
             for job in self._jobs.open_jobs():
-                verdict = jobs.Verdict.GIVEN_UP
+                answer = self._make_unfinished_answer(job, 'stopping', 1.0)
                 if not job.started:
                     verdict = jobs.Verdict.NOT_RUN
-                answer = jobs.Answer(verdict, 'stopping', 1.0)
+                    answer = jobs.Answer(verdict, 'stopping', 1.0)
                 effects += self._end_job(job, answer, now)
         if self._stopping.try_exit(bool(self._jobs_by_call), now):
             effects.append(core.Exit())
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -31,6 +31,7 @@
     'free_cores_slow': 'those at workers slower than the typical one',
     'queues_over_share': 'queues that press beyond their share of the cores',
     'state_version': 'version of the desired state in force; 0 for none',
+    'tasks_suspected': 'tasks under which workers crashed of late',
     'runs': 'runs at the worker that are not known to be over',
     'entries': 'entries that the agent is connected to',
     'over_committed_cores': 'cores in use beyond what the worker has now',
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -15,12 +15,14 @@
 from agatepick.decisions import backoff
 from agatepick.net import messages
 from agatepick.repeatable import admission
+from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import estimating
 from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import reports
+from agatepick.repeatable import suspects
 from agatepick.repeatable import unsent
 from agatepick.repeatable import weighing
 from agatepick import types
@@ -36,7 +38,15 @@
 refusal on.  If all workers are unwell, the task would otherwise circulate
 among them without a delay."""
 
-_WORKER_REASONS = frozenset({'stale_run', 'unwell', faults.REASON})
+_WORKER_REASONS = frozenset(
+    {
+        'stale_run',
+        'unwell',
+        faults.REASON,
+        reports.CRASHED_BEFORE,
+        reports.SUSPECT_THERE,
+    }
+)
 """Reasons of refusals that the worker's free capacity doesn't explain."""
 
 EndJob = typing.Callable[
@@ -54,6 +64,7 @@
     :param end_job: answers a job's callers.
     :param fail_job: ends a job after an exception.
     :param weigher: records finished runs, if moves are weighed.
+    :param suspected: tasks under which workers crashed.
     """
 
     def __init__(
@@ -65,6 +76,7 @@
         end_job: EndJob,
         fail_job: FailJob,
         weigher: weighing.Weigher | None = None,
+        suspected: suspects.Suspects | None = None,
     ) -> None:
         self._jobs = all_jobs
         self._waiting = waiting
@@ -73,6 +85,7 @@
         self._end_job = end_job
         self._fail_job = fail_job
         self._weigher = weigher
+        self._suspects = suspected or suspects.Suspects()
 
     def handle_reports(
         self, worker: pool.Worker, message: messages.RunReports, now: float
@@ -83,6 +96,7 @@
         for report in message.reports:
             known.add((report.job, report.index))
             try:
+                effects += self._record_crash(worker, report, now)
                 effects += self._handle_report(worker, report, now)
             except Exception as exc:
                 over = report.state != types.RunState.RUNNING
@@ -97,6 +111,37 @@
                 )
         return effects
 
+    def _record_crash(
+        self, worker: pool.Worker, report: messages.RunReport, now: float
+    ) -> list[object]:
+        """Record the crash that a report may tell of.
+
+        It may be on a run that is known to be over.
+        """
+        proven = report.reason == crash_evidence.WORKER_CRASHED
+        if not proven and report.reason != crash_evidence.WORKER_SILENT:
+            return []
+        job = self._jobs.get(report.job)
+        if job is None or report.index >= len(job.records):
+            return []
+        key = (report.job, report.index)
+        crash = suspects.Report(worker.name, report.run, report.beside, proven)
+        if not self._suspects.record_crash(key, crash, now):
+            return []
+        pause = self._suspects.compute_pause(key)
+        job.records[report.index].retry_at = now + pause
+        return [
+            core.note(
+                'task_suspected',
+                job=report.job,
+                index=report.index,
+                run=report.run,
+                reason=report.reason,
+                peer=worker.name,
+                beside=report.beside,
+            )
+        ]
+
     def handle_unsent(
         self, worker: pool.Worker, message: messages.StartRuns, now: float
     ) -> list[object]:
@@ -166,6 +211,9 @@
         # on: the agent may have granted it to another waiting entry, and would
         # refuse a run that is started there before.
         worker.placed.pop(key, None)
+        self._suspects.record_end(
+            key, refused=report.state == types.RunState.REFUSED
+        )
         if report.state == types.RunState.FINISHED:
             return self._handle_finished(worker, job, report, now)
         if report.state == types.RunState.FAILED:
@@ -236,6 +284,14 @@
             record.run += STALE_RUN_STEP
         elif report.reason in ('unwell', faults.REASON):
             record.agents_to_avoid = record.agents_to_avoid | {worker.name}
+        elif report.reason == reports.CRASHED_BEFORE:
+            record.agents_to_avoid = record.agents_to_avoid | {worker.name}
+            self._suspects.adopt(
+                (report.job, report.index), worker.name, report.crashes, now
+            )
+        elif report.reason == reports.SUSPECT_THERE:
+            retry_at = now + REFUSED_DELAYS.first_seconds
+            record.retry_at = max(record.retry_at, retry_at)
         elif report.reason == reports.NO_PAYLOAD:
             worker.payload_cache.clear()
         else:
@@ -276,6 +332,7 @@
             return []
         if record.state is not owned_jobs.TaskState.PLACED:
             return []
+        self._suspects.record_end(key)
         return self._requeue(job, key[1], reason, now)
 
     def requeue_all(
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -19,6 +19,7 @@
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
 from agatepick.repeatable import spreading
+from agatepick.repeatable import suspects
 from agatepick.repeatable import wants
 from agatepick import types
 
@@ -47,10 +48,14 @@
     """Starts and capacity requests of one entry."""
 
     def __init__(
-        self, workers: pool.Pool, estimator: estimating.Estimator
+        self,
+        workers: pool.Pool,
+        estimator: estimating.Estimator,
+        suspected: suspects.Suspects | None = None,
     ) -> None:
         self._pool = workers
         self._estimator = estimator
+        self._suspects = suspected or suspects.Suspects()
         self._starts: dict[types.PeerName, list[messages.RunSpec]] = {}
         self._payloads: dict[types.PeerName, list[messages.Payload]] = {}
         self._open_grants: dict[types.PeerName, messages.Room] = {}
@@ -82,7 +87,7 @@
 
         :param waiting: jobs with waiting tasks, the most urgent first.
         """
-        current = _Round(self._pool, self._estimator, now)
+        current = _Round(self._pool, self._estimator, self._suspects, now)
         self._place_jobs(waiting, current)
         all_wants = current.build_wants()
         effects = [*current.notes, *self._send_starts(all_wants, current)]
@@ -137,11 +142,26 @@
             if current.now < records[index].retry_at:
                 deferred.append(index)
                 continue
+            if not current.may_start(job, index):
+                deferred.append(index)
+                continue
             full = spread.full_agents(index) if spread.limited else NO_AGENTS
             if full and current.are_all_full(job, index, full):
                 held.append(index)
                 continue
             task = tasks[index]
+            if current.is_suspect(job, index):
+                apart = current.pick_apart(job, index, full)
+                if apart is not None:
+                    self._assign(job, index, apart, current.now)
+                    spread.add(index, apart.name)
+                elif current.has_room(job, index):
+                    # Only places beside other suspects are free: more
+                    # capacity would not help.
+                    deferred.append(index)
+                else:
+                    without_room.append(index)
+                continue
             if (
                 unplaced is not None
                 and task.needs is unplaced.needs
@@ -181,6 +201,8 @@
         record.stopping = False
         job.mark_started(now)
         worker.reserve((job.spec.key, index), record.run, task.needs)
+        key = (job.spec.key, index)
+        self._suspects.record_start(key, worker.name, now)
         if job.spec.key not in worker.payload_cache:
             worker.payload_cache.add(job.spec.key, job.spec.payload)
             self._payloads.setdefault(worker.name, []).append(
@@ -194,6 +216,8 @@
                 task.name,
                 task.needs,
                 expected,
+                self._suspects.count_at(key, worker.name),
+                self._suspects.is_suspect(key),
             )
         )
 
@@ -287,6 +311,7 @@
         self,
         workers: pool.Pool,
         estimator: estimating.Estimator,
+        suspected: suspects.Suspects,
         now: float,
     ) -> None:
         self.now = now
@@ -294,6 +319,7 @@
         self.notes: list[object] = []
         self._workers = workers
         self._estimator = estimator
+        self._suspects = suspected
         self._candidates: dict[tuple[str, str], pool.Candidates] = {}
         self._unplaced: dict[tuple[str, str], list[_Unplaced]] = {}
         self._shape_counts: dict[str, int] = {}
@@ -323,13 +349,48 @@
         if not self._is_worth_trying(job, index, excluded):
             return None
         demand = self._build_demand(job, index, candidates)
-        worker = candidates.pick(task.needs, excluded, demand)
+        occupied = self._suspects.find_occupied()
+        worker = candidates.pick(task.needs, excluded | occupied, demand)
+        if worker is None and occupied:
+            worker = candidates.pick(task.needs, excluded, demand)
         if worker is None and candidates.held_back:
             self._note_held_back(job, index)
         elif worker is None:
             self._record_unplaced(job, index, excluded)
         return worker
 
+    def may_start(self, job: owned_jobs.OwnedJob, index: int) -> bool:
+        """Return whether a task may be started, by the crashes under it."""
+        return self._suspects.may_start((job.spec.key, index), self.now)
+
+    def is_suspect(self, job: owned_jobs.OwnedJob, index: int) -> bool:
+        """Return whether workers crashed under a task."""
+        return self._suspects.is_suspect((job.spec.key, index))
+
+    def pick_apart(
+        self,
+        job: owned_jobs.OwnedJob,
+        index: int,
+        full: frozenset[types.PeerName],
+    ) -> pool.Worker | None:
+        """Return the worker for a suspect, apart from other suspects.
+
+        :param full: as for :meth:`pick`.
+        """
+        task = job.spec.tasks[index]
+        crashed = self._suspects.find_crashed((job.spec.key, index))
+        return self._get_candidates(job, task.label).pick_emptiest(
+            task.needs,
+            job.records[index].agents_to_avoid | crashed,
+            self._suspects.find_occupied() | full,
+        )
+
+    def has_room(self, job: owned_jobs.OwnedJob, index: int) -> bool:
+        """Return whether any worker has room for a task."""
+        task = job.spec.tasks[index]
+        candidates = self._get_candidates(job, task.label)
+        return candidates.pick(task.needs, NO_AGENTS) is not None
+
     def are_all_full(
         self,
         job: owned_jobs.OwnedJob,
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -15,6 +15,10 @@
     'verdict=not_run reason=no_room_left seconds=0.500 late=0.1\n',
     'time=10.300000 level=info process=e event=job_refused job=d4 queue=q '
     'reason=over_share retry_after=1.5 share=20.0 held=31.2\n',
+    'time=11.000000 level=info process=e event=task_given_up job=f5 index=2 '
+    'count=3\n',
+    'time=11.000000 level=info process=e event=job_ended job=f5 queue=q '
+    'verdict=failed reason=crashes_workers seconds=2.000 late=1.0\n',
 )
 AGENT = (
     'noise that is no event\n',
@@ -41,10 +45,15 @@
         ('c3', 'no end was logged'),
         ('e5', 'no_room_left: workers shrank'),
         ('d4', 'over_share: its queue pressed beyond its share'),
+        (
+            'f5',
+            'crashes_workers: workers crashed again and again under a task '
+            '(task 2, 3 crashes)',
+        ),
     ],
 )
 def test_the_cause_of_each_kind_of_failure_is_named(job, text):
-    """Jobs are rejected, fail on faulty workers, or are lost with an entry.
+    """Jobs are rejected, fail, crash workers or are lost with an entry.
 
     Others end with their room.  The explanation must name the cause of each.
     """
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,3 +25,11 @@
     violations, answered = soak.run_seed(4, 12.0, tmp_path, faults)
     assert violations == []
     assert answered[200] > 0
+
+
+def test_a_task_that_crashes_its_workers_is_given_up(tmp_path):
+    """A task crashes each worker: its caller gets ``failed``, and only it."""
+    faults = (soak.Soak.submit_culprit,)
+    violations, answered = soak.run_seed(1, 8.0, tmp_path, faults)
+    assert violations == []
+    assert answered[200] > 0
