--- a/src/agatepick/repeatable/estimating.py
+++ b/src/agatepick/repeatable/estimating.py
@@ -11,6 +11,7 @@
 
 from agatepick.decisions import estimates
 from agatepick.repeatable import jobs
+from agatepick.repeatable import owned_jobs
 from agatepick import types
 
 
@@ -60,6 +61,15 @@
         return self.estimate_task(job, task)
 
 
+def estimate_run_seconds(
+    estimator: Estimator, job: owned_jobs.OwnedJob, index: int
+) -> float:
+    """Return the expected seconds of one task's run."""
+    task = job.spec.tasks[index]
+    siblings = job.run_seconds.get(task.step, [])
+    return estimator.estimate_run(job.spec, task, siblings)
+
+
 def _as_spec(job: jobs.Job, task: jobs.Task) -> types.TaskSpec:
     return types.TaskSpec(
         task.name, job.route.name, expected_seconds=task.expected_seconds
--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -14,7 +14,6 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import moves
 from agatepick.repeatable import owned_jobs
-from agatepick.repeatable import placing
 from agatepick.repeatable import pool
 from agatepick.repeatable import weighing
 
@@ -156,7 +155,7 @@
         return max(due_at, record.weigh_at)
 
     def _estimate_seconds(self, job: owned_jobs.OwnedJob, index: int) -> float:
-        seconds = placing.estimate_run_seconds(self._estimator, job, index)
+        seconds = estimating.estimate_run_seconds(self._estimator, job, index)
         return max(seconds, MIN_EXPECTED_SECONDS)
 
     def _mark_straggler(
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -12,7 +12,6 @@
 from agatepick.repeatable import health
 from agatepick.repeatable import moves
 from agatepick.repeatable import owned_jobs
-from agatepick.repeatable import placing
 from agatepick.repeatable import pool
 from agatepick.repeatable import run_ratios
 
@@ -172,7 +171,7 @@
 
     def _expect(self, job: owned_jobs.OwnedJob, index: int) -> Expectation:
         has_siblings = bool(job.run_seconds.get(job.spec.tasks[index].step))
-        seconds = placing.estimate_run_seconds(self._estimator, job, index)
+        seconds = estimating.estimate_run_seconds(self._estimator, job, index)
         return Expectation(
             max(seconds, MIN_EXPECTED_SECONDS),
             has_siblings,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -12,6 +12,7 @@
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import placing
 from agatepick.repeatable import pool
+from agatepick.repeatable import rounds
 from agatepick.repeatable import routes
 from agatepick import types
 
@@ -174,13 +175,13 @@
     workers.add(make_worker('b', free=12.0, pool_name='r'))
     waiting = [
         make_job(f'j{number}', NOW + 0.1)
-        for number in range(2 * placing.MAX_BLOCKED_JOBS)
+        for number in range(2 * rounds.MAX_BLOCKED_JOBS)
     ]
     waiting.append(make_job('other', NOW + 0.2, pool_name='r'))
     effects = placer.place(waiting, NOW)
     assert list_started(effects) == ['other']
     (want,) = collect_messages(effects, messages.Want)['a']
-    assert want.count == placing.MAX_BLOCKED_JOBS
+    assert want.count == rounds.MAX_BLOCKED_JOBS
 
 
 def test_the_cost_of_a_round_is_bounded(monkeypatch, workers, placer):
@@ -205,7 +206,7 @@
         for number in range(800)
     ]
     placer.place(waiting, NOW)
-    assert len(picks) <= placing.MAX_BLOCKED_JOBS
+    assert len(picks) <= rounds.MAX_BLOCKED_JOBS
     steps = tuple(
         jobs.Task(f'w.{index}', 0, types.Needs(900.0 - index, index), 0.1)
         for index in range(800)
@@ -214,7 +215,7 @@
     wide.spec = dataclasses.replace(wide.spec, tasks=steps)
     picks.clear()
     placer.place([wide], NOW)
-    assert len(picks) <= placing.MAX_UNPLACED_SHAPES
+    assert len(picks) <= rounds.MAX_UNPLACED_SHAPES
     assert len(wide.waiting) == 800
 
 
