--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -501,7 +501,7 @@
         former = worker.room
         self._shrinking.observe(worker, room, now)
         self._placing.store_room(worker, room)
-        if self._speeds is not None and kinds.has_news(former, room):
+        if self._speeds is not None and kinds.affects_speeds(former, room):
             self._speeds.update()
         return []
 
--- a/src/agatepick/repeatable/kinds.py
+++ b/src/agatepick/repeatable/kinds.py
@@ -110,7 +110,7 @@
     return worker.slowness >= SLOW
 
 
-def has_news(former: messages.Room | None, room: messages.Room) -> bool:
+def affects_speeds(former: messages.Room | None, room: messages.Room) -> bool:
     """Return whether a capacity update changes what the speeds rest on."""
     if former is None:
         return True
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -92,9 +92,9 @@
 
 def test_only_news_on_the_speed_leads_to_a_computation():
     room = make_worker('a', 1.2).room
-    assert kinds.has_news(None, room)
-    assert not kinds.has_news(room, make_worker('a', 1.2, cost=3.0).room)
-    assert kinds.has_news(room, make_worker('a', 1.3).room)
+    assert kinds.affects_speeds(None, room)
+    assert not kinds.affects_speeds(room, make_worker('a', 1.2, cost=3.0).room)
+    assert kinds.affects_speeds(room, make_worker('a', 1.3).room)
 
 
 ROUTE = routes.Route('q', 'host', '/q/', 'p')
