Contain each optional decision of an entry's check by itself

An exception in one of them would have kept all checks of deadlines from being made, at each tick: the tests with the three decisions failing fail on the code before, as no caller is answered.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -545,7 +545,7 @@
         self._checked_at = now
         effects: list[object] = []
         self._admission.update_reachability(now)
-        effects += self._admission.update_shares(self._jobs.open_jobs(), now)
+        effects += faults.contain('shares', self._update_shares, now)
         for worker in [*self._pool, *self._former_workers]:
             if worker.placed and worker.lease_expired(now):
                 effects += self._outcomes.requeue_all(
@@ -554,10 +554,8 @@
         self._former_workers = [
             worker for worker in self._former_workers if worker.placed
         ]
-        for ending in self._shrinking.find_endings(now):
-            effects += self._end_job(ending.job, ending.answer, now)
-        for given_up in self._suspects.judge(now):
-            effects += self._give_up(given_up, now)
+        effects += faults.contain('capacity', self._end_without_room, now)
+        effects += faults.contain('suspects', self._judge_suspects, now)
         for job in self._jobs.open_jobs():
             try:
                 effects += self._check_job(job, now)
@@ -565,6 +563,21 @@
                 effects += self._fail_job(job, 'check', exc, now)
         return effects
 
+    def _update_shares(self, now: float) -> list[object]:
+        return self._admission.update_shares(self._jobs.open_jobs(), now)
+
+    def _end_without_room(self, now: float) -> list[object]:
+        effects: list[object] = []
+        for ending in self._shrinking.find_endings(now):
+            effects += self._end_job(ending.job, ending.answer, now)
+        return effects
+
+    def _judge_suspects(self, now: float) -> list[object]:
+        effects: list[object] = []
+        for given_up in self._suspects.judge(now):
+            effects += self._give_up(given_up, now)
+        return effects
+
     def _give_up(self, given_up: suspects.GivenUp, now: float) -> list[object]:
         """Answer the job of a task that crashes its workers."""
         key, index = given_up.key
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -7,11 +7,14 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import admission
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
 from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
 from agatepick.repeatable import routes
+from agatepick.repeatable import shrinking
+from agatepick.repeatable import suspects
 from agatepick import types
 from tests import repeatable_world
 
@@ -188,6 +191,34 @@
     assert {run.job for run in find_starts(effects)} == {'good'}
 
 
+@pytest.mark.parametrize(
+    ('owner', 'name'),
+    [
+        (admission.Admission, 'update_shares'),
+        (shrinking.Shrinking, 'find_endings'),
+        (suspects.Suspects, 'judge'),
+    ],
+)
+def test_an_optional_decision_that_fails_stops_no_check(
+    monkeypatch, desk, owner, name
+):
+    """An optional decision raises at each check.
+
+    Jobs past their deadline must still be answered: their callers wait.
+    """
+    late = repeatable_world.make_job('late', 1, NOW + 0.5)
+    call, _ = desk.submit(late)
+    monkeypatch.setattr(owner, name, None)
+    effects = []
+    for _ in range(20):
+        effects += desk.tick()
+    assert find_answer(effects, call).verdict is jobs.Verdict.GIVEN_UP
+    assert any(
+        isinstance(effect, core.Note) and effect.name == 'fault'
+        for effect in effects
+    )
+
+
 def test_a_job_that_fails_on_arrival_is_answered(monkeypatch, desk):
     fail_for(
         monkeypatch,
