--- a/src/agatepick/repeatable/policies.py
+++ b/src/agatepick/repeatable/policies.py
@@ -22,7 +22,6 @@
     :param worker_speeds: learn each worker's usual speed, and place by it.
     :param queue_shares: reserve each queue's usual share of the capacity for
         it while others press.
-    :param handover: hand a job that can't start in time to another entry.
     :param crash_guard: isolate tasks under which workers crashed, and give
         them up.
     :param capacity_guard: adapt to a worker whose capacity changes.
@@ -31,7 +30,6 @@
     weigh_moves: bool = False
     worker_speeds: bool = False
     queue_shares: bool = False
-    handover: bool = False
     crash_guard: bool = False
     capacity_guard: bool = False
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -23,7 +23,7 @@
     ('text', 'named'),
     [
         ('[policies]\nqueue_share = true', 'queue_share'),
-        ('[policies]\nhandover = 1', 'policies.handover'),
+        ('[policies]\ncrash_guard = 1', 'policies.crash_guard'),
         ('[policies', 'not TOML'),
     ],
 )
