Let one piece of code serve where the parts for hard load wrote it again

Parts that were built side by side each had their own lower bound of expected run times, empty set of agents, sum of a job's waiting cores, check of a task against a worker's update and note of a message that can't be encoded. A finished run's expectation was worked out twice, a slow run's once too often, and admission asked twice whether a queue is over its share. No behaviour changed.

--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -209,6 +209,12 @@
     return min(delay + spread, MAX_RETRY_SECONDS)
 
 
+def holds(room: messages.Room, task: jobs.Task) -> bool:
+    """Return whether a worker is large enough for a task and may run it."""
+    labelled = not task.label or task.label in room.labels
+    return labelled and task.needs.fits(room.capacity)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """Reason why a job isn't admitted.
@@ -296,18 +302,13 @@
         slack = self.compute_latest_start(spec, now) - now
         load = self._compute_load(spec, now + slack, now)
         reason = 'overloaded'
-        standing = self._shares.get(spec.route.name)
-        over_share = standing is not None and standing.over
-        if (
-            standing is not None
-            and standing.over
-            and not _has_spare_room(load, spec, standing)
-        ):
-            load = self._limit_to_share(load, spec, standing)
+        over = self._shares.find_over(spec.route.name)
+        if over is not None and not _has_spare_room(load, spec, over):
+            load = self._limit_to_share(load, spec, over)
             reason = 'over_share'
-        wait_share = self._get_margin(spec.route.name, over_share).wait_share
+        margin = self._get_margin(spec.route.name, over is not None)
         if load.released_cores_per_second and not starts_in_time(
-            load, slack, wait_share
+            load, slack, margin.wait_share
         ):
             after = retry_after(load, slack, self._rng)
             return Refusal(reason, after, load)
@@ -371,12 +372,7 @@
         if not rooms:
             return True
         return all(
-            any(
-                task.needs.fits(room.capacity)
-                and (not task.label or task.label in room.labels)
-                for room in rooms
-            )
-            for task in spec.tasks
+            any(holds(room, task) for room in rooms) for task in spec.tasks
         )
 
     def _get_rooms(self, spec: jobs.Job) -> list[messages.Room]:
@@ -437,10 +433,9 @@
         start.
         """
         backlog = sum(
-            job.spec.tasks[index].needs.cpu
+            job.sum_waiting_cores()
             for job in self._waiting.in_order()
             if job.spec.route.name == spec.route.name
-            for index in job.waiting
         )
         seconds = self._estimator.estimate_longest_chain(spec)
         rate = standing.allowed / max(seconds, MIN_RUN_SECONDS)
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -246,14 +246,7 @@
 
         Otherwise the entry would count the runs as going on.
         """
-        effects: list[object] = [
-            core.note(
-                'send_failed',
-                peer=event.peer,
-                kind=type(event.message).__name__,
-                reason=event.reason,
-            )
-        ]
+        effects: list[object] = [faults.note_unsent(event)]
         if isinstance(event.message, messages.RunReports):
             plain = reports.make_plain(event.message)
             if plain != event.message:
--- a/src/agatepick/repeatable/choosing.py
+++ b/src/agatepick/repeatable/choosing.py
@@ -20,6 +20,7 @@
 import statistics
 import typing
 
+from agatepick.repeatable import estimating
 from agatepick.repeatable import pool
 from agatepick import types
 
@@ -43,9 +44,6 @@
 """Factor on expected run times where a worker must be in time: they are wrong
 by a factor, and a late answer on a slow worker costs its caller most."""
 
-MIN_EXPECTED_SECONDS = 0.02
-"""Lower bound of expected run times; message delays hide shorter ones."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
@@ -105,7 +103,9 @@
         """Return the slowness up to which workers are suitable for a task."""
         if demand is None or not self.weighs_time:
             return math.inf
-        expected = max(demand.expected_seconds, MIN_EXPECTED_SECONDS)
+        expected = max(
+            demand.expected_seconds, estimating.MIN_EXPECTED_SECONDS
+        )
         limit = (demand.seconds_left - self._round_trip) / expected
         fastest = self._slownesses[0]
         if agents_to_avoid or needs.cpu > self._min_cores:
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -451,14 +451,7 @@
     def _on_send_failed(
         self, event: core.SendFailed, now: float
     ) -> list[object]:
-        effects: list[object] = [
-            core.note(
-                'send_failed',
-                peer=event.peer,
-                kind=type(event.message).__name__,
-                reason=event.reason,
-            )
-        ]
+        effects: list[object] = [faults.note_unsent(event)]
         worker = self._pool.get(event.peer)
         if worker is None or not isinstance(event.message, messages.StartRuns):
             return effects
--- a/src/agatepick/repeatable/estimating.py
+++ b/src/agatepick/repeatable/estimating.py
@@ -14,6 +14,9 @@
 from agatepick.repeatable import owned_jobs
 from agatepick import types
 
+MIN_EXPECTED_SECONDS = 0.02
+"""Lower bound of expected run times; message delays hide shorter ones."""
+
 
 class Estimator:
     """Run time estimates by queue."""
--- a/src/agatepick/repeatable/faults.py
+++ b/src/agatepick/repeatable/faults.py
@@ -43,6 +43,16 @@
     )
 
 
+def note_unsent(event: core.SendFailed) -> core.Note:
+    """Return the note of a message that could not be encoded."""
+    return core.note(
+        'send_failed',
+        peer=event.peer,
+        kind=type(event.message).__name__,
+        reason=event.reason,
+    )
+
+
 def contain(where: str, step: Step, *args: typing.Any) -> list[object]:
     """Return the effects of a step, or the note of its exception.
 
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -215,6 +215,10 @@
         # their runs are checked for stragglers again.
         self.check_at = 0.0
 
+    def sum_waiting_cores(self) -> float:
+        """Return the cores that its waiting tasks need."""
+        return sum(self.spec.tasks[index].needs.cpu for index in self.waiting)
+
     def get_last_sent_at(self) -> float | None:
         """Return when the last task was sent, or ``None`` if not all were."""
         if any(record.run == 0 for record in self.records):
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -140,7 +140,7 @@
             full = (
                 spread.full_agents(index)
                 if spread.limited
-                else rounds.NO_AGENTS
+                else spreading.NO_AGENTS
             )
             if full and current.are_all_full(job, index, full):
                 held.append(index)
--- a/src/agatepick/repeatable/rounds.py
+++ b/src/agatepick/repeatable/rounds.py
@@ -12,6 +12,7 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pool
+from agatepick.repeatable import spreading
 from agatepick.repeatable import suspects
 from agatepick.repeatable import wants
 from agatepick import types
@@ -26,8 +27,6 @@
 round ends for their pool: each of them is compared with all workers, and all
 later tasks with each of them."""
 
-NO_AGENTS: frozenset[types.PeerName] = frozenset()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Unplaced:
@@ -132,7 +131,7 @@
         """Return whether any worker has room for a task."""
         task = job.spec.tasks[index]
         candidates = self._get_candidates(job, task.label)
-        return candidates.pick(task.needs, NO_AGENTS) is not None
+        return candidates.pick(task.needs, spreading.NO_AGENTS) is not None
 
     def are_all_full(
         self,
--- a/src/agatepick/repeatable/shares.py
+++ b/src/agatepick/repeatable/shares.py
@@ -99,10 +99,17 @@
         """Return the standing of a queue, or ``None`` while it is unknown."""
         return self._standings.get(queue)
 
+    def find_over(self, queue: str) -> Standing | None:
+        """Return the standing of a queue that presses beyond its share.
+
+        :returns: ``None`` for any other queue.
+        """
+        standing = self._standings.get(queue)
+        return standing if standing is not None and standing.over else None
+
     def is_over(self, queue: str) -> bool:
         """Return whether a queue presses beyond its share."""
-        standing = self._standings.get(queue)
-        return standing is not None and standing.over
+        return self.find_over(queue) is not None
 
     def add_demand(
         self, queue: str, pool: str, core_seconds: float, now: float
--- a/src/agatepick/repeatable/shrinking.py
+++ b/src/agatepick/repeatable/shrinking.py
@@ -93,7 +93,7 @@
     :param rooms: last updates of the workers of the job's pool.
     """
     return all(
-        any(_holds(room, job.spec.tasks[index]) for room in rooms)
+        any(admission.holds(room, job.spec.tasks[index]) for room in rooms)
         for index, record in enumerate(job.records)
         if record.state in _UNPLACED
     )
@@ -186,12 +186,6 @@
 _UNPLACED = (owned_jobs.TaskState.BLOCKED, owned_jobs.TaskState.WAITING)
 
 
-def _holds(room: messages.Room, task: jobs.Task) -> bool:
-    labelled = not task.label or task.label in room.labels
-    return labelled and task.needs.fits(room.capacity)
-
-
 def _make_demand(job: owned_jobs.OwnedJob, now: float) -> Demand:
-    cores = sum(job.spec.tasks[index].needs.cpu for index in job.waiting)
     slack = math.inf if job.started else job.latest_start - now
-    return Demand(cores, slack)
+    return Demand(job.sum_waiting_cores(), slack)
--- a/src/agatepick/repeatable/spreading.py
+++ b/src/agatepick/repeatable/spreading.py
@@ -64,7 +64,7 @@
     """
     tasks = job.spec.tasks
     if not job.spec.worker_limits:
-        return sum(tasks[index].needs.cpu for index in job.waiting)
+        return job.sum_waiting_cores()
     placed = collections.Counter(
         tasks[index].step for index in job.placed_indexes()
     )
--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -39,10 +39,6 @@
 """Longest pause between two checks of a job, as the expected run times change
 in the meantime."""
 
-MIN_EXPECTED_SECONDS = weighing.MIN_EXPECTED_SECONDS
-"""Lower bound of expected run times; message delays hide shorter ones."""
-
-
 WEIGH_AGAIN_SHARE = 0.1
 """Part of its time so far by which a run must have grown before its move is
 weighed again."""
@@ -156,7 +152,7 @@
 
     def _estimate_seconds(self, job: owned_jobs.OwnedJob, index: int) -> float:
         seconds = estimating.estimate_run_seconds(self._estimator, job, index)
-        return max(seconds, MIN_EXPECTED_SECONDS)
+        return max(seconds, estimating.MIN_EXPECTED_SECONDS)
 
     def _mark_straggler(
         self,
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -15,9 +15,6 @@
 from agatepick.repeatable import pool
 from agatepick.repeatable import run_ratios
 
-MIN_EXPECTED_SECONDS = 0.02
-"""Lower bound of expected run times; message delays hide shorter ones."""
-
 SUSPECT_RATIO = 2.0
 """Ratio to its expected time from which a finished run is recorded only if its
 worker seems sound: otherwise the worker's fault would count as the task's."""
@@ -117,8 +114,8 @@
         cores = task.needs.cpu
         self._budget.record_work(cores * seconds)
         self._settle_move(job.records[index], cores, now)
-        self._record_ratios(worker, job, index, seconds, now)
         expected = self._expect(job, index)
+        self._record_ratios(worker, job, index, expected, seconds, now)
         worker.ends.append(
             pool.EndedRun(
                 job.spec.key,
@@ -149,6 +146,7 @@
         worker: pool.Worker,
         job: owned_jobs.OwnedJob,
         index: int,
+        expected: Expectation,
         seconds: float,
         now: float,
     ) -> None:
@@ -158,7 +156,6 @@
             self._ratios.discard(queue, counted.has_siblings, counted.ratio)
         task = job.spec.tasks[index]
         seconds /= worker.slowness
-        expected = self._expect(job, index)
         if seconds >= SUSPECT_RATIO * expected.seconds:
             run = self._describe(job, index, worker, now)
             if moves.is_worker_suspect(run):
@@ -166,14 +163,14 @@
         if expected.has_siblings:
             self._ratios.add(queue, True, seconds / expected.seconds)
         estimate = self._estimator.estimate_task(job.spec, task)
-        estimate = max(estimate, MIN_EXPECTED_SECONDS)
+        estimate = max(estimate, estimating.MIN_EXPECTED_SECONDS)
         self._ratios.add(queue, False, seconds / estimate)
 
     def _expect(self, job: owned_jobs.OwnedJob, index: int) -> Expectation:
         has_siblings = bool(job.run_seconds.get(job.spec.tasks[index].step))
         seconds = estimating.estimate_run_seconds(self._estimator, job, index)
         return Expectation(
-            max(seconds, MIN_EXPECTED_SECONDS),
+            max(seconds, estimating.MIN_EXPECTED_SECONDS),
             has_siblings,
             self._ratios.get(job.spec.route.name).select(has_siblings),
         )
@@ -193,13 +190,15 @@
         seconds = now - record.placed_at - worker.round_trip_seconds
         due_at = record.placed_at + expected.seconds * worker.slowness
         run = moves.SlowRun(
-            max(seconds, MIN_EXPECTED_SECONDS),
+            max(seconds, estimating.MIN_EXPECTED_SECONDS),
             expected.seconds,
             job.spec.tasks[index].needs.cpu,
             expected.ratios,
             worker.slowness,
             target.slowness,
-            self._collect_others(worker, job, index, due_at, now),
+            self._collect_others(
+                worker, job, index, expected.has_siblings, due_at, now
+            ),
             moved=record.move_count > 0,
             moved_without_proof=record.moved_without_proof,
         )
@@ -211,12 +210,15 @@
         worker: pool.Worker,
         job: owned_jobs.OwnedJob,
         index: int,
+        known: bool,
         due_at: float,
         now: float,
     ) -> tuple[moves.OtherRun, ...]:
-        """Return the other runs at a worker that went on after one was due."""
+        """Return the other runs at a worker that went on after one was due.
+
+        :param known: whether the expected time of this one's step is known.
+        """
         step = job.spec.tasks[index].step
-        known = self._expect(job, index).has_siblings
         others = [
             self._describe_ended(end, worker.slowness, due_at)
             for end in worker.ends
