Log each run's start and good end at its agent

The logs could not tell which of two runs of a task began first, or where: no line told of a start, and none of the end of a run that finished.

An agent now notes run_started (job, index, run, peer, life) with the first start that it sends, and run_finished with its reason. Both are routine and dropped first, except starts of later runs. The events test lists run_finished among the composed names, beside run_failed and run_over.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -322,7 +322,8 @@
         if reason:
             return self._controller.refuse(owner, ref, reason)
         try:
-            return self._controller.start(owner, spec, payload, now)
+            effects = self._controller.start(owner, spec, payload, now)
+            return [*effects, self._note_start(owner, spec)]
         except Exception as exc:
             if spec.name in self._controller.runs:
                 # It is known as a run, so its start is sent again.
@@ -330,6 +331,19 @@
             self._capacity.release(spec.needs)
             raise
 
+    def _note_start(
+        self, owner: runs.Owner, spec: messages.RunSpec
+    ) -> core.Note:
+        worker = self._controller.worker
+        return core.note(
+            'run_started',
+            job=spec.job,
+            index=spec.index,
+            run=spec.run,
+            peer=owner.name,
+            life=worker.incarnation if worker is not None else '',
+        )
+
     def _find_refusal(
         self, owner: runs.Owner, spec: messages.RunSpec, now: float
     ) -> str:
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -141,7 +141,7 @@
         self.links.end()
 
     def _record_note(self, note: core.Note) -> None:
-        logs.log_note(LOG, note, _is_routine(note))
+        logs.log_note(LOG, note, is_routine(note))
         self.measures.count_note(note)
 
     def _make_hello(self) -> messages.Hello:
@@ -166,10 +166,12 @@
     return clocks.ProcessClock.start()
 
 
-def _is_routine(note: core.Note) -> bool:
+def is_routine(note: core.Note) -> bool:
     """Return whether a note is a normal part of a job that succeeds."""
-    if note.name == 'job_admitted':
+    if note.name in ('job_admitted', 'run_finished'):
         return True
+    if note.name == 'run_started':
+        return ('run', '1') in note.fields
     if note.name == 'job_ended':
         return ('verdict', 'complete') in note.fields
     # Refusals for lack of capacity are normal where several entries compete
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -566,9 +566,7 @@
             if finished and run.expected_seconds:
                 effects += self._record_speed(ratio, now)
         self._reports.add(run.owner, run.ref, state, reason, seconds)
-        if state is types.RunState.FINISHED:
-            return effects
-        return [runs.run_note('run_' + state.value, run, reason)]
+        return [*effects, runs.run_note('run_' + state.value, run, reason)]
 
     def _record_speed(self, ratio: float, now: float) -> list[object]:
         """Record a finished run in the estimate of the usual speed."""
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,12 @@
     r"logs\.(?:info|warning)\(\s*LOG,\s*'(\w+)'",
 )
 
-EVENTS_WITHOUT_LOG_CALL = {'run_failed', 'run_over', 'lines_dropped'}
+EVENTS_WITHOUT_LOG_CALL = {
+    'run_failed',
+    'run_finished',
+    'run_over',
+    'lines_dropped',
+}
 """Events with a composed name, or written without a log function."""
 
 
