Log runs that a worker lists after their agent counted them as over

A run that goes on after its agent counted it as over is the proof of an overlap, and was stopped without a line: stops of runs that the agent doesn't own looked the same after an agent's restart.

The stops are sent as before.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -95,7 +95,7 @@
             workerapi.SlownessRecalled: self._on_slowness_recalled,
             workerapi.StartAnswered: self._controller.handle_start_answer,
             workerapi.StopAnswered: self._controller.handle_stop_answer,
-            workerapi.ListsReceived: self._controller.handle_lists,
+            workerapi.ListsReceived: self._on_lists,
             workerapi.ListsFailed: self._controller.handle_list_failure,
             workerapi.OtherIncarnationAnswered: (
                 self._controller.handle_other_incarnation
@@ -407,6 +407,13 @@
         self._usual_speed.recall(event)
         return []
 
+    def _on_lists(
+        self, event: workerapi.ListsReceived, now: float
+    ) -> list[object]:
+        effects = self._controller.handle_lists(event, now)
+        note_unowned = self._controller.note_unowned
+        return effects + faults.contain('unowned', note_unowned, event, now)
+
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
         was_closed = self._cfg.zone in (self._closed_zones or ())
         closed = self._cfg.zone in event.zones
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -11,6 +11,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import crash_evidence
+from agatepick.repeatable import ended_runs
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import overcommit
@@ -90,6 +91,7 @@
         self._crashes = crashes or crash_evidence.CrashEvidence(
             run_reports, enabled=False
         )
+        self._ended_runs = ended_runs.EndedRuns()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -290,6 +292,7 @@
                 return []
         elif run.start_count == 1:
             self.runs.pop(run.name)
+            self._ended_runs.add(run, event.result.value, now)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
         return self._give_up_start(
@@ -505,12 +508,7 @@
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
         """Stop runs that an earlier incarnation of this process started."""
-        unowned = [
-            run
-            for run in event.running
-            if run.name not in self.runs
-            or self.runs[run.name].ref.run != run.run
-        ]
+        unowned = self._find_unowned(event)
         self._earlier_runs_over = self._earlier_runs_over or not unowned
         if (
             not unowned
@@ -523,6 +521,26 @@
             for run in unowned
         ]
 
+    def _find_unowned(
+        self, event: workerapi.ListsReceived
+    ) -> list[workerapi.RunningRun]:
+        return [
+            run
+            for run in event.running
+            if run.name not in self.runs
+            or self.runs[run.name].ref.run != run.run
+        ]
+
+    def note_unowned(
+        self, event: workerapi.ListsReceived, now: float
+    ) -> list[object]:
+        """Return notes on listed runs that should not run."""
+        if not self._state.addresses(event.incarnation):
+            return []
+        return self._ended_runs.note_listed(
+            self._find_unowned(event), event, now
+        )
+
     # Runs
 
     def enforce_leases(self, now: float) -> list[object]:
@@ -554,6 +572,7 @@
         self, run: runs.Run, state: types.RunState, reason: str, now: float
     ) -> list[object]:
         self.runs.pop(run.name)
+        self._ended_runs.add(run, reason, now)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
         effects: list[object] = []
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -7,6 +7,7 @@
 from agatepick.repeatable import agent as agents
 from agatepick.repeatable import events
 from agatepick.repeatable import process
+from agatepick.repeatable import recent
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -108,3 +109,51 @@
 def test_lines_of_repeated_runs_are_dropped_last(name, run, routine):
     note = core.note(name, job='j', index=0, run=run, reason='done')
     assert process.is_routine(note) is routine
+
+
+RUNNING = (workerapi.RunningRun('j.0', 1),)
+
+
+def refuse_connections(agent):
+    return agent.feed(workerapi.ListsFailed('w@1', refused=True), 0.01)
+
+
+def test_a_run_that_outlives_its_end_is_noted_once(agent):
+    """A refused connection counts as the end of runs that go on."""
+    agent.start()
+    refuse_connections(agent)
+    agent.announce()
+    agent.feed(core.Tick(), 0.3)
+    agent.list_runs(RUNNING)
+    agent.list_runs(RUNNING)
+    (outlived,) = agent.get('run_outlived')
+    assert outlived['reason'] == 'worker_lost'
+    assert (outlived['job'], outlived['run']) == ('j', '1')
+    assert float(outlived['seconds']) == pytest.approx(0.31, abs=0.02)
+    assert agent.get('run_unowned') == []
+
+
+def test_lists_older_than_an_end_show_nothing(agent):
+    """Two requests for the lists are answered in the other order."""
+    agent.start()
+    requested_at = agent.now
+    agent.list_runs(ended=(make_end(),))
+    agent.feed(workerapi.ListsReceived('w@1', requested_at, RUNNING, ()), 0.01)
+    assert agent.get('run_outlived') == []
+
+
+def test_a_run_of_an_earlier_agent_is_noted_once(agent):
+    """An agent starts again, and its worker still has a run."""
+    agent.list_runs(RUNNING)
+    agent.list_runs(RUNNING)
+    (unowned,) = agent.get('run_unowned')
+    assert unowned == {'task': 'j.0', 'run': '1', 'life': 'w@1'}
+
+
+def test_the_memory_of_ends_is_bounded():
+    memory = recent.Recent(seconds=5.0, max_count=100)
+    for number in range(1000):
+        memory.add(number, 'x', NOW)
+    kept = [number for number in range(1000) if memory.get(number, NOW)]
+    assert kept == list(range(900, 1000))
+    assert memory.get(999, NOW + 5.1) is None
