Log runs that go on long after their stop, and count unwanted ones

A stop that has no effect left only stop_unanswered lines, which name no run and don't tell how long it has been without effect.

An agent now notes stop_overdue (job, index, run, peer, seconds, stops, and whether the worker answered a stop) once for a run that goes on 0.3 s after its first stop. The gauge runs_unwanted counts the runs whose stop was sent or whose entry's lease is over. Stops are sent as before.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -113,6 +113,7 @@
             ('lists', self._request_lists),
             ('reports', self._reports.flush),
             ('overdue', self._record_overdue_runs),
+            ('stops', self._controller.note_overdue_stops),
             ('publish', self._publish),
             ('stop', self._finish_stop),
             ('wake', self._wake),
@@ -159,6 +160,7 @@
         """Return the agent's gauges by name; see ``measures.GAUGES``."""
         return {
             'runs': len(self._controller.runs),
+            'runs_unwanted': self._controller.count_unwanted(now),
             'entries': sum(owner.connected for owner in self._owners.values()),
             'worker_open': float(self._is_open(now)),
             'free_cores': self._capacity.free.cpu,
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -33,6 +33,7 @@
     'state_version': 'version of the desired state in force; 0 for none',
     'tasks_suspected': 'tasks under which workers crashed of late',
     'runs': 'runs at the worker that are not known to be over',
+    'runs_unwanted': 'those whose stop was sent or whose entry left them',
     'entries': 'entries that the agent is connected to',
     'over_committed_cores': 'cores in use beyond what the worker has now',
     'worker_open': '1 while runs may be started at the worker',
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -32,6 +32,9 @@
 UNOWNED_STOP_RETRY_SECONDS = 0.2
 """Pause before a run that no entry owns is stopped once more."""
 
+STOP_OVERDUE_SECONDS = 0.3
+"""Time from the first stop of a run after which its going on is noted."""
+
 START_RETRY_SECONDS = 0.03
 """Pause before an unanswered start is sent again.  A worker runs the same run
 once however often it receives the start, so a retry only saves time: giving up
@@ -345,6 +348,8 @@
             return []
         run.stopping = True
         run.stop_sent_at = now
+        run.first_stop_at = run.first_stop_at or now
+        run.stop_count += 1
         return [
             workerapi.StopRun(self._state.incarnation, run.name, run.ref.run)
         ]
@@ -616,6 +621,25 @@
                 run.next_overdue_ratio *= 2.0
                 self._health.record_overdue(ratio, now)
 
+    def note_overdue_stops(self, now: float) -> list[object]:
+        """Return a note for each run that has long been stopped, once."""
+        effects: list[object] = []
+        for run in self.runs.values():
+            if not run.first_stop_at or run.stop_overdue:
+                continue
+            seconds = now - run.first_stop_at
+            if seconds >= STOP_OVERDUE_SECONDS:
+                run.stop_overdue = True
+                effects.append(_note_overdue_stop(run, seconds))
+        return effects
+
+    def count_unwanted(self, now: float) -> int:
+        """Return the number of runs that should have ended."""
+        return sum(
+            bool(run.first_stop_at) or run.owner.lease_until <= now
+            for run in self.runs.values()
+        )
+
     def next_due(self, now: float) -> float | None:
         """Return the instant of the next action, or ``None``."""
         wakes = [
@@ -643,3 +667,17 @@
             if run.ref == ref:
                 return run
         return None
+
+
+def _note_overdue_stop(run: runs.Run, seconds: float) -> core.Note:
+    answered = run.stop_acknowledged_at > 0.0
+    return core.note(
+        'stop_overdue',
+        job=run.ref.job,
+        index=run.ref.index,
+        run=run.ref.run,
+        peer=run.owner.name,
+        reason='answered' if answered else 'unanswered',
+        seconds=f'{seconds:.3f}',
+        stops=run.stop_count,
+    )
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -47,6 +47,9 @@
     :ivar start_count: number of starts sent.
     :ivar unanswered_start_count: number of these that may still be answered.
     :ivar confirmed_at: when the worker answered the start; 0 before.
+    :ivar first_stop_at: when the first stop was sent; 0 before.
+    :ivar stop_count: number of stops sent.
+    :ivar stop_overdue: whether its stop was noted as overdue.
     :ivar stop_acknowledged_at: when the worker acknowledged a stop; 0 before.
     :ivar next_overdue_ratio: multiple of the expected time at which the run
         next counts as overdue.
@@ -67,6 +70,9 @@
     confirmed_at: float = 0.0
     stopping: bool = False
     stop_sent_at: float = 0.0
+    first_stop_at: float = 0.0
+    stop_count: int = 0
+    stop_overdue: bool = False
     stop_acknowledged_at: float = 0.0
     next_overdue_ratio: float = health.OVERDUE_RATIO
     apart: bool = False
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -157,3 +157,28 @@
     kept = [number for number in range(1000) if memory.get(number, NOW)]
     assert kept == list(range(900, 1000))
     assert memory.get(999, NOW + 5.1) is None
+
+
+def test_a_stop_without_effect_is_noted_once(agent):
+    """Stops get no answer, and the run goes on."""
+    agent.start()
+    ref = messages.RunRef('j', 0, 1)
+    assert agent.agent.gauges(agent.now)['runs_unwanted'] == 0
+    agent.feed(core.Received('e', messages.StopRuns((ref,))), 0.01)
+    assert agent.agent.gauges(agent.now)['runs_unwanted'] == 1
+    for _ in range(8):
+        agent.renew()
+        agent.list_runs(RUNNING, seconds=0.05)
+    (overdue,) = agent.get('stop_overdue')
+    assert overdue['reason'] == 'unanswered'
+    assert (overdue['peer'], overdue['stops']) == ('e', '3')
+    assert 0.3 <= float(overdue['seconds']) < 0.4
+
+
+def test_a_stop_that_ends_its_run_is_not_noted(agent):
+    agent.start()
+    ref = messages.RunRef('j', 0, 1)
+    agent.feed(core.Received('e', messages.StopRuns((ref,))), 0.01)
+    agent.list_runs(ended=(make_end(kind=workerapi.EndKind.OTHER),))
+    agent.feed(core.Tick(), 0.5)
+    assert agent.get('stop_overdue') == []
