Merge the line of each run's start and end at its agent

Cause: the logs didn't tell which run of a task began first, where, and on what evidence it was counted as over. Change: one line a start and a good end at the agent, routine for first runs.

--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -95,7 +95,7 @@
             workerapi.SlownessRecalled: self._on_slowness_recalled,
             workerapi.StartAnswered: self._controller.handle_start_answer,
             workerapi.StopAnswered: self._controller.handle_stop_answer,
-            workerapi.ListsReceived: self._controller.handle_lists,
+            workerapi.ListsReceived: self._on_lists,
             workerapi.ListsFailed: self._controller.handle_list_failure,
             workerapi.OtherIncarnationAnswered: (
                 self._controller.handle_other_incarnation
@@ -113,6 +113,7 @@
             ('lists', self._request_lists),
             ('reports', self._reports.flush),
             ('overdue', self._record_overdue_runs),
+            ('stops', self._controller.note_overdue_stops),
             ('publish', self._publish),
             ('stop', self._finish_stop),
             ('wake', self._wake),
@@ -159,6 +160,7 @@
         """Return the agent's gauges by name; see ``measures.GAUGES``."""
         return {
             'runs': len(self._controller.runs),
+            'runs_unwanted': self._controller.count_unwanted(now),
             'entries': sum(owner.connected for owner in self._owners.values()),
             'worker_open': float(self._is_open(now)),
             'free_cores': self._capacity.free.cpu,
@@ -322,7 +324,8 @@
         if reason:
             return self._controller.refuse(owner, ref, reason)
         try:
-            return self._controller.start(owner, spec, payload, now)
+            effects = self._controller.start(owner, spec, payload, now)
+            return [*effects, self._note_start(owner, spec)]
         except Exception as exc:
             if spec.name in self._controller.runs:
                 # It is known as a run, so its start is sent again.
@@ -330,6 +333,19 @@
             self._capacity.release(spec.needs)
             raise
 
+    def _note_start(
+        self, owner: runs.Owner, spec: messages.RunSpec
+    ) -> core.Note:
+        worker = self._controller.worker
+        return core.note(
+            'run_started',
+            job=spec.job,
+            index=spec.index,
+            run=spec.run,
+            peer=owner.name,
+            life=worker.incarnation if worker is not None else '',
+        )
+
     def _find_refusal(
         self, owner: runs.Owner, spec: messages.RunSpec, now: float
     ) -> str:
@@ -393,6 +409,13 @@
         self._usual_speed.recall(event)
         return []
 
+    def _on_lists(
+        self, event: workerapi.ListsReceived, now: float
+    ) -> list[object]:
+        effects = self._controller.handle_lists(event, now)
+        note_unowned = self._controller.note_unowned
+        return effects + faults.contain('unowned', note_unowned, event, now)
+
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
         was_closed = self._cfg.zone in (self._closed_zones or ())
         closed = self._cfg.zone in event.zones
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -11,6 +11,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import crash_evidence
+from agatepick.repeatable import ended_runs
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import overcommit
@@ -31,6 +32,9 @@
 UNOWNED_STOP_RETRY_SECONDS = 0.2
 """Pause before a run that no entry owns is stopped once more."""
 
+STOP_OVERDUE_SECONDS = 0.3
+"""Time from the first stop of a run after which its going on is noted."""
+
 START_RETRY_SECONDS = 0.03
 """Pause before an unanswered start is sent again.  A worker runs the same run
 once however often it receives the start, so a retry only saves time: giving up
@@ -90,6 +94,7 @@
         self._crashes = crashes or crash_evidence.CrashEvidence(
             run_reports, enabled=False
         )
+        self._ended_runs = ended_runs.EndedRuns()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -290,6 +295,7 @@
                 return []
         elif run.start_count == 1:
             self.runs.pop(run.name)
+            self._ended_runs.add(run, event.result.value, now)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
         return self._give_up_start(
@@ -342,6 +348,8 @@
             return []
         run.stopping = True
         run.stop_sent_at = now
+        run.first_stop_at = run.first_stop_at or now
+        run.stop_count += 1
         return [
             workerapi.StopRun(self._state.incarnation, run.name, run.ref.run)
         ]
@@ -505,12 +513,7 @@
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
         """Stop runs that an earlier incarnation of this process started."""
-        unowned = [
-            run
-            for run in event.running
-            if run.name not in self.runs
-            or self.runs[run.name].ref.run != run.run
-        ]
+        unowned = self._find_unowned(event)
         self._earlier_runs_over = self._earlier_runs_over or not unowned
         if (
             not unowned
@@ -523,6 +526,26 @@
             for run in unowned
         ]
 
+    def _find_unowned(
+        self, event: workerapi.ListsReceived
+    ) -> list[workerapi.RunningRun]:
+        return [
+            run
+            for run in event.running
+            if run.name not in self.runs
+            or self.runs[run.name].ref.run != run.run
+        ]
+
+    def note_unowned(
+        self, event: workerapi.ListsReceived, now: float
+    ) -> list[object]:
+        """Return notes on listed runs that should not run."""
+        if not self._state.addresses(event.incarnation):
+            return []
+        return self._ended_runs.note_listed(
+            self._find_unowned(event), event, now
+        )
+
     # Runs
 
     def enforce_leases(self, now: float) -> list[object]:
@@ -554,6 +577,7 @@
         self, run: runs.Run, state: types.RunState, reason: str, now: float
     ) -> list[object]:
         self.runs.pop(run.name)
+        self._ended_runs.add(run, reason, now)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
         effects: list[object] = []
@@ -566,9 +590,7 @@
             if finished and run.expected_seconds:
                 effects += self._record_speed(ratio, now)
         self._reports.add(run.owner, run.ref, state, reason, seconds)
-        if state is types.RunState.FINISHED:
-            return effects
-        return [runs.run_note('run_' + state.value, run, reason)]
+        return [*effects, runs.run_note('run_' + state.value, run, reason)]
 
     def _record_speed(self, ratio: float, now: float) -> list[object]:
         """Record a finished run in the estimate of the usual speed."""
@@ -599,6 +621,25 @@
                 run.next_overdue_ratio *= 2.0
                 self._health.record_overdue(ratio, now)
 
+    def note_overdue_stops(self, now: float) -> list[object]:
+        """Return a note for each run that has long been stopped, once."""
+        effects: list[object] = []
+        for run in self.runs.values():
+            if not run.first_stop_at or run.stop_overdue:
+                continue
+            seconds = now - run.first_stop_at
+            if seconds >= STOP_OVERDUE_SECONDS:
+                run.stop_overdue = True
+                effects.append(_note_overdue_stop(run, seconds))
+        return effects
+
+    def count_unwanted(self, now: float) -> int:
+        """Return the number of runs that should have ended."""
+        return sum(
+            bool(run.first_stop_at) or run.owner.lease_until <= now
+            for run in self.runs.values()
+        )
+
     def next_due(self, now: float) -> float | None:
         """Return the instant of the next action, or ``None``."""
         wakes = [
@@ -626,3 +667,17 @@
             if run.ref == ref:
                 return run
         return None
+
+
+def _note_overdue_stop(run: runs.Run, seconds: float) -> core.Note:
+    answered = run.stop_acknowledged_at > 0.0
+    return core.note(
+        'stop_overdue',
+        job=run.ref.job,
+        index=run.ref.index,
+        run=run.ref.run,
+        peer=run.owner.name,
+        reason='answered' if answered else 'unanswered',
+        seconds=f'{seconds:.3f}',
+        stops=run.stop_count,
+    )
