Show runs that outlive an answer of their worker's successor

A worker that drains may still have runs when another one, with another id, answers at its address. The agent moves on to the successor and takes a list of it, which lacks the runs, for their end, so their tasks start elsewhere.

--- a/tests/overlaps_rig.py
+++ b/tests/overlaps_rig.py
@@ -42,6 +42,9 @@
 """Time for which runs are watched after the disturbance: the callers' pause
 and the length of a run."""
 
+DRAIN_NOTICE_SECONDS = 0.2
+"""Time from the announcement that a worker drains until the next step."""
+
 PAUSE_CHECK_SECONDS = 0.01
 
 QUIET_EVENTS = frozenset(
@@ -165,6 +168,7 @@
         self.late_seconds = (2.0, 12.0)
         self.slow_seconds = (0.0, 0.0)
         self.draining = False
+        self.announced = 0
 
     def start_run(self, task, run):
         self.rig.runs.start(self, task, run)
@@ -196,7 +200,9 @@
         capacity = {'cpu': MILLICORES, 'mem_mb': 262144, 'gpu': 0}
         state = 'draining' if self.draining else state
         fields = {'zone': self.zone, 'capacity': capacity, **fields}
-        return super().make_heartbeat(sequence, state, **fields)
+        # A second series of announcements goes on from the first.
+        self.announced += 1
+        return super().make_heartbeat(self.announced, state, **fields)
 
 
 class Process(soak.Process):
@@ -274,11 +280,17 @@
             self.longest_pause = max(self.longest_pause, _now() - due)
 
     def announce(self, number, worker):
-        """Let a worker announce itself to an agent."""
+        """Let a worker announce itself to an agent, at once and regularly."""
+        self.silence(worker)
         self.heartbeats[worker.name] = self._spawn(
             self._announce(self.session, self.agents[number], worker)
         )
 
+    def silence(self, worker):
+        """End the announcements of a worker."""
+        if worker.name in self.heartbeats:
+            self.heartbeats.pop(worker.name).cancel()
+
     def make_successor(self, former):
         """Return another worker for the place of a former one."""
         worker = self.worker_type(self, self.workers.index(former), 1)
@@ -410,7 +422,8 @@
     former = rig.workers[0]
     await rig.wait_until_full(former)
     former.draining = True
-    await asyncio.sleep(1.1)
+    rig.announce(0, former)
+    await asyncio.sleep(DRAIN_NOTICE_SECONDS)
     new = rig.make_successor(former)
     if answers_first:
         former.port.target = new.address
@@ -419,7 +432,7 @@
     await asyncio.sleep(2.0)
     former.port.target = new.address
     former.port.reset()
-    rig.heartbeats[former.name].cancel()
+    rig.silence(former)
     former.exit()
 
 
@@ -437,7 +450,7 @@
     """A full worker leaves, and ends some milliseconds later."""
     worker = rig.workers[0]
     await rig.wait_until_full(worker, MAX_RUNS)
-    rig.heartbeats[worker.name].cancel()
+    rig.silence(worker)
     await rig.deregister(0, worker)
     await asyncio.sleep(rig.rng.uniform(0.005, 0.05))
     await worker.port.close()
--- a/tests/test_overlaps.py
+++ b/tests/test_overlaps.py
@@ -28,3 +28,10 @@
 ):
     """A worker's port is closed while its runs go on."""
     assert find_overlaps(overlaps_rig.port_closes) == []
+
+
+def test_runs_of_a_draining_worker_outlive_an_answer_of_its_successor(
+    find_overlaps,
+):
+    """Another worker answers at the address while the former one has runs."""
+    assert find_overlaps(overlaps_rig.new_answers_first) == []
