Play orders of events that the virtual world lacked, and show overlaps

Cause: eleven tasks had two runs at once on real processes, and the world had no refused connections, lost stops at one worker, incarnations that overlap, late announcements, or clocks that run ahead or stand still.

--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -73,6 +73,9 @@
         self.slowness = 1.0
         self.fails = False
         self.unwell = False
+        self.refuses_connections = False
+        self.lost_orders = frozenset()
+        self.late_stops = False
 
     @property
     def incarnation(self):
@@ -206,7 +209,11 @@
         self.unrefused_jobs = set()
         self.calls = itertools.count(1)
         self.waiting = {}
+        self.former_workers = []
         self.loss_rate = 0.0
+        self.answer_delay_seconds = 0.0
+        self.clock_lead_seconds = 0.0
+        self.late_orders_reach_successors = False
         self.cuts = set()
         self.connected = {}
         self.nodes = {}
@@ -327,8 +334,69 @@
         self.schedule(SILENCE_SECONDS, self._break_if_cut, pair)
         self.schedule(seconds, self.cuts.discard, pair)
 
+    def refuse_connections(self, name, seconds):
+        """Let a worker refuse connections while its runs go on."""
+        worker = self.workers[name]
+        worker.refuses_connections = True
+        self.schedule(seconds, setattr, worker, 'refuses_connections', False)
+
+    def lose_orders(self, name, kinds, seconds, late_stops=True):
+        """Let one worker answer no orders of some kinds.
+
+        :param kinds: of ``start``, ``stop`` and ``lists``.
+        :param late_stops: whether stops are carried out 2 to 12 s later.
+        """
+        worker = self.workers[name]
+        worker.lost_orders = frozenset(kinds)
+        worker.late_stops = late_stops
+        self.schedule(seconds, setattr, worker, 'lost_orders', frozenset())
+
+    def take_over(self, name, same_id=True):
+        """Put another incarnation at a worker's address.
+
+        The former one goes on with its runs, gets no more orders, and exits
+        2 s later.
+        """
+        former = self.workers[name]
+        worker = self._make_worker(self.agents().index(self.nodes[name]))
+        worker.born = former.born + 1
+        worker.name = former.name if same_id else f'{former.name}-next'
+        self.workers[name] = worker
+        self.former_workers.append(former)
+        self.schedule(2.0, former.exit)
+        self.feed(name, self._make_announcement(worker))
+
+    def announce_late(self, name, seconds):
+        """Deliver an announcement of the present moment later."""
+        event = self._make_announcement(self.workers[name])
+        self.schedule(seconds, self.feed, name, event)
+
+    def stand_still(self, name, seconds):
+        """Suspend an agent with its worker, whose clock stands still too."""
+        worker = self.workers[name]
+        worker.expire()
+        for task, (run, end_at, until) in worker.runs.items():
+            worker.runs[task] = (run, end_at + seconds, until + seconds)
+        self.freeze(name, seconds)
+
     # Callers
 
+    def move_caller(self, key):
+        """Break a caller's connection; it comes again at another entry."""
+        for name, spec in list(self.waiting.values()):
+            if spec.key == key:
+                self.unrefused_jobs.add(key)
+                self.schedule(RESEND_SECONDS, self._submit_beside, spec, name)
+        self.close_caller(key)
+
+    def _submit_beside(self, spec, former):
+        others = [
+            node.name
+            for node in self.entries()
+            if node.alive and node.name != former
+        ]
+        self.submit(spec, self.rng.choice(others) if others else None)
+
     def submit(self, spec, to=None):
         """Submit a job at a running entry, or later if none is running.
 
@@ -358,7 +426,7 @@
         """Record the start of a task and any other run that it still has."""
         key = name.rpartition('.')[0]
         self.started_jobs.add(key)
-        for other in self.workers.values():
+        for other in [*self.workers.values(), *self.former_workers]:
             other.expire()
             if name in other.runs:
                 self.double_runs.append(
@@ -425,7 +493,13 @@
         worker = self.workers.get(name)
         if worker is None or not node.alive or node.incarnation != incarnation:
             return
-        announced = workerapi.WorkerAnnounced(
+        announced = self._make_announcement(worker)
+        if worker.up and not worker.leaving:
+            self.feed(name, announced)
+        self.schedule(1.5, self._announce, name, incarnation)
+
+    def _make_announcement(self, worker):
+        return workerapi.WorkerAnnounced(
             worker.incarnation,
             worker.born,
             next(self._order),
@@ -435,9 +509,6 @@
             False,
             '',
         )
-        if worker.up and not worker.leaving:
-            self.feed(name, announced)
-        self.schedule(1.5, self._announce, name, incarnation)
 
     # Links
 
@@ -562,19 +633,34 @@
     def _answer(self, node, incarnation, event):
         if node.alive and node.incarnation == incarnation:
             self.schedule(
-                0.0005, self._feed_incarnation, node.name, incarnation, event
+                0.0005 + self._draw_answer_delay(),
+                self._feed_incarnation,
+                node.name,
+                incarnation,
+                event,
             )
 
+    def _draw_answer_delay(self):
+        if not self.answer_delay_seconds:
+            return 0.0
+        return self.rng.uniform(0.0, self.answer_delay_seconds)
+
     def _feed_incarnation(self, name, incarnation, event):
         if self.nodes[name].incarnation == incarnation:
             self.feed(name, event)
 
-    def _is_lost(self):
+    def _is_lost(self, worker, kind):
+        if kind in worker.lost_orders:
+            return True
         return self.rng.random() < self.loss_rate
 
     def _compute_lease_end(self, lease_until):
         """Return the end of a lease by a worker's clock that is 2% slow."""
-        return self.now + (lease_until - self.now) * leases.CLOCK_DRIFT
+        seconds = lease_until - self.now + self.clock_lead_seconds
+        return self.now + seconds * leases.CLOCK_DRIFT
+
+    def _is_other_id(self, worker, effect):
+        return effect.incarnation.rpartition('@')[0] != worker.name
 
     def _handle_start(self, node, effect):
         worker = self.workers[node.name]
@@ -585,11 +671,20 @@
             )
             self._answer(node, node.incarnation, event)
             return
+        if worker.refuses_connections or self._is_other_id(worker, effect):
+            result = workerapi.StartResult.OTHER_WORKER
+            if worker.refuses_connections:
+                result = workerapi.StartResult.UNKNOWN
+            event = workerapi.StartAnswered(
+                effect.incarnation, effect.ref, result
+            )
+            self._answer(node, node.incarnation, event)
+            return
         until = self._compute_lease_end(effect.lease_until)
         args = (effect.name, effect.ref.run, until)
-        if self._is_lost() or not worker.up:
+        if self._is_lost(worker, 'start') or not worker.up:
             delay = self.rng.uniform(2.0, 12.0)
-            self.schedule(delay, self._start_late, worker, args)
+            self.schedule(delay, self._start_late, worker, args, worker.born)
             event = workerapi.StartAnswered(
                 effect.incarnation, effect.ref, workerapi.StartResult.UNKNOWN
             )
@@ -607,15 +702,26 @@
         event = workerapi.StartAnswered(effect.incarnation, effect.ref, result)
         self._answer(node, node.incarnation, event)
 
-    def _start_late(self, worker, args):
+    def _start_late(self, worker, args, born):
+        name, run, until = args
+        if self.late_orders_reach_successors and born != worker.born:
+            # By its own clock the lease is far ahead, and is cut.
+            seconds = leases.MAX_WORKER_LEASE_SECONDS * leases.CLOCK_DRIFT
+            until = self.now + seconds
         if worker.up:
-            worker.start(*args)
+            worker.start(name, run, until)
 
     def _handle_stop(self, node, effect):
         worker = self.workers[node.name]
-        ok = not self._is_lost() and worker.up
+        reached = not worker.refuses_connections and not self._is_other_id(
+            worker, effect
+        )
+        ok = reached and not self._is_lost(worker, 'stop') and worker.up
         if ok:
             worker.stop(effect.name, effect.run)
+        elif reached and worker.up and worker.late_stops:
+            delay = self.rng.uniform(2.0, 12.0)
+            self.schedule(delay, worker.stop, effect.name, effect.run)
         event = workerapi.StopAnswered(
             effect.incarnation, effect.name, effect.run, ok
         )
@@ -623,7 +729,15 @@
 
     def _handle_list_request(self, node, effect):
         worker = self.workers[node.name]
-        if self._is_lost() or not worker.up:
+        if worker.refuses_connections or self._is_other_id(worker, effect):
+            event = workerapi.ListsFailed(
+                effect.incarnation,
+                refused=worker.refuses_connections,
+                other_worker=not worker.refuses_connections,
+            )
+            self._answer(node, node.incarnation, event)
+            return
+        if self._is_lost(worker, 'lists') or not worker.up:
             event = workerapi.ListsFailed(effect.incarnation)
             self.schedule(
                 0.23,
@@ -659,5 +773,9 @@
         event = workerapi.ListsReceived(
             worker.incarnation, requested_at, running, ended
         )
-        if worker.incarnation == effect.incarnation:
+        if worker.incarnation != effect.incarnation:
+            return
+        if self.answer_delay_seconds:
+            self._answer(node, incarnation, event)
+        else:
             self._feed_incarnation(node.name, incarnation, event)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
+from agatepick.repeatable import leases
 from agatepick.repeatable import run_controller
 from agatepick.repeatable import workerapi
 from tests import platform_standins
@@ -639,6 +640,41 @@
     assert worker_clock.convert(clock.instant + 0.75) == 5_000 + 500 + 750
 
 
+def test_a_former_incarnation_s_late_answer_sets_the_clock_ahead():
+    """Answers to starts and stops don't say which incarnation sent them."""
+
+    class Clock:
+        def now(self):
+            return 100.0
+
+    worker_clock = worker.WorkerClock(Clock())
+    worker_clock.add_sample(900_000, 1)
+    worker_clock.add_sample(20, 2)
+    worker_clock.add_sample(900_010)
+    assert worker_clock.convert(100.75) == 770
+
+
+@pytest.mark.parametrize('age', [1.0, 1.5, 3.0, 6.0])
+def test_an_old_sample_of_a_slow_clock_makes_the_lease_too_long(age):
+    """The worker's runs would outlast the agent's count of their lease."""
+    rate = 0.98
+
+    class Clock:
+        instant = 100.0
+
+        def now(self):
+            return self.instant
+
+    clock = Clock()
+    worker_clock = worker.WorkerClock(clock)
+    worker_clock.add_sample(clock.instant * rate * 1000.0)
+    clock.instant += age
+    until = clock.instant + leases.WORKER_LEASE_SECONDS
+    ends_at = worker_clock.convert(until) / 1000.0 / rate
+    over_at = clock.instant + leases.WORKER_EXPIRY_SECONDS
+    assert ends_at + leases.STOP_SECONDS <= over_at
+
+
 # Settings that change
 
 
