--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
+from agatepick.repeatable import leases
 from agatepick.repeatable import run_controller
 from agatepick.repeatable import workerapi
 from tests import platform_standins
@@ -639,6 +640,43 @@
     assert worker_clock.convert(clock.instant + 0.75) == 5_000 + 500 + 750
 
 
+def test_a_former_incarnation_s_answer_does_not_set_the_next_one_s_clock():
+    """An order's answer comes after the next incarnation's first lists."""
+
+    async def main():
+        standin = platform_standins.Worker()
+        recorder = RecordingClient(standin)
+        worker_clock = recorder.client.worker_clock
+        worker_clock.add_sample(20, standin.born + 1)
+        recorder.start()
+        await recorder.get_event()
+        assert worker_clock.convert(recorder.clock.now()) < 10_000
+        await recorder.client.close()
+
+    run(main)
+
+
+@pytest.mark.parametrize('age', [1.0, 1.5, 3.0, 6.0])
+def test_a_lease_by_an_old_sample_is_not_too_long_for_a_slow_clock(age):
+    """The worker's runs would outlast the agent's count of their lease."""
+    rate = 0.98
+
+    class Clock:
+        instant = 100.0
+
+        def now(self):
+            return self.instant
+
+    clock = Clock()
+    worker_clock = worker.WorkerClock(clock)
+    worker_clock.add_sample(clock.instant * rate * 1000.0)
+    clock.instant += age
+    until = clock.instant + leases.WORKER_LEASE_SECONDS
+    ends_at = worker_clock.convert(until) / 1000.0 / rate
+    over_at = clock.instant + leases.WORKER_EXPIRY_SECONDS
+    assert ends_at + leases.STOP_SECONDS <= over_at
+
+
 # Settings that change
 
 
