Count no run as over because its worker refused a connection

Callers saw: tasks run twice at once, so that one schedule may be recorded twice. Cause: an agent took a refused connection to its worker for the crash of the worker and reported all runs there as over; their entries started the tasks elsewhere within 2 ms. A refused connection shows that nothing listens at the port, not that the runs have ended: a worker that goes down and up by turns keeps them until their lease is over, 0.65 s after its last extension.

Change: the runs of a worker that can't be reached any more last until the agent's count of their lease is over, whatever the error was. run_unrenewed is noted only where a stop is sent, not at each event while the worker is lost. After a crash its tasks start again up to 0.7 s later than before.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -207,14 +207,6 @@
             effects += self.stop(run, now)
         return effects
 
-    def _end_answered_runs(self, reason: str, now: float) -> list[object]:
-        effects: list[object] = []
-        for run in list(self.runs.values()):
-            # A start that is still in transit may reach the next incarnation.
-            if not run.unanswered_start_count:
-                effects += self._end_run(run, types.RunState.OVER, reason, now)
-        return effects
-
     # Starts and stops
 
     def start(
@@ -462,18 +454,15 @@
     def _handle_loss(
         self, event: workerapi.ListsFailed, now: float
     ) -> list[object]:
-        # Nothing listens at the worker's address on this machine: its process
-        # has crashed, and its runs ended with it.  One that is about to exit
-        # may close its port before it ends its runs, and another worker may
-        # answer on a connection that is older than the present one: these
-        # prove nothing, and the runs last until their lease is over.
+        # A closed port doesn't end the runs: a worker may close it before it
+        # ends them, or open it again while they go on, and another worker may
+        # answer on an older connection.  They last until their lease is over.
         crashed = event.refused and not self._state.draining
         effects = self._state.record_loss()
         if crashed:
             effects += self._crashes.record_crash(
                 list(self.runs.values()), now
             )
-            effects += self._end_answered_runs('worker_lost', now)
         return effects
 
     def _handle_end(self, end: workerapi.EndedRun, now: float) -> list[object]:
@@ -561,12 +550,18 @@
             elif run.stopping:
                 effects += self.stop(run, now)
             elif run.owner.lease_until <= now:
-                effects.append(runs.run_note('run_unrenewed', run, 'lease'))
-                effects += self.stop(run, now)
+                effects += self._stop_unrenewed(run, now)
             else:
                 effects += self._retry_start(run, now)
         return effects
 
+    def _stop_unrenewed(self, run: runs.Run, now: float) -> list[object]:
+        stops = self.stop(run, now)
+        if not stops:
+            # The worker is lost, and the run ends with its lease.
+            return []
+        return [runs.run_note('run_unrenewed', run, 'lease'), *stops]
+
     def _end_lapsed(self, run: runs.Run, now: float) -> list[object]:
         reason = 'lapsed'
         if not self._state.incarnation or self._list_requests.is_silent(now):
