Log that an entry or agent stood still

An agent that stood still and woke left no line, so that hypothesis could be neither shown nor ruled out.

Both programs now note process_paused (seconds, and the kind of event that came first) when more than 0.6 s pass between two events; their timers are 0.2 and 0.25 s. The check is one small module, which crash_evidence uses with its own limit of 1 s as before.

Run: test_pauses, test_crash_evidence, test_operations_page, test_agent_faults, test_platform, test_processes and test_demo pass, 68 tests.

--- a/src/agatepick/repeatable/crash_evidence.py
+++ b/src/agatepick/repeatable/crash_evidence.py
@@ -15,6 +15,7 @@
 import dataclasses
 
 from agatepick import core
+from agatepick.repeatable import pauses
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick import types
@@ -78,13 +79,12 @@
         self._watched = ''
         self._silent_ends: list[_SilentEnd] = []
         self._remembered: dict[str, _Remembered] = {}
-        self._last_step_at: float | None = None
+        self._pauses = pauses.PauseWatch(SUSPENDED_SECONDS)
         self._distrust_until = 0.0
 
     def record_step(self, now: float) -> None:
         """Record that this process handles an event."""
-        last, self._last_step_at = self._last_step_at, now
-        if last is not None and now > last + SUSPENDED_SECONDS:
+        if self._pauses.record_event(now):
             self._distrust_until = now + DISTRUST_SECONDS
             self._silent_ends.clear()
 
--- a/src/agatepick/repeatable/process.py
+++ b/src/agatepick/repeatable/process.py
@@ -18,6 +18,7 @@
 from agatepick.net import messages
 from agatepick.repeatable import faults
 from agatepick.repeatable import measures
+from agatepick.repeatable import pauses
 from agatepick.runtime import shell
 from agatepick.telemetry import logs
 from agatepick import types
@@ -70,7 +71,8 @@
         self._zone = zone
         self._incarnation = incarnation
         self._address = ''
-        self.shell = shell.Shell(reducer, clock, faults.note)
+        watched = pauses.WatchedReducer(reducer)
+        self.shell = shell.Shell(watched, clock, faults.note)
         self.links = links.Links(
             self._make_hello,
             self.shell.feed,
