Log jobs that come again, and the agent of a run that ended

An entry didn't show that a job had been there before: its earlier end and the runs left behind at that time could not be matched with the new arrival. task_waits_again did not name the agent whose run had ended.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -24,6 +24,7 @@
 from agatepick.repeatable import placing
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
+from agatepick.repeatable import resubmitted
 from agatepick.repeatable import routes
 from agatepick.repeatable import shares
 from agatepick.repeatable import shrinking
@@ -107,6 +108,7 @@
             self._admission,
             cfg.switches.capacity_guard,
         )
+        self._resubmitted = resubmitted.Resubmitted()
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
         self._checked_at = 0.0
         self._placement_due = False
@@ -232,6 +234,10 @@
     # Callers
 
     def _on_job(self, event: events.JobArrived, now: float) -> list[object]:
+        note = self._resubmitted.note_arrival(event.job.key, now)
+        return note + self._take_job(event, now)
+
+    def _take_job(self, event: events.JobArrived, now: float) -> list[object]:
         self._placement_due = True
         spec = event.job
         existing = self._jobs.get(spec.key)
@@ -374,6 +380,7 @@
         if answer.verdict is jobs.Verdict.COMPLETE:
             in_time = not job.started_late()
             self._admission.record_start(job, in_time)
+        self._resubmitted.record_end(job, answer, now)
         return [
             core.note(
                 'job_ended',
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -308,6 +308,7 @@
             job.records[index].state = owned_jobs.TaskState.ENDED
             self._jobs.remove_if_ended(job)
             return []
+        agent = job.records[index].agent
         job.requeue(index)
         self._waiting.add(job)
         return [
@@ -316,6 +317,7 @@
                 job=job.spec.key,
                 index=index,
                 run=job.records[index].run,
+                peer=agent,
                 reason=reason,
             )
         ]
