Show in explain which tasks had two runs at once

Two runs of one task had to be found by hand in the lines of all agents.

The reading of lines moved to cmd/log_lines.py.

--- a/src/agatepick/cmd/explain.py
+++ b/src/agatepick/cmd/explain.py
@@ -6,16 +6,14 @@
 """
 
 import dataclasses
-import json
-import re
 import sys
 import typing
 
 from agatepick.cmd import commands
+from agatepick.cmd import log_lines
+from agatepick.cmd import overlaps
 from agatepick import exceptions
 
-_LOG_FIELD_PATTERN = re.compile(r'([A-Za-z_][\w.]*)=("(?:[^"\\]|\\.)*"|\S*)')
-
 JOB_END_EVENTS = ('job_ended', 'job_refused')
 
 REASON_TEXTS = {
@@ -56,50 +54,21 @@
 _RUNS_ENDED_BY_AGENT = ('run_unrenewed', 'run_abandoned')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Line:
-    """One event of a log.
-
-    :param at: time of the event by the clock of the process that logged it,
-        in seconds since the epoch.
-    """
-
-    at: float
-    process: str
-    event: str
-    fields: dict[str, str]
-
-    def show(self, start: float) -> str:
-        """Return the event as a line, with its time relative to ``start``."""
-        pairs = ' '.join(f'{key}={val}' for key, val in self.fields.items())
-        return f'{self.at - start:+9.3f} s {self.process} {self.event} {pairs}'
-
-
-def parse_line(text: str) -> Line | None:
-    """Return the event in a log line; ``None`` if it isn't an event."""
-    pairs = {
-        key: _unquote(value) for key, value in _LOG_FIELD_PATTERN.findall(text)
-    }
-    try:
-        at = float(pairs.pop('time'))
-        process, event = pairs.pop('process'), pairs.pop('event')
-    except (KeyError, ValueError):
-        return None
-    pairs.pop('level', None)
-    return Line(at, process, event, pairs)
-
-
-def collect_lines(lines: typing.Iterable[str], job: str) -> list[Line]:
+def collect_lines(
+    lines: typing.Iterable[str], job: str
+) -> list[log_lines.Line]:
     """Return the events of a request, sorted by time."""
     job_field = f'job={job}'
-    parsed = [parse_line(text) for text in lines if job_field in text]
+    parsed = [
+        log_lines.parse_line(text) for text in lines if job_field in text
+    ]
     matching = [
         line for line in parsed if line and line.fields.get('job') == job
     ]
     return sorted(matching, key=lambda line: line.at)
 
 
-def find_cause(lines: list[Line]) -> str:
+def find_cause(lines: list[log_lines.Line]) -> str:
     """Return the cause of a request's outcome, or of its delay."""
     end_lines = [line for line in lines if line.event in JOB_END_EVENTS]
     if not end_lines:
@@ -118,7 +87,7 @@
     return f'{reason}: {explanation}{_describe_given_up(lines)}'
 
 
-def _describe_given_up(lines: list[Line]) -> str:
+def _describe_given_up(lines: list[log_lines.Line]) -> str:
     for line in lines:
         if line.event == 'task_given_up':
             index, count = (line.fields.get(k, '') for k in ('index', 'count'))
@@ -126,7 +95,7 @@
     return ''
 
 
-def _describe_lost_job(lines: list[Line]) -> str:
+def _describe_lost_job(lines: list[log_lines.Line]) -> str:
     text = 'no end was logged: its entry was lost, or the log is cut off'
     agent_lines = [
         line for line in lines if line.event in _RUNS_ENDED_BY_AGENT
@@ -149,7 +118,7 @@
     text: str
 
 
-def find_delay(lines: list[Line], end: Line) -> Delay:
+def find_delay(lines: list[log_lines.Line], end: log_lines.Line) -> Delay:
     """Return the cause of the delay of a completed job.
 
     :param end: the line that logs the end of the job.
@@ -183,7 +152,7 @@
     return Delay('slow', 'its tasks took longer than expected')
 
 
-def parse_number(line: Line, name: str) -> float:
+def parse_number(line: log_lines.Line, name: str) -> float:
     """Return a field as a number; 0 if it is missing or not a number."""
     try:
         return float(line.fields.get(name, ''))
@@ -199,6 +168,7 @@
             f'no log line has the request {job}', step='explain'
         )
     text = [line.show(lines[0].at) for line in lines]
+    text += [one.show() for one in overlaps.find_overlaps(lines)]
     return commands.Output('\n'.join([*text, f'cause: {find_cause(lines)}']))
 
 
@@ -217,12 +187,3 @@
             raise exceptions.BadUsage(
                 f'{name}: {exc.strerror}', step='explain'
             ) from exc
-
-
-def _unquote(value: str) -> str:
-    if not value.startswith('"'):
-        return value
-    try:
-        return str(json.loads(value))
-    except ValueError:
-        return value
--- a/src/agatepick/cmd/summary.py
+++ b/src/agatepick/cmd/summary.py
@@ -10,6 +10,8 @@
 
 from agatepick.cmd import commands
 from agatepick.cmd import explain
+from agatepick.cmd import log_lines
+from agatepick.cmd import overlaps
 
 _OUTCOME_BY_VERDICT = {
     'complete': 'late',
@@ -28,8 +30,8 @@
 
     :param second: time of the first event of a request, relative to the first
         event of the log, in whole seconds.
-    :param outcome: one of :data:`_OUTCOME_BY_VERDICT`, or ``lost`` if no end
-        is logged.
+    :param outcome: one of :data:`_OUTCOME_BY_VERDICT`, ``lost`` if no end
+        is logged, or ``two_runs`` if a task had two runs at once.
     """
 
     second: int
@@ -45,9 +47,9 @@
 
     :returns: the counts, and the number of all requests in the log.
     """
-    lines_by_job: dict[str, list[explain.Line]] = {}
+    lines_by_job: dict[str, list[log_lines.Line]] = {}
     for text in lines:
-        line = explain.parse_line(text) if ' job=' in text else None
+        line = log_lines.parse_line(text) if ' job=' in text else None
         if line is not None:
             lines_by_job.setdefault(line.fields['job'], []).append(line)
     counts: collections.Counter[FailureGroup] = collections.Counter()
@@ -65,7 +67,7 @@
 
 
 def _classify_failure(
-    job_lines: list[explain.Line], start: float
+    job_lines: list[log_lines.Line], start: float
 ) -> FailureGroup | None:
     """Return the group that counts a request, with outcome and cause.
 
@@ -74,6 +76,10 @@
     second = int(job_lines[0].at - start)
     queues = [line.fields.get('queue', '') for line in job_lines]
     queue = next((queue_name for queue_name in queues if queue_name), '')
+    for overlap in overlaps.find_overlaps(job_lines):
+        # Without an end the line of it may be lost, or the agent was.
+        if overlap.seconds is not None:
+            return FailureGroup(second, queue, 'two_runs', overlap.reason)
     end_lines = [
         line for line in job_lines if line.event in explain.JOB_END_EVENTS
     ]
