Show runs that go on as their stops get no answer

Orders to a worker may get no answer and be carried out seconds later, while its lists are answered. An agent then extends the worker's lease for the runs of other entries, and with it that of runs whose stops it repeats in vain. The job comes again 1.3 s after its entry died or its connection broke, and starts with run number 1 at another worker. The rig disturbs a worker where runs last long enough, takes the end of a lease, not its own delay, for a run's end, and says when the state to disturb isn't reached.

--- a/tests/overlaps_rig.py
+++ b/tests/overlaps_rig.py
@@ -13,6 +13,7 @@
 import dataclasses
 import itertools
 import json
+import math
 import pathlib
 import signal
 import sys
@@ -27,7 +28,7 @@
 COUNT = 8
 """Number of tasks of a job."""
 
-CALLERS = 4
+CALLERS = 5
 MILLICORES = 16000
 TASK_MILLICORES = 1400
 MAX_RUNS = MILLICORES // TASK_MILLICORES
@@ -38,6 +39,7 @@
 MIN_RUN_SECONDS = 0.5
 MAX_RUN_SECONDS = 2.5
 JOB_SECONDS = 20.0
+JOB_PAUSE_SECONDS = 0.05
 SETTLE_SECONDS = 3.5
 """Time for which runs are watched after the disturbance: the callers' pause
 and the length of a run."""
@@ -45,6 +47,9 @@
 DRAIN_NOTICE_SECONDS = 0.2
 """Time from the announcement that a worker drains until the next step."""
 
+LASTING_SECONDS = soak.RESEND_SECONDS + 0.4
+"""Time after which a job that was submitted again has been placed."""
+
 PAUSE_CHECK_SECONDS = 0.01
 
 QUIET_EVENTS = frozenset(
@@ -108,7 +113,12 @@
 
     def end(self, worker, task, number, how):
         run = self.by_key[worker.label, task, number]
-        run.ended, run.how = _now(), how
+        # Without the delay of a rig that stood still.
+        due = {
+            'lapsed': worker.lease_end / 1000.0,
+            'done': worker.get_expected_end(task, number),
+        }.get(how, math.inf)
+        run.ended, run.how = min(_now(), max(due, run.began)), how
 
     def ask_stop(self, worker, task, number):
         run = self.by_key.get((worker.label, task, number))
@@ -128,6 +138,11 @@
         return [pair for pair in pairs if pair.seconds > 0.0]
 
 
+def _choose_seconds(task):
+    share = zlib.crc32(task.encode()) % 1000 / 1000.0
+    return MIN_RUN_SECONDS + share * (MAX_RUN_SECONDS - MIN_RUN_SECONDS)
+
+
 def _overlap(first, second):
     now = _now()
     end = min(first.ended or now, second.ended or now)
@@ -172,11 +187,14 @@
 
     def start_run(self, task, run):
         self.rig.runs.start(self, task, run)
-        share = zlib.crc32(task.encode()) % 1000 / 1000.0
-        spread = MAX_RUN_SECONDS - MIN_RUN_SECONDS
-        self.run_seconds = MIN_RUN_SECONDS + share * spread
+        self.run_seconds = _choose_seconds(task)
         super().start_run(task, run)
 
+    def get_expected_end(self, task, run):
+        """Return when a run ends by itself."""
+        began = self.rig.runs.by_key[self.label, task, run].began
+        return began + _choose_seconds(task)
+
     def end_run(self, task, run, how):
         if self.runs.get(task) == run:
             self.rig.runs.end(self, task, run, how)
@@ -263,11 +281,7 @@
         await self._check_service(session, 30.0)
         for number in range(CALLERS):
             self._spawn(self._submit_jobs(f'{number + 1:x}'))
-        await self.wait_until(
-            lambda: all(
-                len(worker.runs) >= FULL // 2 for worker in self.workers
-            )
-        )
+        await self.wait_until(lambda: self.answers[200] >= CALLERS)
         self.start = _now()
         await self.disturbance(self)
         await asyncio.sleep(SETTLE_SECONDS)
@@ -306,7 +320,7 @@
         async with self.session.post(url, json={'born': worker.born}):
             pass
 
-    async def wait_until(self, condition, seconds=15.0):
+    async def wait_until(self, condition, seconds=30.0):
         """Wait until a condition holds."""
         end = _now() + seconds
         while not condition():
@@ -323,6 +337,7 @@
     async def _submit_jobs(self, prefix):
         for number in itertools.count(1):
             await self._submit(f'{prefix}{number:015x}')
+            await asyncio.sleep(JOB_PAUSE_SECONDS)
 
     async def _submit(self, key):
         """Submit a job, at another entry after each lost answer."""
@@ -330,7 +345,7 @@
         for attempt in itertools.count(first):
             entry = self.entries[attempt % len(self.entries)]
             post = self._spawn(self._post_to(entry, key))
-            self.posts[post] = entry
+            self.posts[post] = (entry, key)
             await asyncio.wait([post])
             del self.posts[post]
             status = 0 if post.cancelled() else post.result()
@@ -366,10 +381,20 @@
 
     def hang_up(self, entry):
         """Close the connections of all callers of an entry."""
-        for post, its_entry in list(self.posts.items()):
+        for post, (its_entry, _) in list(self.posts.items()):
             if its_entry is entry:
                 post.cancel()
 
+    def count_lasting(self, worker):
+        """Return how many runs of each entry last at a worker."""
+        entries = {key: entry.name for entry, key in self.posts.values()}
+        end = _now() + LASTING_SECONDS
+        return collections.Counter(
+            entries.get(task.partition('.')[0])
+            for task, run in worker.runs.items()
+            if worker.get_expected_end(task, run) > end
+        )
+
     # Logs
 
     def count_events(self):
@@ -473,12 +498,11 @@
     slow_seconds: tuple = (0.0, 0.0)
 
     async def __call__(self, rig):
-        worker = rig.workers[0]
-        await rig.wait_until_full(worker)
+        await rig.wait_until(lambda: self._find_target(rig))
+        worker, entry = self._find_target(rig)
         worker.late_seconds = self.late_seconds
         worker.slow_seconds = self.slow_seconds
         worker.lost_share = self.share
-        entry = rig.entries[0]
         if self.kills:
             entry.send_signal(signal.SIGKILL)
         else:
@@ -487,6 +511,17 @@
         worker.lost_share = 0.0
         worker.slow_seconds = (0.0, 0.0)
 
+    def _find_target(self, rig):
+        """Return a worker, and an entry whose runs there last long enough.
+
+        Another entry has such runs there too, so that the lease is extended.
+        """
+        for worker, entry in itertools.product(rig.workers, rig.entries):
+            lasting = rig.count_lasting(worker)
+            if lasting[entry.name] >= 2 and len(+lasting) >= 2:
+                return worker, entry
+        return None
+
 
 async def freeze_agent(rig):
     """The agent of a full worker stands still for a while."""
@@ -545,7 +580,11 @@
     args = parser.parse_args()
     for name, seed in itertools.product(args.names, range(1, args.repeat + 1)):
         folder = tempfile.mkdtemp(prefix=f'{name}-{seed}-', dir=args.logs)
-        rig, overlaps = play(DISTURBANCES[name], folder, seed, args.tree)
+        try:
+            rig, overlaps = play(DISTURBANCES[name], folder, seed, args.tree)
+        except TimeoutError as exc:
+            print(json.dumps({'name': name, 'seed': seed, 'error': str(exc)}))
+            continue
         longest = max((pair.seconds for pair in overlaps), default=0.0)
         shown = {
             'name': name,
--- a/tests/test_overlaps.py
+++ b/tests/test_overlaps.py
@@ -35,3 +35,15 @@
 ):
     """Another worker answers at the address while the former one has runs."""
     assert find_overlaps(overlaps_rig.new_answers_first) == []
+
+
+@pytest.mark.parametrize('kills', [True, False])
+def test_runs_end_whose_stops_get_no_answer_before_their_job_comes_again(
+    find_overlaps, kills
+):
+    """Only the requests for lists are answered, and they extend the lease.
+
+    An entry is killed, or its callers hang up, and the job is submitted again
+    at another entry.
+    """
+    assert find_overlaps(overlaps_rig.LostOrders(1.0, kills)) == []
