Let the lists of another worker end none of its predecessor's runs

Callers saw: tasks run twice at once. Cause: when another worker announced itself at an agent, its lists, which lack the former one's runs, counted as their end. The former worker may drain on and go on with them, closed port or not.

Change: a run whose worker's place another has taken ends by that one's lists only once the lease of its own worker is over. Where a list shows that the same worker was born anew, its runs have ended with its process, as before: a list of a worker answers under its own id only.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -128,6 +128,10 @@
             effects += self._crashes.record_incarnation(
                 event.incarnation, list(self.runs.values()), now
             )
+            # Another worker may have taken the place of one that goes on with
+            # its runs until their lease is over.
+            for run in self.runs.values():
+                run.former_lease_over_at = self._lease.over_at
             effects += self._switch_incarnation(now)
         self._crashes.watch('' if event.draining else event.incarnation)
         return effects + self._resize(event.capacity, known, now)
@@ -486,8 +490,11 @@
         Only if the lists were requested after its start was answered.  If the
         run is being stopped, they must have been requested after the answer to
         its stop, from which on the worker doesn't start it any more, whatever
-        the answer to the start was; it may have got none.
+        the answer to the start was; it may have got none.  The lists of a
+        worker that took the place of another show nothing of that one's runs.
         """
+        if now < run.former_lease_over_at:
+            return []
         if run.stopping:
             if run.unanswered_start_count and not run.confirmed_at:
                 return []
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -51,6 +51,8 @@
     :ivar stop_count: number of stops sent.
     :ivar stop_overdue: whether its stop was noted as overdue.
     :ivar stop_acknowledged_at: when the worker acknowledged a stop; 0 before.
+    :ivar former_lease_over_at: end of the lease of the worker that it was
+        started at, if another has taken that one's place; 0 before.
     :ivar next_overdue_ratio: multiple of the expected time at which the run
         next counts as overdue.
     :ivar apart: whether it must not run beside another such run.
@@ -74,6 +76,7 @@
     stop_count: int = 0
     stop_overdue: bool = False
     stop_acknowledged_at: float = 0.0
+    former_lease_over_at: float = 0.0
     next_overdue_ratio: float = health.OVERDUE_RATIO
     apart: bool = False
     crashed: bool = False
--- a/src/agatepick/repeatable/worker_lease.py
+++ b/src/agatepick/repeatable/worker_lease.py
@@ -32,6 +32,11 @@
         until = now + leases.MAX_WORKER_EXPIRY_SECONDS
         self._over_at = max(self._over_at, until)
 
+    @property
+    def over_at(self) -> float:
+        """Instant from which no run is left at the worker."""
+        return self._over_at
+
     def is_over(self, now: float) -> bool:
         """Return whether no run is left at the worker."""
         return now >= self._over_at
