Don't extend a worker's lease beside a run that must end

Callers saw: tasks run twice at once after an entry died or a connection broke. Cause: a worker has one lease for all its runs, and the agent went on extending it for other entries' runs while stops of a run that had to end got no answer. The bound of 1.17 s in leases.py held for an agent that dies, not for one that lives; callers submit the job again 1.3 s later, at an entry that knows nothing of it, under run number 1.

Change: the lease isn't extended while a run of an entry whose lease is over has no acknowledged stop, while a requested stop is unacknowledged for 0.3 s, or while the worker lists a run that the agent doesn't know. Starts carry the last extension's instant meanwhile. Stops are repeated each 0.1 s as before, so the other runs there end only if some six or more in a row get no answer; what then ends is 'lapsed'.

--- a/src/agatepick/repeatable/leases.py
+++ b/src/agatepick/repeatable/leases.py
@@ -14,6 +14,11 @@
     ENTRY_LEASE_SECONDS + WORKER_LEASE_SECONDS * CLOCK_DRIFT + STOP_SECONDS
 
 is 1.17 s, and callers submit a job again 1.3 s after they lost the answer.
+
+An agent that lives stops the run, but stops may get no answer for seconds,
+and the worker has one lease for all its runs.  The agent therefore doesn't
+extend that lease beside a run that must end and isn't known to be stopped: the
+same sequence bounds such a run.
 """
 
 ENTRY_LEASE_SECONDS = 0.45
@@ -33,6 +38,12 @@
 STOP_SECONDS = 0.05
 """Longest time that a worker takes to stop a run."""
 
+STOP_ALLOWANCE_SECONDS = 0.3
+"""Time for which a stop that an entry requested may be unacknowledged before
+the worker's lease isn't extended any more.  An entry that answers a job stops
+its runs at once, so they are over 1.02 s later, and stops are repeated for
+0.85 s before the other runs at the worker end with the lease."""
+
 LOOP_DELAY_SECONDS = 0.05
 """Allowance for event loop delays between the steps of that sequence."""
 
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -100,6 +100,7 @@
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._unowned_stopped_at = 0.0
+        self._unowned_listed = False
         self._capacity_announced_at = 0.0
         self._capacity_changes = False
         # Whether no run that an earlier incarnation of this process started is
@@ -199,6 +200,7 @@
         # shows them.
         self._last_acknowledged_end_number = NO_LIST_YET
         self._earlier_runs_over = False
+        self._unowned_listed = False
         self._list_requests.reset(now)
         self._lease.extend_to_bound(now)
         effects: list[object] = []
@@ -245,10 +247,27 @@
                 run.ref,
                 run.name,
                 run.payload,
-                self._lease.extend(now),
+                self._bound_start(now),
             )
         ]
 
+    def _bound_start(self, now: float) -> float:
+        """Return the instant of the worker's lease that a start carries."""
+        if self._must_lapse(now):
+            return self._lease.keep()
+        return self._lease.extend(now)
+
+    def _must_lapse(self, now: float) -> bool:
+        """Return whether only the lease's end may still end a run there.
+
+        The worker has one lease for all its runs.  If it were extended for the
+        others beside a run whose stops get no answer, that run would go on
+        while its task starts elsewhere.
+        """
+        return self._unowned_listed or any(
+            run.must_lapse(now) for run in self.runs.values()
+        )
+
     def _retry_start(self, run: runs.Run, now: float) -> list[object]:
         """Retry a start that has been unanswered for too long."""
         if not self._can_retry_start(run):
@@ -379,7 +398,7 @@
         if acknowledged and not busy and not silent:
             return []
         lease_until = 0.0
-        if not silent and self._has_renewed_run(now):
+        if not silent and self._should_extend_lease(now):
             lease_until = self._lease.extend(now)
         first_request = self._last_acknowledged_end_number == NO_LIST_YET
         waits = busy or not self._earlier_runs_over and not first_request
@@ -414,6 +433,10 @@
             and now > self._capacity_announced_at + MAX_CAPACITY_AGE_SECONDS
         )
 
+    def _should_extend_lease(self, now: float) -> bool:
+        """Return whether the runs at the worker should go on."""
+        return self._has_renewed_run(now) and not self._must_lapse(now)
+
     def _has_renewed_run(self, now: float) -> bool:
         """Return whether a run should go on; none does at a leaving worker."""
         return not self._state.leaving and any(
@@ -511,6 +534,7 @@
         """Stop runs that an earlier incarnation of this process started."""
         unowned = self._find_unowned(event)
         self._earlier_runs_over = self._earlier_runs_over or not unowned
+        self._unowned_listed = bool(unowned)
         if (
             not unowned
             or now < self._unowned_stopped_at + UNOWNED_STOP_RETRY_SECONDS
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -5,6 +5,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import health
+from agatepick.repeatable import leases
 from agatepick.repeatable import payloads
 from agatepick import types
 
@@ -81,6 +82,17 @@
     apart: bool = False
     crashed: bool = False
 
+    def must_lapse(self, now: float) -> bool:
+        """Return whether the end of the lease alone ends it in time.
+
+        Its task may start elsewhere soon, and no stop was acknowledged.
+        """
+        if not self.stopping or self.stop_acknowledged_at:
+            return False
+        if self.owner.lease_until <= now:
+            return True
+        return now >= self.first_stop_at + leases.STOP_ALLOWANCE_SECONDS
+
 
 def run_note(name: str, run: Run, reason: str) -> core.Note:
     """Return a note on one run."""
--- a/src/agatepick/repeatable/worker_lease.py
+++ b/src/agatepick/repeatable/worker_lease.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._over_at = 0.0
+        self._extended_to = 0.0
 
     def extend(self, now: float) -> float:
         """Extend the lease.
@@ -22,7 +23,12 @@
         :returns: instant that the order to the worker carries.
         """
         self._over_at = max(self._over_at, now + leases.WORKER_EXPIRY_SECONDS)
-        return now + leases.WORKER_LEASE_SECONDS
+        self._extended_to = now + leases.WORKER_LEASE_SECONDS
+        return self._extended_to
+
+    def keep(self) -> float:
+        """Return the instant of the last extension, without a further one."""
+        return self._extended_to
 
     def extend_to_bound(self, now: float) -> None:
         """Expect the longest lease, which another incarnation may have given.
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -647,3 +647,100 @@
         event = dataclasses.replace(make_announcement(3), capacity=CAPACITY)
         controller.handle_announcement(event, later)
         assert not controller.blocks_starts(later + 0.01)
+
+
+OTHER_SPEC = messages.RunSpec('k', 0, 1, 'k.0', NEEDS, 0.2)
+
+
+def start_other(controller, now):
+    """Start a run of another entry, which renews its lease."""
+    owner = runs.Owner('f', 1, lease_until=NOW + 60.0)
+    effects = controller.start(owner, OTHER_SPEC, b'', now)
+    (start,) = filter_effects(effects, workerapi.StartRun)
+    return start.lease_until
+
+
+def play_unanswered_stops(controller, seconds, since):
+    """Let lists be answered and stops not; return the latest lease sent."""
+    latest = 0.0
+    for step in range(int(seconds / 0.01)):
+        now = since + step * 0.01
+        effects = controller.enforce_leases(now)
+        effects += controller.request_lists(now)
+        for request in filter_effects(effects, workerapi.RequestLists):
+            latest = max(latest, request.lease_until)
+            running = tuple(
+                workerapi.RunningRun(run.name, run.ref.run)
+                for run in controller.runs.values()
+            )
+            controller.handle_lists(
+                workerapi.ListsReceived('w@1', now, running, ()), now
+            )
+    return latest
+
+
+def test_a_run_of_a_dead_entry_ends_with_the_lease_if_stops_get_no_answer(
+    controller,
+):
+    """Runs of others must not extend the lease beyond the resubmission."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    start_other(controller, NOW + 0.002)
+    (run,) = [run for run in controller.runs.values() if run.name == 'j.0']
+    run.owner.lease_until = NOW + leases.ENTRY_LEASE_SECONDS
+    latest = play_unanswered_stops(controller, 2.0, NOW + 0.01)
+    bound = NOW + leases.ENTRY_LEASE_SECONDS + leases.WORKER_LEASE_SECONDS
+    assert NOW + leases.WORKER_LEASE_SECONDS < latest <= bound
+    assert controller.runs == {}
+
+
+def test_a_stopped_run_ends_with_the_lease_if_stops_get_no_answer(controller):
+    """An entry answered a job whose caller submits it again elsewhere."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    start_other(controller, NOW + 0.002)
+    (run,) = [run for run in controller.runs.values() if run.name == 'j.0']
+    controller.stop(run, NOW + 0.01)
+    latest = play_unanswered_stops(controller, 2.0, NOW + 0.01)
+    allowed = leases.STOP_ALLOWANCE_SECONDS + leases.WORKER_LEASE_SECONDS
+    assert latest <= NOW + 0.01 + allowed
+    assert controller.runs == {}
+
+
+def test_a_start_does_not_extend_the_lease_beside_a_run_that_must_end(
+    controller,
+):
+    """A start extends the lease of all runs at its worker."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    (run,) = controller.runs.values()
+    run.owner.lease_until = NOW + 0.1
+    controller.enforce_leases(NOW + 0.1)
+    assert start_other(controller, NOW + 0.2) == pytest.approx(
+        NOW + leases.WORKER_LEASE_SECONDS
+    )
+    answer_stop(controller, NOW + 0.25)
+    effects = controller.request_lists(NOW + 0.3)
+    (request,) = filter_effects(effects, workerapi.RequestLists)
+    assert request.lease_until == NOW + 0.3 + leases.WORKER_LEASE_SECONDS
+
+
+def test_the_lease_is_not_extended_beside_a_run_that_is_not_known(controller):
+    """A start of an earlier incarnation of the agent was carried out late."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    listed = (
+        workerapi.RunningRun('j.0', 1),
+        workerapi.RunningRun('unknown', 1),
+    )
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.003, listed[:1], ()), NOW + 0.01
+    )
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.02, listed, ()), NOW + 0.03
+    )
+    effects = controller.request_lists(NOW + 0.2)
+    (request,) = filter_effects(effects, workerapi.RequestLists)
+    assert request.lease_until == 0.0
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.2, listed[:1], ()), NOW + 0.21
+    )
+    effects = controller.request_lists(NOW + 0.4)
+    (request,) = filter_effects(effects, workerapi.RequestLists)
+    assert request.lease_until == NOW + 0.4 + leases.WORKER_LEASE_SECONDS
