Report no end of a first submission's run as that of the second

Callers saw: a task run twice at once, seldom. Cause: run numbers begin at 1 with each submission of a job. An agent that connects to its entry again sends the reports of the last 5 s; one on run 1 of a job's first submission, such as a refusal, was taken for the end of run 1 of its second submission, which went on at that agent while its task started elsewhere.

Evidence: tests/test_overlap_orders.py, the full report that names a run of the job's first submission, in virtual time; it failed before and holds now. Not seen with real processes.

Change: a full report holds no earlier report on a run that is going on at the agent: what has ended can't be running under the same number.

--- a/src/agatepick/repeatable/reports.py
+++ b/src/agatepick/repeatable/reports.py
@@ -107,15 +107,19 @@
         history = self._history.get(owner, collections.deque())
         while history and history[0][0] < now - RETENTION_SECONDS:
             history.popleft()
-        reports = [report for _, report in history]
+        refs = dict.fromkeys(run.ref for run in running if run.owner is owner)
+        # A job that was submitted again has the run numbers of its first
+        # submission, whose reports would end the run that is going on.
+        reports = [
+            report
+            for _, report in history
+            if messages.RunRef(report.job, report.index, report.run)
+            not in refs
+        ]
         reports += [
             messages.RunReport(
-                run.ref.job,
-                run.ref.index,
-                run.ref.run,
-                types.RunState.RUNNING.value,
+                ref.job, ref.index, ref.run, types.RunState.RUNNING.value
             )
-            for run in running
-            if run.owner is owner
+            for ref in refs
         ]
         return messages.RunReports(tuple(reports), whole=True)
