Never put a worker's lease ahead of its clock by an old sample

Callers see: two runs of a task for some milliseconds, one at a worker whose lease was counted as over. Cause: the worker's clock may be 2% slow, and the estimate of it took the highest of its samples as it was. Samples are dropped only when newer ones come, so after an idle or silent time one is up to 2.5 s old (announcements come each 1.5 s), and the lease of an order was longer than the agent counts by 2% of that.

Evidence: a clock 2% slow with a last sample 2 s old and others up to a second older gets a lease of 710 ms where 650 were asked, before the change; 650 at most after it. Not seen on real processes, whose clocks aren't slow; it is the arithmetic of leases.py that did not hold.

--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -39,8 +39,10 @@
 The third try of a start then has a new connection."""
 
 MAX_SAMPLE_AGE_SECONDS = 1.0
-"""Age up to which a clock sample is used; a clock that is 2% slow falls 20 ms
-behind in that time."""
+"""Age, relative to the newest sample, up to which a clock sample is used."""
+
+MAX_SLOWNESS = 0.02
+"""Part of the time by which a worker's clock may fall behind."""
 
 FENCING_TOKEN = 1
 """Fencing token of all requests.  It is constant, as all come from the one
@@ -83,7 +85,10 @@
 
 
 class WorkerClock:
-    """An estimate of the worker's clock, ahead of it at most by the drift."""
+    """An estimate of the worker's clock that is never ahead of it.
+
+    A lease that is too long would outlast the agent's own count of its end.
+    """
 
     def __init__(self, clock: types.Clock):
         self._clock = clock
@@ -117,8 +122,15 @@
         :returns: milliseconds.
         """
         # Each sample of the offset is too low by the transit time of its
-        # message; the highest is closest.
-        offset = max((sample[1] for sample in self._samples), default=0.0)
+        # message, and may have become too high since; the highest is closest.
+        now = self._clock.now()
+        offset = max(
+            (
+                offset - (now - sampled_at) * 1000.0 * MAX_SLOWNESS
+                for sampled_at, offset in self._samples
+            ),
+            default=0.0,
+        )
         return int(instant * 1000.0 + offset)
 
 
--- a/src/agatepick/repeatable/leases.py
+++ b/src/agatepick/repeatable/leases.py
@@ -32,8 +32,8 @@
 """Time by which an agent extends its worker's lease.  The worker allows up to
 1 s; a shorter lease keeps the whole sequence below the callers' 1.3 s."""
 
-CLOCK_DRIFT = 1.02
-"""A worker's monotonic clock may be 2% slow, so its lease lasts 2% longer."""
+CLOCK_DRIFT = 1.0 / 0.98
+"""A worker's monotonic clock may be 2% slow, so its lease lasts longer."""
 
 STOP_SECONDS = 0.05
 """Longest time that a worker takes to stop a run."""
