Take no clock sample of a former worker from an order's late answer

Callers see: two runs of a task, one at a worker that was born anew. Cause: an answer to a start or stop holds the worker's clock, not which incarnation sent it. One of the former incarnation that came after the next one's first lists was taken for the next one's clock, which counts from its own start: for up to a second leases were cut only by the worker, to 1 s, where the agent counted 0.65 s.

Change: the sample bears the incarnation that the order was meant for, and samples of former ones are passed over, as with lists and announcements. An answer of the next incarnation to an order meant for the former may be passed over too; its lists follow within 0.1 s.

--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -216,7 +216,9 @@
         except OSError as exc:
             result, reason = workerapi.StartResult.UNKNOWN, repr(exc)
         else:
-            result, reason = self._decode_start(status, data)
+            result, reason = self._decode_start(
+                effect.incarnation, status, data
+            )
         self._feed(
             workerapi.StartAnswered(
                 effect.incarnation, effect.ref, result, reason
@@ -224,15 +226,15 @@
         )
 
     def _decode_start(
-        self, status: int, data: bytes
+        self, incarnation: str, status: int, data: bytes
     ) -> tuple[workerapi.StartResult, str]:
         if status == 200:
-            self._decode_answer(data)
+            self._decode_answer(incarnation, data)
             return workerapi.StartResult.STARTED, ''
         if status == 421:
             return workerapi.StartResult.OTHER_WORKER, ''
         if status == 409:
-            reason = self._decode_answer(data).reason
+            reason = self._decode_answer(incarnation, data).reason
             result = _RESULTS_BY_REASON.get(
                 reason, workerapi.StartResult.UNKNOWN
             )
@@ -258,7 +260,7 @@
             )
             ok = status == 200
             if ok:
-                self._decode_answer(data)
+                self._decode_answer(effect.incarnation, data)
         except OSError as exc:
             logs.info(LOG, 'stop_unanswered', task=effect.name, reason=exc)
         self._feed(
@@ -373,14 +375,21 @@
         )
         return answer.status, answer.body
 
-    def _decode_answer(self, data: bytes) -> _Answer:
+    def _decode_answer(self, incarnation: str, data: bytes) -> _Answer:
+        """Decode an answer to a start or stop, and sample its clock.
+
+        :param incarnation: the one that the request was meant for.
+        """
         try:
             answer = msgspec.json.decode(data, type=_Answer)
         except msgspec.MsgspecError as exc:
             logs.warning(LOG, 'answer_unreadable', reason=exc)
             return _Answer()
         if answer.clock_ms:
-            self.worker_clock.add_sample(answer.clock_ms)
+            # The answer doesn't say which incarnation sent it.  One of the
+            # former, which arrives late, must not set the clock of the next.
+            born = _get_born(incarnation)
+            self.worker_clock.add_sample(answer.clock_ms, born)
         return answer
 
     def _spawn(
@@ -400,6 +409,11 @@
     return f'{worker_id}@{born}'
 
 
+def _get_born(incarnation: str) -> int:
+    """Return the instant of an incarnation's start, in milliseconds."""
+    return int(incarnation.rpartition('@')[2])
+
+
 def get_id(incarnation: str) -> str:
     """Return the id of a worker, which all its incarnations share."""
     return incarnation.rpartition('@')[0]
