Place nothing on waking before callers that left are known

Callers saw: tasks run twice at once after their entry stood still. Cause: an entry that wakes handles the reports of lapsed runs, renewals and its tick in the first turn of its event loop, and the end of its callers' connections a turn later. Jobs whose callers had left, and had submitted them at another entry 1.3 s later, were started again in between.

Change: after a pause of 0.6 s or more, which its own timer can't explain, an entry places nothing for 50 ms. What its callers did meanwhile comes first.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -21,6 +21,7 @@
 from agatepick.repeatable import kinds
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned_jobs
+from agatepick.repeatable import pauses
 from agatepick.repeatable import placing
 from agatepick.repeatable import policies
 from agatepick.repeatable import pool
@@ -45,6 +46,11 @@
 job nor capacity arrived: a worker may have become usable again, and capacity
 requests have to be repeated."""
 
+WAKE_SECONDS = 0.05
+"""Time after this process stood still for which nothing is placed.  Callers
+that left meanwhile have submitted their jobs elsewhere, and several turns of
+the event loop pass until all their connections have ended here."""
+
 FORGET_AGENT_SECONDS = 10.0
 """Time after which a disconnected agent is forgotten."""
 
@@ -113,6 +119,8 @@
         self._checked_at = 0.0
         self._placement_due = False
         self._placed_at = 0.0
+        self._pauses = pauses.PauseWatch(pauses.PAUSE_SECONDS)
+        self._place_from = 0.0
         self._disconnected_at: dict[types.PeerName, float] = {}
         self._former_workers: list[pool.Worker] = []
         self._stopping = stopping.Stopping()
@@ -142,6 +150,8 @@
 
     def reduce(self, event: object, now: float) -> list[object]:
         """Handle one event and return the effects to carry out, in order."""
+        if self._pauses.record_event(now):
+            self._place_from = now + WAKE_SECONDS
         handler = self._handlers.get(type(event))
         if handler is None:
             return [core.note('unexpected_event', kind=type(event).__name__)]
@@ -153,7 +163,7 @@
             # Tasks are placed after all events that have arrived so far: a
             # busy entry handles hundreds of messages in one iteration of its
             # event loop.
-            effects.append(core.WakeAt(now))
+            effects.append(core.WakeAt(max(now, self._place_from)))
         elif self._jobs_by_call:
             effects.append(core.WakeAt(now + JOB_CHECK_SECONDS))
         return effects
@@ -522,7 +532,7 @@
         effects = faults.contain('agents', self._forget_agents, now)
         effects += faults.contain('check', self._check_leases_and_jobs, now)
         due = self._placement_due or now >= self._placed_at + PLACE_SECONDS
-        if due and self._may_place():
+        if due and now >= self._place_from and self._may_place():
             effects += faults.contain('place', self._place, now)
         return effects + faults.contain('stop', self._finish_stop, now)
 
