Log once that a run's entry no longer renews it

While no worker could be addressed, a run whose entry's lease was over was noted as run_unrenewed at each event of its agent: a trial showed 100 lines in 100 events for one run. They spend the 300 lines a second that a process may write, and what tells of the case is dropped.

It is now noted once a run; stops and ends are as before.

Run: the new test fails without the change (2 lines) and passes with it; test_run_log, test_run_controller, test_agent_faults, test_entries_and_agents and test_operations_page pass, 60 tests.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -561,12 +561,18 @@
             elif run.stopping:
                 effects += self.stop(run, now)
             elif run.owner.lease_until <= now:
-                effects.append(runs.run_note('run_unrenewed', run, 'lease'))
-                effects += self.stop(run, now)
+                effects += self._stop_unrenewed(run, now)
             else:
                 effects += self._retry_start(run, now)
         return effects
 
+    def _stop_unrenewed(self, run: runs.Run, now: float) -> list[object]:
+        stops = self.stop(run, now)
+        if run.unrenewed:
+            return stops
+        run.unrenewed = True
+        return [runs.run_note('run_unrenewed', run, 'lease'), *stops]
+
     def _end_lapsed(self, run: runs.Run, now: float) -> list[object]:
         reason = 'lapsed'
         if not self._state.incarnation or self._list_requests.is_silent(now):
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -50,6 +50,7 @@
     :ivar first_stop_at: when the first stop was sent; 0 before.
     :ivar stop_count: number of stops sent.
     :ivar stop_overdue: whether its stop was noted as overdue.
+    :ivar unrenewed: whether it was noted that its entry's lease is over.
     :ivar stop_acknowledged_at: when the worker acknowledged a stop; 0 before.
     :ivar next_overdue_ratio: multiple of the expected time at which the run
         next counts as overdue.
@@ -73,6 +74,7 @@
     first_stop_at: float = 0.0
     stop_count: int = 0
     stop_overdue: bool = False
+    unrenewed: bool = False
     stop_acknowledged_at: float = 0.0
     next_overdue_ratio: float = health.OVERDUE_RATIO
     apart: bool = False
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -175,6 +175,16 @@
     assert 0.3 <= float(overdue['seconds']) < 0.4
 
 
+def test_a_run_that_can_not_be_stopped_is_noted_as_unrenewed_once(agent):
+    """Its entry and its worker are silent: a line an event fills the log."""
+    agent.start()
+    agent.feed(workerapi.ListsFailed('w@1', other_worker=True), 0.01)
+    for _ in range(12):
+        agent.feed(core.Tick(), 0.04)
+    assert len(agent.get('run_unrenewed')) == 1
+    assert agent.get('run_over') == []
+
+
 def test_a_stop_that_ends_its_run_is_not_noted(agent):
     agent.start()
     ref = messages.RunRef('j', 0, 1)
