Merge one line a run that its entry no longer renews

Cause: run_unrenewed was noted at each event while the worker was lost, up to 100 lines a run, which spends the lines that tell of the cause.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -588,9 +588,9 @@
 
     def _stop_unrenewed(self, run: runs.Run, now: float) -> list[object]:
         stops = self.stop(run, now)
-        if not stops:
-            # The worker is lost, and the run ends with its lease.
-            return []
+        if run.unrenewed:
+            return stops
+        run.unrenewed = True
         return [runs.run_note('run_unrenewed', run, 'lease'), *stops]
 
     def _end_lapsed(self, run: runs.Run, now: float) -> list[object]:
