Play random histories of runs that only seem to be over

Cause: the orders of events that cause overlaps were shown one by one, and it was open whether their mixture hides others.

--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -214,6 +214,7 @@
         self.answer_delay_seconds = 0.0
         self.clock_lead_seconds = 0.0
         self.late_orders_reach_successors = False
+        self.connects_suspended = True
         self.cuts = set()
         self.connected = {}
         self.nodes = {}
@@ -519,7 +520,7 @@
             return
         if self.listed and pair not in self.dialled:
             return
-        if pair in self.cuts:
+        if pair in self.cuts or not self._can_connect(ends):
             self.schedule(REDIAL_SECONDS, self._connect, one, other)
             return
         self.connected[pair] = next(self._order)
@@ -530,6 +531,11 @@
             )
             self.feed(end.name, core.PeerUp(hello))
 
+    def _can_connect(self, ends):
+        return self.connects_suspended or all(
+            self.now >= end.frozen_until for end in ends
+        )
+
     def _break(self, pair):
         if self.connected.pop(pair, None) is None:
             return
--- a/tests/test_overlaps.py
+++ b/tests/test_overlaps.py
@@ -1,5 +1,7 @@
 """Orders of events after which a task may have two runs at a time."""
 
+import random
+
 import pytest
 
 from agatepick.repeatable import events
@@ -136,3 +138,159 @@
     world._break(frozenset(('entry-0', 'agent-0')))
     world.run(0.5)
     assert not world.double_runs
+
+
+@pytest.mark.parametrize('lead', [0.02, 0.05])
+def test_a_worker_s_clock_taken_to_be_ahead_at_its_agent_s_freeze(lead):
+    """The runs' lease is longer than the agent counts when it thaws."""
+    world = repeatable_world.World(agents=2)
+    world.run(2.0)
+    for worker in world.workers.values():
+        worker.slowness = 40.0
+    world.clock_lead_seconds = lead
+    spec = repeatable_world.make_job('j', 4, expected=RUN_SECONDS)
+    world.submit(spec, to='entry-0')
+    world.run(0.004)
+    assert world.workers['agent-0'].runs
+    world.lose_orders('agent-0', {'stop'}, 3.0)
+    world.freeze('agent-0', 0.74)
+    world.run(2.0)
+    assert not world.double_runs
+
+
+def test_a_late_start_is_carried_out_by_the_next_incarnation():
+    """By the next one's clock the start's lease is far ahead."""
+    world = repeatable_world.World(agents=2)
+    world.run(2.0)
+    for worker in world.workers.values():
+        worker.slowness = 400.0
+    world.late_orders_reach_successors = True
+    world.lose_orders('agent-0', {'start'}, 0.5)
+    spec = repeatable_world.make_job('j', 4, expected=30.0)
+    world.submit(spec, to='entry-0')
+    world.run(0.6)
+    world.workers['agent-0'].restart()
+    world.run(13.0)
+    assert not world.double_runs
+
+
+def _pick_agent(world, rng):
+    return rng.choice(world.agents()).name
+
+
+def _move_caller(world, rng):
+    world.move_caller(f'j{rng.randrange(60)}')
+
+
+def _kill(world, rng):
+    world.kill(rng.choice(list(world.nodes)), rng.uniform(0.2, 4.0))
+
+
+def _freeze(world, rng):
+    world.freeze(rng.choice(list(world.nodes)), rng.uniform(0.1, 3.0))
+
+
+def _cut(world, rng):
+    entry = rng.choice(world.entries()).name
+    world.cut(entry, _pick_agent(world, rng), rng.uniform(0.2, 3.0))
+
+
+def _break_link(world, rng):
+    pairs = sorted(world.connected, key=sorted)
+    if pairs:
+        world._break(rng.choice(pairs))
+
+
+def _crash(world, rng):
+    world.workers[_pick_agent(world, rng)].restart()
+
+
+def _depart(world, rng):
+    exit_after = rng.choice((0.0, 0.01, 0.5, 2.0))
+    world.depart(_pick_agent(world, rng), exit_after, rng.uniform(0.1, 2.0))
+
+
+def _announce_late(world, rng):
+    world.announce_late(_pick_agent(world, rng), rng.uniform(0.05, 4.0))
+
+
+def _delay_answers(world, rng):
+    world.answer_delay_seconds = rng.choice((0.0, 0.02, 0.08))
+
+
+def _lose_starts(world, rng):
+    kinds = rng.choice(({'start'}, {'lists'}, {'start', 'lists'}))
+    seconds = rng.uniform(0.1, 2.0)
+    world.lose_orders(_pick_agent(world, rng), kinds, seconds)
+
+
+def _lose_stops(world, rng):
+    late = rng.random() < 0.5
+    seconds = rng.uniform(0.3, 3.0)
+    world.lose_orders(_pick_agent(world, rng), {'stop'}, seconds, late)
+
+
+def _refuse_connections(world, rng):
+    seconds = rng.uniform(0.02, 2.0)
+    world.refuse_connections(_pick_agent(world, rng), seconds)
+
+
+def _take_over(world, rng):
+    world.take_over(_pick_agent(world, rng), rng.random() < 0.5)
+
+
+ORDINARY = (
+    _move_caller,
+    _kill,
+    _freeze,
+    _cut,
+    _break_link,
+    _crash,
+    _depart,
+    _announce_late,
+    _delay_answers,
+    _lose_starts,
+)
+MISLEADING = (_lose_stops, _refuse_connections, _take_over)
+
+
+def _play(seed, faults):
+    """Return the world after a random history."""
+    rng = random.Random(seed)
+    world = repeatable_world.World(seed=seed)
+    world.connects_suspended = False
+    world.run(2.0)
+    for worker in world.workers.values():
+        worker.slowness = 8.0
+    for number in range(60):
+        if rng.random() < 0.5:
+            rng.choice(faults)(world, rng)
+        spec = repeatable_world.make_job(
+            f'j{number}',
+            rng.randint(1, 8),
+            world.now + 8.0,
+            rng.choice((0.3, 1.0, 3.0)),
+        )
+        world.submit(spec)
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(10.0)
+    return world
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_random_histories_with_late_and_lost_messages(seed):
+    """A late, lost or overtaken message is taken for the end of a run."""
+    world = _play(seed, ORDINARY)
+    assert not world.double_runs
+    assert not world.false_refusals
+
+
+def test_random_histories_with_runs_that_seem_over_or_stopped():
+    """Runs go on behind a refusal, a successor, or stops that get lost."""
+    faults = ORDINARY + MISLEADING
+    overlaps = {
+        seed: world.double_runs
+        for seed in range(20)
+        if (world := _play(seed, faults)).double_runs
+    }
+    assert not overlaps
