Play successors that announce themselves while the former one answers

Cause: it was open whether the announcement alone, without the address, makes an agent count runs as over. Change: the fault in the virtual world, a test for each kind of id, and the same fault in the random histories.

--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -359,14 +359,24 @@
         2 s later.
         """
         former = self.workers[name]
-        worker = self._make_worker(self.agents().index(self.nodes[name]))
-        worker.born = former.born + 1
-        worker.name = former.name if same_id else f'{former.name}-next'
+        worker = self._make_successor(name, same_id)
         self.workers[name] = worker
         self.former_workers.append(former)
         self.schedule(2.0, former.exit)
         self.feed(name, self._make_announcement(worker))
 
+    def _make_successor(self, name, same_id):
+        former = self.workers[name]
+        worker = self._make_worker(self.agents().index(self.nodes[name]))
+        worker.born = former.born + 1
+        worker.name = former.name if same_id else f'{former.name}-next'
+        return worker
+
+    def announce_successor(self, name, same_id=True):
+        """Announce another incarnation while the present one answers."""
+        worker = self._make_successor(name, same_id)
+        self.feed(name, self._make_announcement(worker))
+
     def announce_late(self, name, seconds):
         """Deliver an announcement of the present moment later."""
         event = self._make_announcement(self.workers[name])
--- a/tests/test_overlaps.py
+++ b/tests/test_overlaps.py
@@ -110,6 +110,16 @@
     assert not world.double_runs
 
 
+@pytest.mark.parametrize('same_id', [True, False])
+def test_a_new_incarnation_s_announcement_while_the_former_answers(
+    world, same_id
+):
+    """The announcement alone would be taken for the end of the runs."""
+    world.announce_successor('agent-0', same_id)
+    world.run(4.0)
+    assert not world.double_runs
+
+
 def test_an_agent_and_its_worker_stand_still_together(world):
     """The agent's clock runs on meanwhile, the worker's does not."""
     world.stand_still('agent-0', 1.5)
@@ -210,6 +220,10 @@
     world.depart(_pick_agent(world, rng), exit_after, rng.uniform(0.1, 2.0))
 
 
+def _announce_successor(world, rng):
+    world.announce_successor(_pick_agent(world, rng), rng.random() < 0.5)
+
+
 def _announce_late(world, rng):
     world.announce_late(_pick_agent(world, rng), rng.uniform(0.05, 4.0))
 
@@ -248,6 +262,7 @@
     _crash,
     _depart,
     _announce_late,
+    _announce_successor,
     _delay_answers,
     _lose_starts,
 )
