Merge more orders of events and histories in virtual time

Cause: the first tests of each order didn't show whether faults that mix overlap. Change: histories that mix refused connections, lost stops, successors and deaths, and one more order of events.

--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -214,6 +214,7 @@
         self.answer_delay_seconds = 0.0
         self.clock_lead_seconds = 0.0
         self.late_orders_reach_successors = False
+        self.connects_suspended = True
         self.cuts = set()
         self.connected = {}
         self.nodes = {}
@@ -358,14 +359,24 @@
         2 s later.
         """
         former = self.workers[name]
-        worker = self._make_worker(self.agents().index(self.nodes[name]))
-        worker.born = former.born + 1
-        worker.name = former.name if same_id else f'{former.name}-next'
+        worker = self._make_successor(name, same_id)
         self.workers[name] = worker
         self.former_workers.append(former)
         self.schedule(2.0, former.exit)
         self.feed(name, self._make_announcement(worker))
 
+    def _make_successor(self, name, same_id):
+        former = self.workers[name]
+        worker = self._make_worker(self.agents().index(self.nodes[name]))
+        worker.born = former.born + 1
+        worker.name = former.name if same_id else f'{former.name}-next'
+        return worker
+
+    def announce_successor(self, name, same_id=True):
+        """Announce another incarnation while the present one answers."""
+        worker = self._make_successor(name, same_id)
+        self.feed(name, self._make_announcement(worker))
+
     def announce_late(self, name, seconds):
         """Deliver an announcement of the present moment later."""
         event = self._make_announcement(self.workers[name])
@@ -519,7 +530,7 @@
             return
         if self.listed and pair not in self.dialled:
             return
-        if pair in self.cuts:
+        if pair in self.cuts or not self._can_connect(ends):
             self.schedule(REDIAL_SECONDS, self._connect, one, other)
             return
         self.connected[pair] = next(self._order)
@@ -530,6 +541,11 @@
             )
             self.feed(end.name, core.PeerUp(hello))
 
+    def _can_connect(self, ends):
+        return self.connects_suspended or all(
+            self.now >= end.frozen_until for end in ends
+        )
+
     def _break(self, pair):
         if self.connected.pop(pair, None) is None:
             return
