Let workers close their ports and lose orders in the soak test

Cause: the soak had no worker whose runs go on while its port is closed, and none that loses its orders but answers its lists; both made tasks run twice.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -23,6 +23,18 @@
     return server, f'127.0.0.1:{sock.getsockname()[1]}'
 
 
+async def close_port(server):
+    """Refuse new connections to a server and close the open ones."""
+    server.stop()
+    await server.close_all_connections()
+
+
+def open_port(server, address):
+    """Listen again at the address of a server whose port was closed."""
+    host, _, port = address.rpartition(':')
+    server.add_sockets(netutil.bind_sockets(int(port), host))
+
+
 def find_free_ports(count):
     """Return ports on which nothing listens."""
     socks = [socket.socket() for _ in range(count)]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -181,6 +181,13 @@
         self.name = f'w-{number}'
         self.millicores = self.former_millicores = FULL_MILLICORES
         self.shrunk_at = 0.0
+        self.lost_share = 0.0
+        self.port_closed = False
+
+    def choose_delay(self, name, body):
+        if name != 'hold' and self.soak.rng.random() < self.lost_share:
+            return self.soak.rng.uniform(2.0, 12.0)
+        return super().choose_delay(name, body)
 
     def resize(self, millicores):
         """Change the capacity; a shrunk one holds some seconds later."""
@@ -492,6 +499,7 @@
             process.store.mode = process.links.mode = 'calm'
         for worker in self.workers:
             worker.silent = False
+            worker.lost_share = 0.0
             worker.resize(FULL_MILLICORES)
         self.store.mode = platform_standins.CALM
         for zone in list(self.checks.closed):
@@ -709,6 +717,30 @@
         worker.silent = False
         self._record_fault()
 
+    async def close_port(self):
+        """Let a worker refuse connections by turns while its runs go on."""
+        self._record_fault()
+        worker = self.rng.choice(self.workers)
+        for _ in range(self.rng.randint(1, 3)):
+            if worker.port_closed:
+                return
+            worker.port_closed = True
+            await platform_standins.close_port(worker.server)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            platform_standins.open_port(worker.server, worker.address)
+            worker.port_closed = False
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        self._record_fault()
+
+    async def lose_orders(self):
+        """Let a worker carry out some orders late, without an answer."""
+        self._record_fault()
+        worker = self.rng.choice(self.workers)
+        worker.lost_share = self.rng.choice((0.3, 0.6, 0.9))
+        await asyncio.sleep(self.rng.uniform(1.0, 4.0))
+        worker.lost_share = 0.0
+        self._record_fault()
+
     async def change_capacity(self):
         """Let a worker that doesn't guard its capacity shrink for a while."""
         worker = self.rng.choice(self.workers)
@@ -760,6 +792,11 @@
 """Faults with those added later; they are drawn in another order, and the
 seeds that once showed a violation stay as they were."""
 
+OVERLAP_FAULTS = (*FAULTS, *(Soak.close_port, Soak.lose_orders) * 4)
+"""Faults with many of those after which a run may go on unseen."""
+
+FAULT_SETS = {'all': ALL_FAULTS, 'overlaps': OVERLAP_FAULTS}
+
 
 def run_seed(seed, seconds, folder, faults=FAULTS):
     """Run one seed; return the violations and the counts of answers.
@@ -803,6 +840,7 @@
     parser.add_argument('--count', type=int, default=50)
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--logs', default='')
+    parser.add_argument('--faults', choices=FAULT_SETS, default='all')
     args = parser.parse_args()
     failed = 0
     logs = pathlib.Path(args.logs or tempfile.gettempdir())
@@ -811,7 +849,9 @@
         # Each run has its own folder, as a later run must not overwrite the
         # logs of an earlier one that failed.
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=logs)
-        violations, answered = run_seed(seed, args.seconds, folder, ALL_FAULTS)
+        violations, answered = run_seed(
+            seed, args.seconds, folder, FAULT_SETS[args.faults]
+        )
         print(f'seed={seed} broken={len(violations)} answers={answered}')
         for violation in violations[:5]:
             print(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,3 +33,10 @@
     violations, answered = soak.run_seed(1, 8.0, tmp_path, faults)
     assert violations == []
     assert answered[200] > 0
+
+
+def test_closed_ports_and_lost_orders_start_no_task_twice(tmp_path):
+    """Runs go on at workers that refuse connections or answer no orders."""
+    violations, answered = soak.run_seed(3, 8.0, tmp_path, soak.OVERLAP_FAULTS)
+    assert violations == []
+    assert answered[200] > 0
