Let the rig slow orders at all workers, and freeze agents by turns

Calls queue at an agent's few connections if the worker takes long over each order, so the rig slows them before it loses any, and not only afterwards.

--- a/tests/overlaps_rig.py
+++ b/tests/overlaps_rig.py
@@ -328,9 +328,24 @@
                 raise TimeoutError('the state to disturb was not reached')
             await asyncio.sleep(0.005)
 
-    async def wait_until_full(self, worker, count=FULL):
+    async def wait_until_full(self, worker):
         """Wait until a worker has many runs."""
-        await self.wait_until(lambda: len(worker.runs) >= count)
+        await self.wait_until(lambda: len(worker.runs) >= FULL)
+
+    async def find_full_agent(self, count):
+        """Return the number of an agent whose worker has so many runs."""
+        full = []
+
+        def find():
+            full[:] = [
+                number
+                for number, worker in enumerate(self.workers)
+                if len(worker.runs) >= count
+            ]
+            return full
+
+        await self.wait_until(find)
+        return full[0]
 
     # Callers
 
@@ -473,10 +488,10 @@
 
 async def worker_leaves(rig):
     """A full worker leaves, and ends some milliseconds later."""
-    worker = rig.workers[0]
-    await rig.wait_until_full(worker, MAX_RUNS)
+    number = await rig.find_full_agent(MAX_RUNS)
+    worker = rig.workers[number]
     rig.silence(worker)
-    await rig.deregister(0, worker)
+    await rig.deregister(number, worker)
     await asyncio.sleep(rig.rng.uniform(0.005, 0.05))
     await worker.port.close()
     worker.exit()
@@ -488,7 +503,8 @@
 
     :ivar share: share of these orders.
     :ivar late_seconds: bounds of the time after which they are carried out.
-    :ivar slow_seconds: bounds of the time that other orders take.
+    :ivar slow_seconds: bounds of the time that other orders take, at all
+        workers.
     :ivar kills: whether the entry is killed; its callers hang up otherwise.
     """
 
@@ -498,10 +514,11 @@
     slow_seconds: tuple = (0.0, 0.0)
 
     async def __call__(self, rig):
+        for worker in rig.workers:
+            worker.slow_seconds = self.slow_seconds
         await rig.wait_until(lambda: self._find_target(rig))
         worker, entry = self._find_target(rig)
         worker.late_seconds = self.late_seconds
-        worker.slow_seconds = self.slow_seconds
         worker.lost_share = self.share
         if self.kills:
             entry.send_signal(signal.SIGKILL)
@@ -509,7 +526,8 @@
             rig.hang_up(entry)
         await asyncio.sleep(rig.rng.uniform(2.0, 4.0))
         worker.lost_share = 0.0
-        worker.slow_seconds = (0.0, 0.0)
+        for worker in rig.workers:
+            worker.slow_seconds = (0.0, 0.0)
 
     def _find_target(self, rig):
         """Return a worker, and an entry whose runs there last long enough.
@@ -525,18 +543,27 @@
 
 async def freeze_agent(rig):
     """The agent of a full worker stands still for a while."""
-    await rig.wait_until_full(rig.workers[0], MAX_RUNS - 1)
-    rig.agents[0].send_signal(signal.SIGSTOP)
+    agent = rig.agents[await rig.find_full_agent(MAX_RUNS)]
+    agent.send_signal(signal.SIGSTOP)
     await asyncio.sleep(rig.rng.uniform(0.5, 3.5))
-    rig.agents[0].send_signal(signal.SIGCONT)
+    agent.send_signal(signal.SIGCONT)
+
+
+async def freeze_agent_often(rig):
+    """An agent stands still by turns, whatever its worker does."""
+    for _ in range(5):
+        rig.agents[0].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(rig.rng.uniform(0.5, 3.5))
+        rig.agents[0].send_signal(signal.SIGCONT)
+        await asyncio.sleep(rig.rng.uniform(0.5, 2.0))
 
 
 async def restart_agent(rig):
     """The agent of a full worker is killed and started again at once."""
-    await rig.wait_until_full(rig.workers[0], MAX_RUNS - 1)
-    rig.agents[0].send_signal(signal.SIGKILL)
-    rig.agents[0].process.wait()
-    rig.agents[0].start()
+    agent = rig.agents[await rig.find_full_agent(MAX_RUNS)]
+    agent.send_signal(signal.SIGKILL)
+    agent.process.wait()
+    agent.start()
 
 
 NEVER = (60.0, 60.0)
@@ -549,6 +576,7 @@
     'old_answers_first': old_answers_first,
     'worker_leaves': worker_leaves,
     'freeze_agent': freeze_agent,
+    'freeze_agent_often': freeze_agent_often,
     'restart_agent': restart_agent,
     **{
         f'{what}_{share}_{when}_{pace}': LostOrders(share, kills, late, slow)
