--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -192,6 +192,17 @@
     assert _count_suspects(world) == 0
 
 
+def test_a_port_that_is_closed_for_a_while_makes_no_suspects():
+    """A worker refuses connections and goes on with its runs."""
+    world = World()
+    world.submit_all(12)
+    world.run(0.05)
+    world.refuse_connections('agent-0', 1.0)
+    world.run(10.0)
+    assert len(world.answers) == 12
+    assert _count_suspects(world) == 0
+
+
 def _count_suspects(world):
     return sum(
         node.reducer.gauges(world.now)['tasks_suspected']
