Probe callers' connections before their jobs come again

Callers see: tasks of a job run twice at once when the packet that ended its connection was lost. Cause: an entry that waits sends nothing, so it never learns that its caller's side is gone; the job comes again 1.3 s later at another entry.

Change: keep-alive probes after 1 s without traffic; eight may be lost, so that an outage of the path closes no sound connection. The test, which failed before by the options of an accepted connection, holds.

--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import socket
 import sys
 import typing
 
@@ -53,6 +54,15 @@
 MEMBERS_WAIT_SECONDS = 5.0
 """How long a call waits for a change of the list of entries."""
 
+KEEP_ALIVE_SECONDS = 1
+"""Interval of keep-alive probes on callers' connections.  If the packet that
+ended one was lost, the next probe shows that the caller's side is gone, before
+the job comes again at another entry after 1.3 s."""
+
+KEEP_ALIVE_PROBES = 8
+"""Number of lost probes after which a connection is closed: more than a short
+outage of the path loses."""
+
 STOP_MARGIN_SECONDS = 0.4
 """Time between the end of a graceful stop and the platform's kill."""
 
@@ -96,7 +106,7 @@
     front = ingress.Front(reducer, proc.feed, proc.clock)
     proc.register_handler(events.Reply, front.reply)
     proc.listen(cfg.links)
-    _serve(ingress.make_application(front), cfg.front)
+    serve_callers(ingress.make_application(front), cfg.front)
     _serve(ingress.make_ready_application(front), cfg.ready)
     proc.begin()
     store = rows.RowStore(cfg.store)
@@ -192,6 +202,28 @@
     server.add_sockets(netutil.bind_sockets(int(port), host))
 
 
+def serve_callers(app: web.Application, address: str) -> None:
+    """Serve HTTP at ``ip:port``, with keep-alive probes to the callers."""
+    host, _, port = address.rpartition(':')
+    server = httpserver.HTTPServer(app)
+    socks = netutil.bind_sockets(int(port), host)
+    for sock in socks:
+        # Accepted connections inherit the options.
+        _set_keep_alive(sock)
+    server.add_sockets(socks)
+
+
+def _set_keep_alive(sock: socket.socket) -> None:
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+
+
 def _serve_metrics(
     cfg: settings.NodeSettings, proc_measures: measures.Measures
 ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,15 +5,18 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 
 import aiohttp
 import pytest
+from tornado import web
 import yaml
 
 from agatepick import exceptions
 from agatepick.net import clocks
+from agatepick.net import httpcalls
 from agatepick.net import messages
 from agatepick.platform import desired
 from agatepick.platform import following
@@ -928,3 +931,25 @@
     """The platform stops a machine that has just started."""
     starting.send_signal(signal.SIGTERM)
     assert starting.wait(30) == -signal.SIGTERM
+
+
+def test_callers_connections_are_probed_before_their_jobs_come_again():
+    """The packet that ends a caller's connection may be lost."""
+
+    class Options(web.RequestHandler):
+        def get(self):
+            sock = self.request.connection.stream.socket
+            idle = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+            on = sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            self.finish({'on': on, 'idle': idle})
+
+    async def main():
+        (port,) = platform_standins.find_free_ports(1)
+        app = web.Application([('/', Options)])
+        programs.serve_callers(app, f'127.0.0.1:{port}')
+        client = httpcalls.Client(f'127.0.0.1:{port}', 1)
+        response = await client.call('GET', '/', 5.0)
+        assert json.loads(response.body) == {'on': 1, 'idle': 1}
+        client.close()
+
+    run(main)
