Request lists until a run that is not known is gone

Cause: a worker's lease isn't extended while it lists a run that its agent doesn't know, and an agent without runs requested no further lists, so the next start carried an old instant and was refused as not_sent. Change: lists go on until one lacks the run.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -394,6 +394,7 @@
         acknowledged = (
             self._last_acknowledged_end_number == self._last_handled_end_number
             and self._earlier_runs_over
+            and not self._unowned_listed
         )
         if acknowledged and not busy and not silent:
             return []
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -744,3 +744,24 @@
     effects = controller.request_lists(NOW + 0.4)
     (request,) = filter_effects(effects, workerapi.RequestLists)
     assert request.lease_until == NOW + 0.4 + leases.WORKER_LEASE_SECONDS
+
+
+def test_lists_are_requested_until_a_run_that_is_not_known_is_gone(controller):
+    """Without them a worker would refuse all starts by an old lease."""
+    answer_start(controller, workerapi.StartResult.STARTED, NOW + 0.002)
+    end = workerapi.EndedRun(1, 'j.0', 1, workerapi.EndKind.DONE, 'done')
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.01, (), (end,)), NOW + 0.02
+    )
+    listed = (workerapi.RunningRun('unknown', 1),)
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.03, listed, ()), NOW + 0.04
+    )
+    effects = controller.request_lists(NOW + 0.2)
+    assert len(filter_effects(effects, workerapi.RequestLists)) == 1
+    controller.handle_lists(
+        workerapi.ListsReceived('w@1', NOW + 0.2, (), ()), NOW + 0.21
+    )
+    assert controller.request_lists(NOW + 0.4) == []
+    lease_until = start_other(controller, NOW + 0.5)
+    assert lease_until == NOW + 0.5 + leases.WORKER_LEASE_SECONDS
