Take no run for unknown whose end is newer than the list

Cause: two requests for the lists may be open at once. The answer to the older one, when it came last, showed a run that had ended since; the agent sent it a stop and stopped extending the worker's lease until the next list. Change: a listed run that was counted as over after the request for the lists is left out, in one place for stops, lease and notes. Result: test_a_list_older_than_an_end_stops_the_lease_of_sound_runs failed before and holds.

--- a/src/agatepick/repeatable/ended_runs.py
+++ b/src/agatepick/repeatable/ended_runs.py
@@ -51,6 +51,11 @@
         end = _End(run.ref, run.owner.name, reason)
         self._ends.add((run.name, run.ref.run), end, now)
 
+    def ended_since(self, key: RunKey, instant: float, now: float) -> bool:
+        """Return whether a run was counted as over after an instant."""
+        found = self._ends.get(key, now)
+        return found is not None and found[0] > instant
+
     def note_listed(
         self,
         listed: list[workerapi.RunningRun],
@@ -59,7 +64,8 @@
     ) -> list[object]:
         """Return a note for each run that should not run, once.
 
-        :param listed: running ones that the agent doesn't count as running.
+        :param listed: running ones that the agent doesn't count as running,
+            and didn't when it requested the lists.
         """
         effects: list[object] = []
         for run in listed:
@@ -67,9 +73,6 @@
             found = self._ends.get(key, now)
             if found is None:
                 note = _note_unowned(run, event.incarnation)
-            elif event.requested_at < found[0]:
-                # The lists may be older than the end.
-                continue
             else:
                 note = _note_outlived(*found, event.incarnation, now)
             noted = self._noted.get(key, now)
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -533,7 +533,7 @@
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
         """Stop runs that an earlier incarnation of this process started."""
-        unowned = self._find_unowned(event)
+        unowned = self._find_unowned(event, now)
         self._earlier_runs_over = self._earlier_runs_over or not unowned
         self._unowned_listed = bool(unowned)
         if (
@@ -548,13 +548,23 @@
         ]
 
     def _find_unowned(
-        self, event: workerapi.ListsReceived
+        self, event: workerapi.ListsReceived, now: float
     ) -> list[workerapi.RunningRun]:
+        """Return the listed runs that the agent doesn't count as running.
+
+        Those that ended after the request for the lists are left out: the
+        lists may be older than their end.
+        """
         return [
             run
             for run in event.running
-            if run.name not in self.runs
-            or self.runs[run.name].ref.run != run.run
+            if (
+                run.name not in self.runs
+                or self.runs[run.name].ref.run != run.run
+            )
+            and not self._ended_runs.ended_since(
+                (run.name, run.run), event.requested_at, now
+            )
         ]
 
     def note_unowned(
@@ -564,7 +574,7 @@
         if not self._state.addresses(event.incarnation):
             return []
         return self._ended_runs.note_listed(
-            self._find_unowned(event), event, now
+            self._find_unowned(event, now), event, now
         )
 
     # Runs
