Extend no lease by a repeated start past another entry's lease

Cause: the agent goes through its runs in order, and repeated a start of one before it saw that the lease from another run's entry was over. Change: a run bounds the worker's lease from the instant at which its own entry's lease is over, whether a stop was sent or not. Result: test_a_repeated_start_extends_no_lease_past_another_entry_s_end failed before and holds.

--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -89,11 +89,12 @@
 
         Its task may start elsewhere soon, and no stop was acknowledged.
         """
-        if not self.stopping or self.stop_acknowledged_at:
+        if self.stop_acknowledged_at:
             return False
         if self.owner.lease_until <= now:
             return True
-        return now >= self.first_stop_at + leases.STOP_ALLOWANCE_SECONDS
+        allowed_until = self.first_stop_at + leases.STOP_ALLOWANCE_SECONDS
+        return self.stopping and now >= allowed_until
 
 
 def run_note(name: str, run: Run, reason: str) -> core.Note:
