Bound a requested stop by what its way to the agent may take

Cause: the allowance of 0.3 s for a requested stop left 0.29 s for the stop's way from entry to agent, but an entry's lease holds on a link that takes up to 0.45 s. With such a link and stops without an answer a run was over 1.41 s after its caller had left, which submits its job again after 1.3 s.

--- a/src/agatepick/repeatable/leases.py
+++ b/src/agatepick/repeatable/leases.py
@@ -38,11 +38,11 @@
 STOP_SECONDS = 0.05
 """Longest time that a worker takes to stop a run."""
 
-STOP_ALLOWANCE_SECONDS = 0.3
+STOP_ALLOWANCE_SECONDS = 0.1
 """Time for which a stop that an entry requested may be unacknowledged before
-the worker's lease isn't extended any more.  An entry that answers a job stops
-its runs at once, so they are over 1.02 s later, and stops are repeated for
-0.85 s before the other runs at the worker end with the lease."""
+the worker's lease isn't extended any more.  The request may take as long as
+the entry's lease allows, so the run is over 1.27 s after its job was answered;
+stops are repeated for 0.65 s more before the other runs there end with it."""
 
 LOOP_DELAY_SECONDS = 0.05
 """Allowance for event loop delays between the steps of that sequence."""
