Tell by a full report which run of a task is lost, not which task

Cause: an entry looked for its runs in an agent's full report by job and task. An old report on run 1 hid that run 2, whose start was lost with the connection, is with nobody: its job waited to its deadline. Change: the run's number is compared too. Result: test_an_old_report_hides_that_a_later_run_of_its_task_is_lost failed before and holds.

--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -92,9 +92,9 @@
     ) -> list[object]:
         """Handle an agent's reports on its runs."""
         effects: list[object] = []
-        known: set[pool.TaskKey] = set()
+        known: set[messages.RunRef] = set()
         for report in message.reports:
-            known.add((report.job, report.index))
+            known.add(messages.RunRef(report.job, report.index, report.run))
             try:
                 effects += self._record_crash(worker, report, now)
                 effects += self._handle_report(worker, report, now)
@@ -105,7 +105,7 @@
         if not message.whole:
             return effects
         for key in list(worker.placed):
-            if key not in known:
+            if messages.RunRef(*key, worker.placed[key].run) not in known:
                 effects += self._requeue_lost(
                     worker, key, 'unknown_there', now
                 )
