Take an unexpected answer to a start for none

Cause: any status that the worker's API doesn't name, such as 500, counted as a refused start, so the task was placed elsewhere at once, though the answer doesn't show that nothing was started. Found by the review.

--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -242,7 +242,10 @@
         if status in (429, 503):
             return workerapi.StartResult.UNWELL, str(status)
         logs.warning(LOG, 'start_rejected', status=status)
-        return workerapi.StartResult.UNWELL, str(status)
+        if status == 400:
+            return workerapi.StartResult.UNWELL, str(status)
+        # Such an answer doesn't show whether the run was started.
+        return workerapi.StartResult.UNKNOWN, str(status)
 
     async def _stop(self, effect: workerapi.StopRun) -> None:
         body = {
