Name the memory of past runs apart from a field of the platform

Cause: the module had the name of a field of the platform's API, which only platform/ knows, and a test's docstring told a story. Change: past_runs, and one line.

--- a/src/agatepick/repeatable/ended_runs.py
+++ b/src/agatepick/repeatable/past_runs.py
@@ -35,7 +35,7 @@
     reason: str
 
 
-class EndedRuns:
+class PastRuns:
     """Memory of the last ends of runs at one worker."""
 
     def __init__(self) -> None:
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -11,10 +11,10 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import crash_evidence
-from agatepick.repeatable import ended_runs
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import overcommit
+from agatepick.repeatable import past_runs
 from agatepick.repeatable import reports
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
@@ -94,7 +94,7 @@
         self._crashes = crashes or crash_evidence.CrashEvidence(
             run_reports, enabled=False
         )
-        self._ended_runs = ended_runs.EndedRuns()
+        self._past_runs = past_runs.PastRuns()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -310,7 +310,7 @@
                 return []
         elif run.start_count == 1:
             self.runs.pop(run.name)
-            self._ended_runs.add(run, event.result.value, now)
+            self._past_runs.add(run, event.result.value, now)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
         return self._give_up_start(
@@ -562,7 +562,7 @@
                 run.name not in self.runs
                 or self.runs[run.name].ref.run != run.run
             )
-            and not self._ended_runs.ended_since(
+            and not self._past_runs.ended_since(
                 (run.name, run.run), event.requested_at, now
             )
         ]
@@ -573,7 +573,7 @@
         """Return notes on listed runs that should not run."""
         if not self._state.addresses(event.incarnation):
             return []
-        return self._ended_runs.note_listed(
+        return self._past_runs.note_listed(
             self._find_unowned(event, now), event, now
         )
 
@@ -614,7 +614,7 @@
         self, run: runs.Run, state: types.RunState, reason: str, now: float
     ) -> list[object]:
         self.runs.pop(run.name)
-        self._ended_runs.add(run, reason, now)
+        self._past_runs.add(run, reason, now)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
         effects: list[object] = []
--- a/tests/test_overlaps.py
+++ b/tests/test_overlaps.py
@@ -41,9 +41,5 @@
 def test_runs_end_whose_stops_get_no_answer_before_their_job_comes_again(
     find_overlaps, kills
 ):
-    """Only the requests for lists are answered, and they extend the lease.
-
-    An entry is killed, or its callers hang up, and the job is submitted again
-    at another entry.
-    """
+    """An entry is killed or left; of its orders only lists are answered."""
     assert find_overlaps(overlaps_rig.LostOrders(1.0, kills)) == []
