Serve callers and others by one function, and pass a note only what it uses

Cause: reading the whole change again: serve_callers repeated the lines of _serve, and note_listed took a whole event of which it uses one field since the lists' age is compared elsewhere. Change: _serve returns its sockets, which get the probes; note_listed takes the incarnation. Behaviour stays as it is.

--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -196,21 +196,20 @@
     )
 
 
-def _serve(app: web.Application, address: str) -> None:
+def _serve(app: web.Application, address: str) -> list[socket.socket]:
+    """Serve HTTP at ``ip:port``, and return the listening sockets."""
     host, _, port = address.rpartition(':')
     server = httpserver.HTTPServer(app)
-    server.add_sockets(netutil.bind_sockets(int(port), host))
+    socks = netutil.bind_sockets(int(port), host)
+    server.add_sockets(socks)
+    return socks
 
 
 def serve_callers(app: web.Application, address: str) -> None:
     """Serve HTTP at ``ip:port``, with keep-alive probes to the callers."""
-    host, _, port = address.rpartition(':')
-    server = httpserver.HTTPServer(app)
-    socks = netutil.bind_sockets(int(port), host)
-    for sock in socks:
+    for sock in _serve(app, address):
         # Accepted connections inherit the options.
         _set_keep_alive(sock)
-    server.add_sockets(socks)
 
 
 def _set_keep_alive(sock: socket.socket) -> None:
--- a/src/agatepick/repeatable/past_runs.py
+++ b/src/agatepick/repeatable/past_runs.py
@@ -59,7 +59,7 @@
     def note_listed(
         self,
         listed: list[workerapi.RunningRun],
-        event: workerapi.ListsReceived,
+        incarnation: str,
         now: float,
     ) -> list[object]:
         """Return a note for each run that should not run, once.
@@ -72,9 +72,9 @@
             key = (run.name, run.run)
             found = self._ends.get(key, now)
             if found is None:
-                note = _note_unowned(run, event.incarnation)
+                note = _note_unowned(run, incarnation)
             else:
-                note = _note_outlived(*found, event.incarnation, now)
+                note = _note_outlived(*found, incarnation, now)
             noted = self._noted.get(key, now)
             if noted is None or noted[1] != note.name:
                 self._noted.add(key, note.name, now)
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -574,7 +574,7 @@
         if not self._state.addresses(event.incarnation):
             return []
         return self._past_runs.note_listed(
-            self._find_unowned(event, now), event, now
+            self._find_unowned(event, now), event.incarnation, now
         )
 
     # Runs
