Withdraw a suspected crash when the same worker answers again

Callers saw jobs without a culprit answered as failed: 5 to 9 of 40 with a port closed for 0.1 s in every 6 s. Cause: a refused connection counted as a proven crash under all runs there, and the agent gave the worker's incarnation up until its next announcement, up to 1.5 s later, by when the crashes had been weighed. A worker that announced itself each second and then refused its first lists was also a new one each time, which extended its lease again and again, so that its runs never ended.

The report counts as a crash at once, as before, so that a culprit takes down no more workers, but is withdrawn when the same incarnation answers a request made since, or says that it exits. The next incarnation proves it, and each crash counts once.

--- a/src/agatepick/repeatable/list_requests.py
+++ b/src/agatepick/repeatable/list_requests.py
@@ -59,6 +59,7 @@
         self._next_request_at = 0.0
         self._last_request_at = 0.0
         self._unanswered_since: float | None = None
+        self._refused = False
         self._backoff = backoff.Backoff(FAILED_DELAYS)
 
     def reset(self, now: float) -> None:
@@ -66,8 +67,14 @@
         self._pending = 0
         self._next_request_at = now
         self._unanswered_since = None
+        self._refused = False
         self._backoff.reset()
 
+    @property
+    def refused(self) -> bool:
+        """Whether nothing listened at the worker's address of late."""
+        return self._refused
+
     def is_due(self, now: float) -> bool:
         """Return whether the next request is due."""
         limit = 1 if self.is_silent(now) else MAX_PENDING
@@ -88,13 +95,18 @@
         """Record that the lists arrived."""
         self._pending = max(0, self._pending - 1)
         self._unanswered_since = None
+        self._refused = False
         self._backoff.reset()
         self._next_request_at = max(
             now, self._last_request_at + MIN_INTERVAL_SECONDS
         )
 
-    def record_failure(self, now: float) -> None:
-        """Record that a request failed."""
+    def record_failure(self, now: float, *, refused: bool = False) -> None:
+        """Record that a request failed.
+
+        :param refused: whether nothing listens at the worker's address.
+        """
+        self._refused = self._refused or refused
         self._pending = max(0, self._pending - 1)
         pause = self._backoff.record_failure()
         if self.is_silent(now):
@@ -113,7 +125,7 @@
 
     def blocks_starts(self, now: float) -> bool:
         """Return whether the worker is too silent for more runs to start."""
-        return self._silence(now) >= BLOCK_STARTS_SECONDS
+        return self._refused or self._silence(now) >= BLOCK_STARTS_SECONDS
 
     def is_silent(self, now: float) -> bool:
         """Return whether the worker is too silent to extend its lease."""
--- a/src/agatepick/repeatable/outcomes.py
+++ b/src/agatepick/repeatable/outcomes.py
@@ -38,6 +38,11 @@
 refusal on.  If all workers are unwell, the task would otherwise circulate
 among them without a delay."""
 
+_CRASH_REASONS = frozenset(
+    {crash_evidence.WORKER_CRASHED, crash_evidence.WORKER_REFUSED}
+)
+"""Reasons of reports that count as crashes of the worker."""
+
 _WORKER_REASONS = frozenset(
     {
         'stale_run',
@@ -118,7 +123,9 @@
 
         It may be on a run that is known to be over.
         """
-        proven = report.reason == crash_evidence.WORKER_CRASHED
+        if report.reason == crash_evidence.WORKER_RETURNED:
+            return self._withdraw_crash(worker, report)
+        proven = report.reason in _CRASH_REASONS
         if not proven and report.reason != crash_evidence.WORKER_SILENT:
             return []
         job = self._jobs.get(report.job)
@@ -142,6 +149,22 @@
             )
         ]
 
+    def _withdraw_crash(
+        self, worker: pool.Worker, report: messages.RunReport
+    ) -> list[object]:
+        key = (report.job, report.index)
+        if not self._suspects.withdraw(key, worker.name, report.run):
+            return []
+        return [
+            core.note(
+                'suspicion_withdrawn',
+                job=report.job,
+                index=report.index,
+                run=report.run,
+                peer=worker.name,
+            )
+        ]
+
     def handle_unsent(
         self, worker: pool.Worker, message: messages.StartRuns, now: float
     ) -> list[object]:
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -113,6 +113,8 @@
     @property
     def worker(self) -> workerapi.WorkerAnnounced | None:
         """The worker's last announcement; ``None`` if it may get no runs."""
+        if self._list_requests.refused:
+            return None
         return self._state.description
 
     # The worker's incarnations
@@ -181,7 +183,7 @@
         if self._state.leaving or not self._state.addresses(event.incarnation):
             return []
         effects = self._state.record_departure()
-        self._crashes.watch('')
+        effects += self._crashes.record_departure()
         for run in self.runs.values():
             effects += self.stop(run, now)
         return effects
@@ -396,10 +398,11 @@
             and self._earlier_runs_over
             and not self._unowned_listed
         )
-        if acknowledged and not busy and not silent:
+        refused = self._list_requests.refused
+        if acknowledged and not busy and not silent and not refused:
             return []
         lease_until = 0.0
-        if not silent and self._should_extend_lease(now):
+        if not silent and not refused and self._should_extend_lease(now):
             lease_until = self._lease.extend(now)
         first_request = self._last_acknowledged_end_number == NO_LIST_YET
         waits = busy or not self._earlier_runs_over and not first_request
@@ -452,9 +455,8 @@
         if not self._state.addresses(event.incarnation):
             return []
         self._list_requests.record_answer(now)
-        self._crashes.record_answer()
+        effects = self._crashes.record_answer(event.requested_at)
         self._last_acknowledged_end_number = self._last_handled_end_number
-        effects: list[object] = []
         for end in event.ended:
             effects += self._handle_end(end, now)
         running = {(run.name, run.run) for run in event.running}
@@ -470,25 +472,27 @@
         """Handle a failed request for the lists."""
         if not self._state.addresses(event.incarnation):
             return []
-        self._list_requests.record_failure(now)
+        refused_before = self._list_requests.refused
+        self._list_requests.record_failure(now, refused=event.refused)
         if self._state.leaving:
             return []
-        if event.refused or event.other_worker:
-            return self._handle_loss(event, now)
+        if event.other_worker:
+            return self._state.record_loss()
+        if event.refused:
+            return [] if refused_before else self._handle_refusal(now)
         if not self._list_requests.blocks_starts(now):
             return []
         return [core.note('worker_silent', life=event.incarnation)]
 
-    def _handle_loss(
-        self, event: workerapi.ListsFailed, now: float
-    ) -> list[object]:
+    def _handle_refusal(self, now: float) -> list[object]:
         # A closed port doesn't end the runs: a worker may close it before it
-        # ends them, or open it again while they go on, and another worker may
-        # answer on an older connection.  They last until their lease is over.
-        crashed = event.refused and not self._state.draining
-        effects = self._state.record_loss()
-        if crashed:
-            effects += self._crashes.record_crash(
+        # ends them, or open it again while they go on.  They last until their
+        # lease is over, which isn't extended meanwhile.
+        effects: list[object] = [
+            core.note('worker_unreachable', life=self._state.incarnation)
+        ]
+        if not self._state.draining:
+            effects += self._crashes.record_refusal(
                 list(self.runs.values()), now
             )
         return effects
--- a/src/agatepick/repeatable/suspects.py
+++ b/src/agatepick/repeatable/suspects.py
@@ -222,6 +222,37 @@
         )
         return True
 
+    def withdraw(
+        self, key: pool.TaskKey, agent: types.PeerName, run: int
+    ) -> bool:
+        """Drop a crash, as the worker has answered again since.
+
+        :returns: whether it was known.
+        """
+        suspect = self._by_task.get(key)
+        if suspect is None:
+            return False
+        kept = [
+            crash
+            for crash in suspect.crashes
+            if (crash.agent, crash.run) != (agent, run)
+        ]
+        if len(kept) == len(suspect.crashes):
+            return False
+        self._drop_worker_crash(agent)
+        suspect.crashes = kept
+        if not kept:
+            del self._by_task[key]
+            self._occupied = None
+        return True
+
+    def _drop_worker_crash(self, agent: types.PeerName) -> None:
+        """Drop the last crash of one agent's worker."""
+        for crash in reversed(self._worker_crashes):
+            if crash.agent == agent:
+                self._worker_crashes.remove(crash)
+                return
+
     def adopt(
         self, key: pool.TaskKey, agent: types.PeerName, count: int, now: float
     ) -> None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -92,10 +92,54 @@
 def test_a_silent_worker_that_answers_again_has_not_crashed(agent):
     """A worker was cut off and answers again: its runs prove nothing."""
     agent.evidence.record_silent_end(agent.runs[0], NOW + 0.9)
-    agent.evidence.record_answer()
+    agent.evidence.record_answer(NOW + 1.0)
     assert agent.be_reborn(NOW + 4.0, present=[]) == []
 
 
+def refuse(agent, now):
+    agent.evidence.record_refusal(agent.runs, now)
+    return [report.reason for report in agent.get_reports(now)]
+
+
+def answer(agent, requested_at):
+    agent.evidence.record_answer(requested_at)
+    return [report.reason for report in agent.get_reports(requested_at)]
+
+
+def test_a_worker_that_opens_its_port_again_has_not_crashed(agent):
+    """Its runs' tasks would stay suspects for two minutes."""
+    assert refuse(agent, NOW) == [crash_evidence.WORKER_REFUSED] * 2
+    assert agent.evidence.count('j.0', NOW) == 1
+    assert answer(agent, NOW + 0.1) == [crash_evidence.WORKER_RETURNED] * 2
+    assert agent.evidence.count('j.0', NOW + 0.1) == 0
+    assert answer(agent, NOW + 0.2) == []
+    assert refuse(agent, NOW + 1.0) == [crash_evidence.WORKER_REFUSED] * 2
+
+
+def test_an_answer_from_before_a_crash_does_not_withdraw_it(agent):
+    """A list that was requested before is read after the refusal."""
+    refuse(agent, NOW)
+    assert answer(agent, NOW - 0.05) == []
+    assert agent.evidence.count('j.0', NOW) == 1
+
+
+def test_a_refused_connection_is_proven_to_be_a_crash_once(agent):
+    """The next incarnation shows it; each crash counts once."""
+    refuse(agent, NOW)
+    found = agent.be_reborn(NOW + 3.0)
+    assert [report.reason for report in found] == ['worker_crashed'] * 2
+    assert agent.evidence.count('j.0', NOW + 3.0) == 1
+    assert answer(agent, NOW + 4.0) == []
+
+
+def test_a_worker_that_closed_its_port_and_then_exits_has_not_crashed(agent):
+    refuse(agent, NOW)
+    agent.evidence.record_departure()
+    found = [report.reason for report in agent.get_reports(NOW)]
+    assert found == [crash_evidence.WORKER_RETURNED] * 2
+    assert agent.be_reborn(NOW + 3.0, present=[]) == []
+
+
 def test_a_worker_that_is_silent_for_long_proves_nothing(agent):
     agent.evidence.record_silent_end(agent.runs[0], NOW)
     late = NOW + crash_evidence.MAX_DOWN_SECONDS + 1.0
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -159,3 +159,30 @@
     record.adopt(KEY, 'a', 5, NOW)
     assert record.count == 0
     assert record.may_start(KEY, NOW)
+
+
+def test_a_withdrawn_crash_holds_no_task_back():
+    """A worker only closed its port: its tasks would run apart for long."""
+    record = suspects.Suspects(enabled=True)
+    crash(record, KEY, 'a', 1, NOW)
+    crash(record, KEY, 'b', 2, NOW + 5.0)
+    assert not record.withdraw(KEY, 'c', 1)
+    assert record.withdraw(KEY, 'a', 1)
+    assert record.find_crashed(KEY) == {'b'}
+    assert record.withdraw(KEY, 'b', 2)
+    assert not record.is_suspect(KEY)
+    assert record.judge(NOW + 10.0) == []
+
+
+def test_withdrawn_crashes_are_no_crashes_of_many_workers():
+    """Ports closed beside a crash would hide which task is to blame."""
+    record = suspects.Suspects(enabled=True)
+    for run in (1, 2):
+        at = NOW + 20.0 * run
+        crash(record, KEY, f'agent-{run}', run, at, beside=1)
+        for index in range(1, suspects.MANY_WORKERS):
+            crash(record, ('k', index), f'port-{index}', run, at, beside=1)
+        for index in range(1, suspects.MANY_WORKERS):
+            assert record.withdraw(('k', index), f'port-{index}', run)
+        given_up = judge(record, at)
+    assert given_up == [suspects.GivenUp(KEY, 2)]
