Extend no lease anew when a worker returns whose place another had taken

Callers would wait for runs that never count as over: beside a worker that announces itself each second while another answers its first lists, each return extended the agent's count of the lease to the worker's own bound, 1.07 s, as for an unknown incarnation. Change: the incarnation that was lost is remembered, and its return extends nothing, as orders on their way hold instants of its own clock. The new test fails without this (the run is left after 20 turns) and holds with it.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -126,6 +126,7 @@
         if self._state.is_outdated(event):
             return []
         known = self._state.incarnation
+        returned = self._state.has_lost(event.incarnation)
         effects = self._state.record_announcement(event, now)
         if known != event.incarnation:
             effects += self._crashes.record_incarnation(
@@ -135,7 +136,7 @@
             # its runs until their lease is over.
             for run in self.runs.values():
                 run.former_lease_over_at = self._lease.over_at
-            effects += self._switch_incarnation(now)
+            effects += self._switch_incarnation(now, returned=returned)
         self._crashes.watch('' if event.draining else event.incarnation)
         return effects + self._resize(event.capacity, known, now)
 
@@ -195,7 +196,14 @@
         self._list_requests.mark_silent(now)
         return [core.note('worker_lapsed', life=self._state.incarnation)]
 
-    def _switch_incarnation(self, now: float) -> list[object]:
+    def _switch_incarnation(
+        self, now: float, *, returned: bool = False
+    ) -> list[object]:
+        """Address another incarnation than before.
+
+        :param returned: whether it is the one that was lost, whose clock the
+            orders of before refer to.
+        """
         self._last_handled_end_number = 0
         # Runs that an earlier incarnation of this process started continue
         # until their lease expires, and use capacity meanwhile: the next list
@@ -204,7 +212,8 @@
         self._earlier_runs_over = False
         self._unowned_listed = False
         self._list_requests.reset(now)
-        self._lease.extend_to_bound(now)
+        if not returned:
+            self._lease.extend_to_bound(now)
         effects: list[object] = []
         for run in self.runs.values():
             # The run ended with the former incarnation; but a start in transit
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -42,6 +42,7 @@
             stored_capacity.StoredCapacity() if guarded else None
         )
         self.incarnation = ''
+        self._last_incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
         self._born = 0
@@ -128,9 +129,13 @@
 
     def record_loss(self) -> list[object]:
         """Record that the worker can't be reached any more."""
-        lost, self.incarnation = self.incarnation, ''
+        self._last_incarnation, self.incarnation = self.incarnation, ''
         self.description = None
-        return [core.note('worker_lost', life=lost)]
+        return [core.note('worker_lost', life=self._last_incarnation)]
+
+    def has_lost(self, incarnation: str) -> bool:
+        """Return whether an incarnation is the one that was last lost."""
+        return not self.incarnation and incarnation == self._last_incarnation
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the worker's announcements have stopped.
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -99,19 +99,30 @@
     assert over <= left_at + RESEND_SECONDS
 
 
-@pytest.mark.parametrize('period', [1.0, 1.5])
-def test_runs_at_a_worker_that_goes_down_and_up_are_over_in_the_end(
-    controller, period
-):
-    """It announces itself, refuses its first lists, and so on."""
+def play_failures_by_turns(controller, failure, period):
+    """Let the worker announce itself and fail its first lists, and so on."""
     base.answer_start(controller, STARTED, NOW + 0.002)
     for step in range(1, 20):
         now = NOW + step * period
         controller.enforce_leases(now - 0.001)
-        controller.handle_list_failure(
-            workerapi.ListsFailed('w@1', refused=True), now - 0.9 * period
-        )
+        controller.handle_list_failure(failure, now - 0.9 * period)
         controller.handle_announcement(base.make_announcement(step + 1), now)
+
+
+@pytest.mark.parametrize('period', [1.0, 1.5])
+def test_runs_at_a_worker_that_goes_down_and_up_are_over_in_the_end(
+    controller, period
+):
+    """It announces itself, refuses its first lists, and so on."""
+    failure = workerapi.ListsFailed('w@1', refused=True)
+    play_failures_by_turns(controller, failure, period)
+    assert controller.runs == {}
+
+
+def test_runs_are_over_whose_worker_another_one_replaces_by_turns(controller):
+    """Each return of the worker extended the lease of its runs."""
+    failure = workerapi.ListsFailed('w@1', other_worker=True)
+    play_failures_by_turns(controller, failure, 1.0)
     assert controller.runs == {}
 
 
