Fence off orders that a worker's former incarnation was meant to get

Callers could see a task run twice: a worker carries out an order seconds late, crashes in between, and its next incarnation, which has the same id, starts the run beside the one that had taken its place elsewhere. By its clock the lease is far ahead. Cause: all orders bore the same fencing token.

Change: orders bear an epoch, which rises with the incarnation that they are for (its birth in milliseconds, at least one more than before), and platform/ writes it as the token. A list of the new incarnation, which alone shows that the runs of the former are over, is the answer to an order with the new epoch, so no older one is carried out after it. If the worker has seen a higher one (its time of day jumped back before this process started again), the agent raises its own.

--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -44,16 +44,12 @@
 MAX_SLOWNESS = 0.02
 """Part of the time by which a worker's clock may fall behind."""
 
-FENCING_TOKEN = 1
-"""Fencing token of all requests.  It is constant, as all come from the one
-agent beside the worker.  An earlier incarnation of that agent has ended before
-the next one starts, and its late requests carry expired leases."""
-
 _END_KINDS = {
     'done': workerapi.EndKind.DONE,
     'failed': workerapi.EndKind.FAILED,
 }
 _RESULTS_BY_REASON = {
+    'fence': workerapi.StartResult.FENCED,
     'room': workerapi.StartResult.NO_ROOM,
     'old': workerapi.StartResult.STALE_RUN,
     'late': workerapi.StartResult.LATE,
@@ -163,7 +159,7 @@
             'run': effect.ref.run,
             'spec': effect.payload.decode(),
             'until_ms': self.worker_clock.convert(effect.lease_until),
-            'fencing_token': FENCING_TOKEN,
+            'fencing_token': effect.epoch,
         }
         self._spawn(self._start(effect, body))
 
@@ -175,15 +171,17 @@
         """Extend the lease and request the running and ended runs."""
         self._spawn(self._request_lists(effect))
 
-    async def fetch_born(self, worker_id: str) -> int:
+    async def fetch_born(self, worker_id: str, epoch: int) -> int:
         """Return the instant of the worker's start, in milliseconds.
 
         The request has no effect: it extends no lease, and the worker lists
         its ended runs again later.
 
-        :returns: 0 if no worker answers to this id.
+        :param epoch: epoch of the incarnation that is expected.
+        :returns: 0 if no worker answers to this id, or if it has seen a higher
+            epoch.
         """
-        body = {'fencing_token': FENCING_TOKEN, 'last_seen': 0, 'wait_ms': 0}
+        body = {'fencing_token': epoch, 'last_seen': 0, 'wait_ms': 0}
         try:
             status, data = await self._post(
                 '/v1/hold',
@@ -251,7 +249,7 @@
         body = {
             'task': effect.name,
             'run': effect.run,
-            'fencing_token': FENCING_TOKEN,
+            'fencing_token': effect.epoch,
         }
         ok = False
         try:
@@ -289,7 +287,7 @@
         self, effect: workerapi.RequestLists
     ) -> tuple[int, bytes]:
         body: dict[str, typing.Any] = {
-            'fencing_token': FENCING_TOKEN,
+            'fencing_token': effect.epoch,
             'last_seen': effect.last_end_number,
             'wait_ms': int(effect.wait_seconds * 1000),
         }
@@ -320,6 +318,8 @@
     ) -> object:
         if status == 421:
             return workerapi.ListsFailed(effect.incarnation, other_worker=True)
+        if status == 409:
+            return workerapi.ListsFailed(effect.incarnation, fenced=True)
         if status != 200:
             logs.info(LOG, 'watch_failed', status=status)
             return workerapi.ListsFailed(effect.incarnation)
--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -119,7 +119,7 @@
         if row is not None and row.slowness:
             feed(_recall_slowness(row))
         while row is not None and loop.time() < deadline:
-            born = await client.fetch_born(row.name)
+            born = await client.fetch_born(row.name, row.born)
             if born == row.born:
                 feed(_decode(row, client.address))
                 return
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -255,6 +255,7 @@
         return [
             workerapi.StartRun(
                 self._state.incarnation,
+                self._state.epoch,
                 run.ref,
                 run.name,
                 run.payload,
@@ -377,7 +378,12 @@
         run.first_stop_at = run.first_stop_at or now
         run.stop_count += 1
         return [
-            workerapi.StopRun(self._state.incarnation, run.name, run.ref.run)
+            workerapi.StopRun(
+                self._state.incarnation,
+                self._state.epoch,
+                run.name,
+                run.ref.run,
+            )
         ]
 
     def handle_stop_answer(
@@ -420,6 +426,7 @@
         return [
             workerapi.RequestLists(
                 self._state.incarnation,
+                self._state.epoch,
                 self._last_handled_end_number,
                 lease_until,
                 wait,
@@ -487,6 +494,8 @@
             return []
         if event.other_worker:
             return self._state.record_loss()
+        if event.fenced:
+            return self._state.raise_epoch()
         if event.refused:
             return [] if refused_before else self._handle_refusal(now)
         if not self._list_requests.blocks_starts(now):
@@ -556,7 +565,9 @@
             return []
         self._unowned_stopped_at = now
         return [
-            workerapi.StopRun(event.incarnation, run.name, run.run)
+            workerapi.StopRun(
+                event.incarnation, self._state.epoch, run.name, run.run
+            )
             for run in unowned
         ]
 
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -21,6 +21,12 @@
 announcements at 1.5 s each, and some spare time."""
 
 
+EPOCH_STEP = 60_000
+"""Step by which the epoch is raised after the worker has seen a higher one.
+Epochs follow the time of day in milliseconds, which may jump back by seconds.
+"""
+
+
 class WorkerState:
     """The worker beside one agent.
 
@@ -32,6 +38,10 @@
     :ivar description: its last announcement; ``None`` if it has sent none, and
         for a worker that is leaving.  Only a described worker gets runs.
     :ivar leaving: whether it has said that it exits.
+    :ivar epoch: number of all orders to the incarnation.  It rises with each
+        one, and a worker carries out no order with a lower number than it has
+        seen: an order that is late by seconds could start a run at the next
+        incarnation beside its successor elsewhere.
     """
 
     def __init__(
@@ -43,6 +53,8 @@
         )
         self.incarnation = ''
         self._last_incarnation = ''
+        self.epoch = 0
+        self._epoch_incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
         self._born = 0
@@ -76,6 +88,7 @@
         """Record an announcement that isn't outdated."""
         former = self.description
         self.incarnation = event.incarnation
+        self._advance_epoch(event.born)
         self.description = event
         self.leaving = False
         self._born = event.born
@@ -112,11 +125,28 @@
     ) -> list[object]:
         """Record that another incarnation answers, which isn't described."""
         self.incarnation = event.new_incarnation
+        self._advance_epoch(event.born)
         self.description = None
         self.leaving = False
         self._born = event.born
         return [core.note('worker_reborn', life=event.new_incarnation)]
 
+    def _advance_epoch(self, born: int) -> None:
+        if self.incarnation != self._epoch_incarnation:
+            self._epoch_incarnation = self.incarnation
+            self.epoch = max(self.epoch + 1, born)
+
+    def raise_epoch(self) -> list[object]:
+        """Raise the epoch, as the worker has seen a higher one.
+
+        Nobody else sends it orders: a late one to another incarnation, or an
+        earlier incarnation of this process, had the higher number.
+        """
+        self.epoch += EPOCH_STEP
+        return [
+            core.note('epoch_raised', life=self.incarnation, to=self.epoch)
+        ]
+
     def record_departure(self) -> list[object]:
         """Record that the worker exits; it isn't persisted any more."""
         self.description = None
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -79,13 +79,15 @@
 class StartResult(enum.StrEnum):
     """Result of a start at the worker.
 
-    ``NO_ROOM``, ``STALE_RUN`` (the worker has already received this run number
-    or a higher one), ``LATE`` (the lease had expired on arrival), ``NOT_SENT``
-    (it had expired before the request was sent) and ``UNWELL`` mean that
-    nothing was started; after ``UNKNOWN`` it may have been, or may be later.
+    ``FENCED`` (the worker has seen a higher epoch), ``NO_ROOM``, ``STALE_RUN``
+    (it has already received this run number or a higher one), ``LATE`` (the
+    lease had expired on arrival), ``NOT_SENT`` (it had expired before the
+    request was sent) and ``UNWELL`` mean that nothing was started; after
+    ``UNKNOWN`` it may have been, or may be later.
     """
 
     STARTED = 'started'
+    FENCED = 'fenced'
     NO_ROOM = 'no_room'
     STALE_RUN = 'stale_run'
     LATE = 'late'
@@ -99,12 +101,14 @@
 class StartRun:
     """Effect: start a run at the worker.
 
+    :param epoch: see :class:`~.worker_state.WorkerState`.
     :param name: name of the task at the worker.
     :param lease_until: instant to which the worker's lease is extended; the
         start isn't sent from then on.
     """
 
     incarnation: str
+    epoch: int
     ref: messages.RunRef
     name: str
     payload: bytes
@@ -125,11 +129,13 @@
 class StopRun:
     """Effect: stop a run; the worker won't start it later either.
 
+    :param epoch: see :class:`~.worker_state.WorkerState`.
     :param name: name of the task at the worker.
     :param run: number of the run.
     """
 
     incarnation: str
+    epoch: int
     name: str
     run: int
 
@@ -152,6 +158,7 @@
 class RequestLists:
     """Effect: extend the worker's lease and request its lists of runs.
 
+    :param epoch: see :class:`~.worker_state.WorkerState`.
     :param last_end_number: number of the last end that the agent has handled.
     :param lease_until: instant to which the lease is extended; 0 for none.
         From then on the lists are requested without it.
@@ -160,6 +167,7 @@
     """
 
     incarnation: str
+    epoch: int
     last_end_number: int
     lease_until: float
     wait_seconds: float
@@ -238,8 +246,10 @@
     :param refused: whether nothing listens at the worker's address.
     :param other_worker: whether another worker answers there, which accepts no
         requests for this one.
+    :param fenced: whether the worker has seen a higher epoch.
     """
 
     incarnation: str
     refused: bool = False
     other_worker: bool = False
+    fenced: bool = False
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -221,6 +221,7 @@
     :ivar run_seconds: length of each run.
     :ivar refusal_reason: reason with which starts are refused, or empty.
     :ivar silent: whether requests get no answer.
+    :ivar fencing_token: the highest one that it has seen.
     :ivar lease_end: instant of its clock at which all its runs end.
     :ivar highest_runs: number of the newest run by task.
     :ivar target_ids: id to which each request was addressed.
@@ -229,6 +230,7 @@
     def __init__(self, run_seconds=0.05):
         self.run_seconds = run_seconds
         self.lease_end = 0
+        self.fencing_token = 0
         self.check_scheduled = False
         self.refusal_reason = ''
         self.silent = False
@@ -331,6 +333,10 @@
         delay = worker.choose_delay(name, body)
         if delay:
             await asyncio.sleep(delay)
+        if body['fencing_token'] < worker.fencing_token:
+            self._refuse('fence')
+            return
+        worker.fencing_token = body['fencing_token']
         if 'until_ms' in body:
             worker.extend_lease(body['until_ms'])
         if name == 'hold':
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -76,6 +76,7 @@
         self.refuses_connections = False
         self.lost_orders = frozenset()
         self.late_stops = False
+        self.epoch = 0
 
     @property
     def incarnation(self):
@@ -88,6 +89,7 @@
         self.runs.clear()
         self.highest_runs.clear()
         self.ended.clear()
+        self.epoch = 0
         self.born += 1
 
     def exit(self):
@@ -107,6 +109,11 @@
                     kind = workerapi.EndKind.FAILED
                 self._end(name, run, kind, kind.value)
 
+    def is_fenced(self, epoch):
+        """Record the epoch of an order, and return whether it is outdated."""
+        self.epoch = max(self.epoch, epoch)
+        return epoch < self.epoch
+
     def start(self, name, run, until):
         self.expire()
         result = workerapi.StartResult
@@ -700,7 +707,14 @@
         args = (effect.name, effect.ref.run, until)
         if self._is_lost(worker, 'start') or not worker.up:
             delay = self.rng.uniform(2.0, 12.0)
-            self.schedule(delay, self._start_late, worker, args, worker.born)
+            self.schedule(
+                delay,
+                self._start_late,
+                worker,
+                args,
+                effect.epoch,
+                worker.born,
+            )
             event = workerapi.StartAnswered(
                 effect.incarnation, effect.ref, workerapi.StartResult.UNKNOWN
             )
@@ -714,17 +728,20 @@
             return
         # Requests name the worker, not its incarnation, so a new incarnation
         # accepts them too.
-        result = worker.start(*args)
+        if worker.is_fenced(effect.epoch):
+            result = workerapi.StartResult.FENCED
+        else:
+            result = worker.start(*args)
         event = workerapi.StartAnswered(effect.incarnation, effect.ref, result)
         self._answer(node, node.incarnation, event)
 
-    def _start_late(self, worker, args, born):
+    def _start_late(self, worker, args, epoch, born):
         name, run, until = args
         if self.late_orders_reach_successors and born != worker.born:
             # By its own clock the lease is far ahead, and is cut.
             seconds = leases.MAX_WORKER_LEASE_SECONDS * leases.CLOCK_DRIFT
             until = self.now + seconds
-        if worker.up:
+        if worker.up and not worker.is_fenced(epoch):
             worker.start(name, run, until)
 
     def _handle_stop(self, node, effect):
@@ -733,16 +750,22 @@
             worker, effect
         )
         ok = reached and not self._is_lost(worker, 'stop') and worker.up
-        if ok:
+        if ok and worker.is_fenced(effect.epoch):
+            ok = False
+        elif ok:
             worker.stop(effect.name, effect.run)
         elif reached and worker.up and worker.late_stops:
             delay = self.rng.uniform(2.0, 12.0)
-            self.schedule(delay, worker.stop, effect.name, effect.run)
+            self.schedule(delay, self._stop_late, worker, effect)
         event = workerapi.StopAnswered(
             effect.incarnation, effect.name, effect.run, ok
         )
         self._answer(node, node.incarnation, event)
 
+    def _stop_late(self, worker, effect):
+        if not worker.is_fenced(effect.epoch):
+            worker.stop(effect.name, effect.run)
+
     def _handle_list_request(self, node, effect):
         worker = self.workers[node.name]
         if worker.refuses_connections or self._is_other_id(worker, effect):
@@ -763,6 +786,10 @@
                 event,
             )
             return
+        if worker.is_fenced(effect.epoch):
+            event = workerapi.ListsFailed(effect.incarnation, fenced=True)
+            self._answer(node, node.incarnation, event)
+            return
         if worker.incarnation != effect.incarnation:
             event = workerapi.OtherIncarnationAnswered(
                 effect.incarnation, worker.incarnation, worker.born
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -229,6 +229,7 @@
         self.ended.clear()
         self.highest_runs.clear()
         self.lease_end = 0
+        self.fencing_token = 0
         self.born += 1
 
     def make_heartbeat(self, sequence, state='ready', **fields):
--- a/tests/test_overlap_orders.py
+++ b/tests/test_overlap_orders.py
@@ -184,6 +184,28 @@
     assert not world.double_runs
 
 
+def test_a_late_start_precedes_all_orders_to_the_next_incarnation():
+    """It has seen no epoch yet, so it takes the one of the former."""
+    world = repeatable_world.World(agents=2)
+    world.run(2.0)
+    for worker in world.workers.values():
+        worker.slowness = 400.0
+    world.late_orders_reach_successors = True
+    world.lose_orders('agent-0', {'start'}, 0.3)
+    spec = repeatable_world.make_job('j', 4, expected=30.0)
+    world.submit(spec, to='entry-0')
+    world.run(0.05)
+    lost = world.nodes['agent-0'].reducer._controller.runs
+    worker = world.workers['agent-0']
+    world.schedule(0.1, worker.exit)
+    world.schedule(3.0, worker.restart)
+    for name in lost:
+        args = (name, 1, 0.0)
+        world.schedule(3.0, world._start_late, worker, args, 1, worker.born)
+    world.run(6.0)
+    assert not world.double_runs
+
+
 def _pick_agent(world, rng):
     return rng.choice(world.agents()).name
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -390,11 +390,13 @@
         )
         self.client.worker_clock.add_sample(standin.clock_ms())
         self.incarnation = worker.make_incarnation(standin.name, standin.born)
+        self.epoch = standin.born
 
     def start(self, run=1, lease_seconds=0.65):
         self.client.start(
             workerapi.StartRun(
                 self.incarnation,
+                self.epoch,
                 messages.RunRef('j', 0, run),
                 'j.0.0.0',
                 b'text',
@@ -406,6 +408,7 @@
         self.client.request_lists(
             workerapi.RequestLists(
                 self.incarnation,
+                self.epoch,
                 0,
                 self.clock.now() + lease_seconds,
                 wait_seconds,
@@ -416,6 +419,29 @@
         return await asyncio.wait_for(self.events.get(), 10)
 
 
+def test_orders_of_a_former_epoch_start_nothing():
+    """A start of seconds before would run beside its successor."""
+
+    async def main():
+        standin = platform_standins.Worker(run_seconds=5.0)
+        recorder = RecordingClient(standin)
+        recorder.request_lists(0.0)
+        await recorder.get_event()
+        recorder.epoch -= 1
+        recorder.start()
+        event = await recorder.get_event()
+        assert event.result is workerapi.StartResult.FENCED
+        recorder.request_lists(0.0)
+        event = await recorder.get_event()
+        assert event == workerapi.ListsFailed(
+            recorder.incarnation, fenced=True
+        )
+        assert standin.runs == {}
+        standin.server.stop()
+
+    asyncio.run(main())
+
+
 def test_a_run_is_started_and_watched_until_its_end():
     async def main():
         standin = platform_standins.Worker()
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -145,7 +145,7 @@
     client = worker.WorkerClient(
         '127.0.0.1:9', process.new_clock(), lambda e: None
     )
-    effect = workerapi.RequestLists('w@1', 0, 0.0, 0.0)
+    effect = workerapi.RequestLists('w@1', 1, 0, 0.0, 0.0)
     data = json.dumps({'clock_ms': 5, 'born': 1}).encode()
     event = client._decode_lists(effect, 1.0, 200, data)
     assert isinstance(event, workerapi.ListsFailed)
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -11,6 +11,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
+from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
 from agatepick import types
 
@@ -411,7 +412,7 @@
     assert (first.wait_seconds, first.lease_until) == (0.0, 0.0)
     old = workerapi.RunningRun('j.0', 1)
     effects = controller.handle_lists(make_lists(running=[old]), NOW + 0.01)
-    assert effects == [workerapi.StopRun('w@1', 'j.0', 1)]
+    assert effects == [workerapi.StopRun('w@1', 1, 'j.0', 1)]
     assert controller.blocks_starts(NOW + 0.01)
     (again,) = controller.request_lists(NOW + 0.01)
     assert again.wait_seconds > 0.0
@@ -765,3 +766,32 @@
     assert controller.request_lists(NOW + 0.4) == []
     lease_until = start_other(controller, NOW + 0.5)
     assert lease_until == NOW + 0.5 + leases.WORKER_LEASE_SECONDS
+
+
+def get_epochs(effects):
+    return {effect.epoch for effect in effects if hasattr(effect, 'epoch')}
+
+
+def test_orders_to_the_next_incarnation_have_a_higher_epoch(controller):
+    """A late order to the former one could start a run once more."""
+    announced = make_announcement(1, born=5)
+    effects = controller.handle_announcement(announced, NOW + 0.1)
+    effects += controller.request_lists(NOW + 0.1)
+    assert get_epochs(effects) == {5}
+    again = controller.handle_announcement(
+        make_announcement(2, born=5), NOW + 0.2
+    )
+    assert get_epochs(again + controller.request_lists(NOW + 0.3)) == {5}
+    event = workerapi.OtherIncarnationAnswered('w@5', 'w@3', 3)
+    reborn = controller.handle_other_incarnation(event, NOW + 0.4)
+    assert get_epochs(reborn) == {6}
+
+
+def test_an_agent_whose_epoch_is_too_low_raises_it(controller):
+    """Its worker would get no order any more after its clock jumped back."""
+    fenced = workerapi.ListsFailed('w@1', fenced=True)
+    controller.handle_list_failure(fenced, NOW + 0.01)
+    (request,) = filter_effects(
+        controller.request_lists(NOW + 0.5), workerapi.RequestLists
+    )
+    assert request.epoch == 1 + worker_state.EPOCH_STEP
