Take a refused dial of a connected entry for no proof of its death

On the at-most-once path, which isn't deployed, a task could start twice: an entry that was connected refused a further dial, the others recorded its death, and two live entries owned each of its new keys. Cause: the entry's reducer took a failed dial for the loss of the peer, though agents and the membership pass over it while a connection is open. Change: so does the entry.

--- a/src/agatepick/owning/entry.py
+++ b/src/agatepick/owning/entry.py
@@ -339,6 +339,10 @@
         if event.peer in self.owner.agents:
             self.owner.on_agent_down(event.peer, now)
             return []
+        if event.incarnation == 0 and event.peer in self._entries_up:
+            # Only a further dial failed: the connected process is alive, and
+            # would own its keys beside their next owner.
+            return []
         self._entries_up.discard(event.peer)
         self._record_death(event, now)
         return [
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -11,6 +11,7 @@
 from agatepick.api import calls
 from agatepick import core
 from agatepick.net import messages
+from agatepick.owning import ownership
 from agatepick.platform import ingress
 from agatepick.platform import worker
 from agatepick.repeatable import events
@@ -275,12 +276,14 @@
     """Each of the entries that own the key reaches another agent."""
     world, keys = play_refused_dial(refused)
     first, second, _ = world.entries
+    survivors = [
+        member for member in world.configs[-1].entries if member.name != 'a'
+    ]
     key = next(
         key
         for key in keys
         if first.reducer._find_owner_name(key, world.now) == 'a'
-        and second.reducer._find_owner_name(key, world.now)
-        == ('b' if refused else 'a')
+        and ownership.find_owner(key, survivors).name == 'b'
     )
     world.disconnect(first, world.agents[0])
     world.disconnect(second, world.agents[1])
