Count lists that lack a field as unreadable, not as empty

Callers could see a task run twice: a body without one of the two lists, as another writer's would be, counted as the end of all runs at the worker, and their tasks started elsewhere. Cause: both fields had empty defaults, as fields of callers' requests may be omitted if empty.

Result: lists_without_rows_of_runs_do_not_count_as_empty leaves the list; it fails without the change. 83 tests of platform, worker record and review pass.

--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -66,6 +66,9 @@
 class _Lists(msgspec.Struct, frozen=True):
     """The running and ended runs of a worker, as rows of plain values.
 
+    Both lists are required: a body without them would count as the end of all
+    runs.
+
     :param running: a row per run: task, run number, checkpoint, share of its
         pace.
     :param ended_runs: a row per run: sequence number of the end, task, run
@@ -75,8 +78,8 @@
     """
 
     clock_ms: int
-    running: tuple[tuple[typing.Any, ...], ...] = ()
-    ended_runs: tuple[tuple[typing.Any, ...], ...] = ()
+    running: tuple[tuple[typing.Any, ...], ...]
+    ended_runs: tuple[tuple[typing.Any, ...], ...]
     born: int = 0
 
 
