Notice callers that leave behind unread bytes

Callers could see a task run twice: a caller that had sent an empty line or a further request behind its job closed its connection, and the runs went on beside those of the job at its next entry. Cause: the HTTP server reads a connection that waits for its answer only while it has no unread bytes, so it never learnt of the end. Change: entries ask the system each 50 ms which connections of waiting callers have been closed by their peer (one poll for all, none while nobody waits), and close these, which is handled as any other departure.

--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -8,8 +8,10 @@
 import typing
 
 import msgspec
+from tornado import http1connection
 from tornado import web
 
+from agatepick.platform import departures
 from agatepick.platform import quantities
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
@@ -85,6 +87,7 @@
         self.entry = reducer
         self.feed = feed
         self.clock = clock
+        self.departures = departures.DepartureWatch()
         self._calls = itertools.count(1)
         self._waiting: dict[int, 'Queue'] = {}
 
@@ -144,7 +147,16 @@
             return
         self._done = asyncio.get_running_loop().create_future()
         self._call = self._front.submit(self, job)
-        await self._done
+        await self._wait_for_answer()
+
+    async def _wait_for_answer(self) -> None:
+        conn = self.request.connection
+        assert isinstance(conn, http1connection.HTTP1Connection)
+        self._front.departures.add(conn.stream)
+        try:
+            await self._done
+        finally:
+            self._front.departures.discard(conn.stream)
 
     def get(self) -> None:
         """Answer the number of waiting jobs of a queue.
