--- a/src/agatepick/repeatable/crash_evidence.py
+++ b/src/agatepick/repeatable/crash_evidence.py
@@ -35,7 +35,7 @@
 """Reason code of reports on runs at a worker that refuses connections."""
 
 WORKER_RETURNED = 'worker_returned'
-"""Reason code of reports that withdraw those of refused connections."""
+"""Reason code of reports that withdraw those of crashes."""
 
 WORKER_SILENT = 'worker_silent'
 """Reason code of reports on runs that are over as the worker was silent."""
@@ -141,19 +141,19 @@
         withdrawn = self._refusal.reported
         self._refusal = _NO_REFUSAL
         for run in withdrawn:
-            run.crashed = False
-            self._forget_one(run.name)
-            self._reports.add(
-                run.owner,
-                run.ref,
-                types.RunState.RUNNING,
-                WORKER_RETURNED,
-                0.0,
-            )
+            self.withdraw_run(run)
         if not withdrawn:
             return []
         return [core.note('worker_returned', runs=len(withdrawn))]
 
+    def withdraw_run(self, run: runs.Run) -> None:
+        """Withdraw the report of a crash under one run."""
+        run.crashed = False
+        self._forget_one(run.name)
+        self._reports.add(
+            run.owner, run.ref, types.RunState.RUNNING, WORKER_RETURNED, 0.0
+        )
+
     def record_silent_end(self, run: runs.Run, now: float) -> str:
         """Record a run that is over as its worker was silent.
 
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -141,6 +141,35 @@
     assert 'worker_crashed' not in reasons
 
 
+def play_crash_before_start(ctl, **lists):
+    """Let the next incarnation take a start; return the reports' reasons."""
+    ctl._crashes.enabled = True
+    reborn = workerapi.OtherIncarnationAnswered('w@1', 'w@2', 2)
+    ctl.handle_other_incarnation(reborn, NOW + 0.01)
+    event = workerapi.ListsReceived('w@2', NOW + 0.02, **lists)
+    ctl.handle_lists(event, NOW + 0.03)
+    sent = ctl._reports.flush(NOW + 0.04)
+    return [r.reason for s in sent for r in s.message.reports]
+
+
+@pytest.mark.parametrize(
+    'lists',
+    [{'running': (J0,), 'ended': ()}, {'running': (), 'ended': (J0_DONE,)}],
+)
+def test_a_crash_before_a_start_arrived_is_withdrawn(controller, lists):
+    """Jobs failed for three crashes of which their task saw fewer."""
+    reasons = play_crash_before_start(controller, **lists)
+    assert reasons[:2] == ['worker_crashed', 'worker_returned']
+    assert controller._crashes.count('j.0', NOW + 0.04) == 0
+
+
+def test_a_crash_between_two_starts_of_a_run_is_not_withdrawn(controller):
+    """The first one may have crashed the worker before its answer."""
+    controller.enforce_leases(NOW + 0.2)
+    lists = {'running': (J0,), 'ended': ()}
+    assert play_crash_before_start(controller, **lists) == ['worker_crashed']
+
+
 def test_lists_without_rows_of_runs_do_not_count_as_empty():
     """A body that lacks a list shows no end."""
     client = worker.WorkerClient(
