--- a/tests/test_resubmissions.py
+++ b/tests/test_resubmissions.py
@@ -163,12 +163,13 @@
             beside.server.stop()
 
 
-async def submit(owner, number, following=b''):
+async def submit(owner, number, following=b'', port=None):
     """Submit a job of one task and return the writer of its connection.
 
     :param following: bytes that the caller sends after its request.
+    :param port: port to connect to; by default the entry's own.
     """
-    _, writer = await asyncio.open_connection('127.0.0.1', owner.front)
+    _, writer = await asyncio.open_connection('127.0.0.1', port or owner.front)
     step = {'count': 1, 'cpu': 1000, 'mem_mb': 64, 'estimated_ms': 1000}
     job = {'best_effort': True, 'spec': 'x', 'steps': [step]}
     body = json.dumps(job).encode()
@@ -233,3 +234,37 @@
             assert [beside.runs for beside in workers if beside.runs] == []
 
     asyncio.run(main())
+
+
+async def serve_one_way_end(owner):
+    """Serve a proxy that doesn't pass on the end of a caller's connection.
+
+    It keeps the entry's side open, whose probes its system answers.
+    """
+
+    async def forward(reader, writer):
+        _, onward = await asyncio.open_connection('127.0.0.1', owner.front)
+        while data := await reader.read(65536):
+            onward.write(data)
+        writer.transport.abort()
+        await asyncio.sleep(60.0)
+
+    return await asyncio.start_server(forward, '127.0.0.1', 0)
+
+
+def test_the_runs_of_a_caller_whose_end_reaches_only_itself_are_over():
+    """Something on the path ends the caller's side and keeps the entry's."""
+
+    async def main():
+        async with run_system() as (owner, workers):
+            proxy = await serve_one_way_end(owner)
+            port = proxy.sockets[0].getsockname()[1]
+            writer = await submit(owner, 1, port=port)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert len(find_starts(workers, 0.0)) == 1
+            writer.transport.abort()
+            await asyncio.sleep(RESEND_SECONDS)
+            proxy.close()
+            assert [beside.runs for beside in workers if beside.runs] == []
+
+    asyncio.run(main())
