--- a/src/agatepick/net/connections.py
+++ b/src/agatepick/net/connections.py
@@ -10,6 +10,7 @@
 import typing
 
 from agatepick import exceptions
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.net import reading
 
@@ -153,7 +154,7 @@
         stamp = (
             0 if self._logical_clock is None else self._logical_clock.stamp()
         )
-        data = messages.encode(message, stamp)
+        data = codec.encode(message, stamp)
         self._traffic.count_sent(message, len(data) + FRAME_HEADER.size)
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
@@ -265,7 +266,7 @@
 
     def _decode(self, data: bytes) -> messages.Message:
         self._traffic.count_received(len(data) + FRAME_HEADER.size)
-        stamped = messages.decode_stamped(data)
+        stamped = codec.decode_stamped(data)
         if self._logical_clock is not None:
             self._logical_clock.merge(stamped.stamp)
         return stamped.message
--- a/src/agatepick/repeatable/unsent.py
+++ b/src/agatepick/repeatable/unsent.py
@@ -4,6 +4,7 @@
 message with those of other jobs, which would be lost with it in each round.
 """
 
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick import types
 
@@ -26,7 +27,7 @@
     causes: dict[types.JobKey, Exception] = {}
     for job, part in parts:
         try:
-            messages.encode(part)
+            codec.encode(part)
         except Exception as exc:
             causes[job] = exc
     return causes
--- a/tests/busy_world.py
+++ b/tests/busy_world.py
@@ -11,7 +11,7 @@
 import random
 
 from agatepick import core
-from agatepick.net import messages
+from agatepick.net import codec
 from agatepick.repeatable import events
 from agatepick.repeatable import jobs
 from agatepick.repeatable import routes
@@ -293,7 +293,7 @@
         if node.name in self.workers or math.isinf(self.link):
             return seconds
         # All messages of a machine pass its single link, in order.
-        size = len(messages.encode(message)) + FRAME_BYTES
+        size = len(codec.encode(message)) + FRAME_BYTES
         free_at = max(self.now, self.link_free_at.get(node.name, 0.0))
         self.link_free_at[node.name] = free_at + size / self.link
         return seconds + self.link_free_at[node.name] - self.now
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -20,6 +20,7 @@
 from agatepick import core
 from agatepick.decisions import dispatch
 from agatepick import exceptions
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.owning import entry
 from agatepick.standins import standin_table
@@ -281,11 +282,11 @@
             return
         if not isinstance(message, PERIODIC):
             self._log(f'{name} > {peer}: {self._describe(message)}')
-        data = messages.encode(message)
+        data = codec.encode(message)
 
         def arrive():
             if frozenset((name, peer)) in self._connected:
-                received = core.Received(name, messages.decode(data))
+                received = core.Received(name, codec.decode(data))
                 self._feed(peer, received)
 
         self._schedule(NETWORK_SECONDS, arrive)
--- a/tests/test_agent_faults.py
+++ b/tests/test_agent_faults.py
@@ -3,6 +3,7 @@
 import pytest
 
 from agatepick import core
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
@@ -113,7 +114,7 @@
         if isinstance(effect, core.Send)
         and isinstance(effect.message, messages.RunReports)
     ]
-    assert messages.decode(messages.encode(plain)) == plain
+    assert codec.decode(codec.encode(plain)) == plain
     assert plain.reports[0].state == over
     event = core.SendFailed('entry-0', plain, 'KjException')
     assert not any(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,6 +15,7 @@
 
 from agatepick import exceptions
 from agatepick.net import clocks
+from agatepick.net import codec
 from agatepick.net import connections
 from agatepick.net import links
 from agatepick.net import messages
@@ -179,7 +180,7 @@
     Each dial costs both processes as much as a hundred messages.
     """
     hello = messages.Hello('b', 'agent', 1, 'z', 'r', '', 0)
-    data = messages.encode(hello, 0)
+    data = codec.encode(hello, 0)
     dials = []
 
     async def hang_up(reader, writer):
--- a/tests/test_messages.py
+++ b/tests/test_codec.py
@@ -6,6 +6,7 @@
 import pytest
 
 from agatepick import exceptions
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick import types
 
@@ -20,16 +21,14 @@
     )
     forward = messages.Forward(1, 'submit', 'key', 'team', (spec,))
     for message in (starts, forward, messages.Goodbye('x')):
-        data = messages.encode(message, 2**60)
-        assert messages.decode_stamped(data) == messages.Stamped(
-            message, 2**60
-        )
+        data = codec.encode(message, 2**60)
+        assert codec.decode_stamped(data) == codec.Stamped(message, 2**60)
 
 
 @pytest.mark.parametrize('data', [b'', b'x', b'\0' * 8, b'\xff' * 64])
 def test_malformed_messages_are_refused(data):
     with pytest.raises(exceptions.BadMessage):
-        messages.decode(data)
+        codec.decode(data)
 
 
 REPORT = messages.TaskReport('j', 1, 1, 'finished', b'{}', 'r', 0.1)
@@ -56,7 +55,7 @@
     ]
     many = {name: getattr(sample, name) * 2000 for name in lists}
     large = dataclasses.replace(sample, **many)
-    assert messages.decode(messages.encode(large)) == large
+    assert codec.decode(codec.encode(large)) == large
 
 
 # An ``Orphans`` with one report, modified to declare a list of empty items.
@@ -79,13 +78,13 @@
     leases and tasks of the receiver would have expired.
     """
     with pytest.raises(exceptions.BadMessage):
-        messages.decode(DECLARES_A_MILLION_ITEMS)
+        codec.decode(DECLARES_A_MILLION_ITEMS)
 
 
 def make_damaged(seed):
     """Return an encoded message with changed bytes, possibly cut short."""
     rng = random.Random(seed)
-    data = bytearray(messages.encode(rng.choice(SAMPLES)))
+    data = bytearray(codec.encode(rng.choice(SAMPLES)))
     for _ in range(rng.choice([1, 2, 5])):
         data[rng.randrange(len(data))] = rng.randrange(256)
     return bytes(data[: rng.choice([len(data), rng.randrange(len(data))])])
@@ -108,7 +107,7 @@
     for number in range(100):
         data = make_damaged(seed + number)
         try:
-            message = messages.decode(data)
+            message = codec.decode(data)
         except exceptions.BadMessage:
             continue
         assert count_values(message) < 10 * len(data) + 1000
--- a/tests/test_declared_values.py
+++ b/tests/test_declared_values.py
@@ -10,6 +10,7 @@
 import pytest
 
 from agatepick import core
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.platform import announcements
 from agatepick.platform import ingress
@@ -85,7 +86,7 @@
         KEY, 0, 1, task.name, task.needs, task.expected_seconds
     )
     want = messages.Want(1, task.needs, 0.0, total)
-    messages.encode(messages.StartRuns(1, 0, (run,), want))
+    codec.encode(messages.StartRuns(1, 0, (run,), want))
 
 
 @hypothesis.settings(settings, max_examples=300)
@@ -155,7 +156,7 @@
     def _apply(self, node, effect):
         if isinstance(effect, core.Send):
             try:
-                messages.encode(effect.message)
+                codec.encode(effect.message)
             except Exception as exc:
                 reason = type(exc).__name__
                 event = core.SendFailed(effect.peer, effect.message, reason)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -12,6 +12,7 @@
 from agatepick.api import web
 from agatepick import core
 from agatepick import exceptions
+from agatepick.net import codec
 from agatepick.net import links
 from agatepick.net import messages
 from agatepick import types
@@ -70,7 +71,7 @@
     for one in job.tasks:
         json.loads(one.payload)
     start = messages.Forward(1, 'submit', KEY, job.team, (job,))
-    assert messages.decode(messages.encode(start)) == start
+    assert codec.decode(codec.encode(start)) == start
 
 
 @FEW_EXAMPLES
@@ -158,13 +159,13 @@
 
 
 def _frame(message):
-    data = messages.encode(message)
+    data = codec.encode(message)
     return struct.pack('>I', len(data)) + data
 
 
 def _is_message(data):
     try:
-        messages.decode(data[4:])
+        codec.decode(data[4:])
     except exceptions.BadMessage:
         return False
     return True
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,6 +10,7 @@
 
 from agatepick import core
 from agatepick.decisions import backoff
+from agatepick.net import codec
 from agatepick.net import connections
 from agatepick.net import links
 from agatepick.net import messages
@@ -203,7 +204,7 @@
             and isinstance(event.message, messages.Ask)
         ]
         assert values == list(range(20))
-        frames = [messages.encode(messages.Ask(one)) for one in range(20)]
+        frames = [codec.encode(messages.Ask(one)) for one in range(20)]
         assert writes[0] == b''.join(
             connections.FRAME_HEADER.pack(len(frame)) + frame
             for frame in frames
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,6 +5,7 @@
 import pytest
 
 from agatepick import core
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.repeatable import choosing
 from agatepick.repeatable import estimating
@@ -235,7 +236,7 @@
     assert list_started(effects) == ['small']
     (starts,) = collect_messages(effects, messages.StartRuns)['a']
     assert starts.want.total.memory_mb == types.MAX_COUNT
-    assert messages.decode(messages.encode(starts)) == starts
+    assert codec.decode(codec.encode(starts)) == starts
 
 
 def test_a_task_that_fits_no_worker_is_not_the_smallest_requested(
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -14,6 +14,7 @@
 from agatepick.config import readlease
 from agatepick import core
 from agatepick import exceptions
+from agatepick.net import codec
 from agatepick.net import messages
 from agatepick.standins import standin_table
 from agatepick.table import store
@@ -324,14 +325,12 @@
         self._transmit(one, other, answer)
 
     def _send(self, sender, peer, message):
-        data = messages.encode(message)
+        data = codec.encode(message)
         self.wire_bytes += len(data) + 4
         self._transmit(
             sender,
             peer,
-            lambda conf, now: conf.on_message(
-                sender, messages.decode(data), now
-            ),
+            lambda conf, now: conf.on_message(sender, codec.decode(data), now),
         )
 
     def _transmit(self, sender, peer, step):
