--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -19,6 +19,7 @@
 from agatepick.repeatable import faults
 from agatepick.repeatable import jobs
 from agatepick.repeatable import kinds
+from agatepick.repeatable import membership
 from agatepick.repeatable import outcomes
 from agatepick.repeatable import owned_jobs
 from agatepick.repeatable import pauses
@@ -51,9 +52,6 @@
 that left meanwhile have submitted their jobs elsewhere, and several turns of
 the event loop pass until all their connections have ended here."""
 
-FORGET_AGENT_SECONDS = 10.0
-"""Time after which a disconnected agent is forgotten."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryConfig:
@@ -121,8 +119,7 @@
         self._placed_at = 0.0
         self._pauses = pauses.PauseWatch(pauses.PAUSE_SECONDS)
         self._place_from = 0.0
-        self._disconnected_at: dict[types.PeerName, float] = {}
-        self._former_workers: list[pool.Worker] = []
+        self._membership = membership.Membership(self._pool)
         self._stopping = stopping.Stopping()
         self.routes: routes.RouteTable | None = None
         self._handlers: dict[type, core.Handler] = {
@@ -435,34 +432,14 @@
         hello = event.hello
         if hello.role != ROLE_AGENT:
             return []
-        self._disconnected_at.pop(hello.name, None)
-        worker = self._pool.get(hello.name)
-        if worker is None or worker.incarnation != hello.incarnation:
-            # Runs that the agent's previous incarnation started continue until
-            # the worker's lease expires, and the new incarnation has no record
-            # of them.
-            if worker is not None:
-                self._former_workers.append(worker)
-            worker = pool.Worker(
-                hello.name, hello.incarnation, hello.zone, hello.rack
-            )
-            self._pool.add(worker)
-        worker.connected = True
-        worker.room = None
-        worker.mark_full()
-        worker.last_start_number = 0
-        worker.in_transit.clear()
-        worker.payload_cache.clear()
+        self._membership.connect(hello)
         self._placing.forget(hello.name)
         return [core.note('agent_up', peer=hello.name)]
 
     def _on_peer_down(self, event: core.PeerDown, now: float) -> list[object]:
-        worker = self._pool.get(event.peer)
-        if worker is None or not worker.connected:
+        if not self._membership.disconnect(event.peer, now):
             return []
-        worker.connected = False
         self._placing.forget(event.peer)
-        self._disconnected_at[event.peer] = now
         return [core.note('agent_down', peer=event.peer)]
 
     def _on_send_failed(
@@ -537,16 +514,7 @@
         return effects + faults.contain('stop', self._finish_stop, now)
 
     def _forget_agents(self, now: float) -> list[object]:
-        for name, disconnected_at in list(self._disconnected_at.items()):
-            worker = self._pool.get(name)
-            if worker is None or worker.connected:
-                del self._disconnected_at[name]
-            elif (
-                now > disconnected_at + FORGET_AGENT_SECONDS
-                and not worker.placed
-            ):
-                del self._disconnected_at[name]
-                self._pool.remove(name)
+        self._membership.forget_gone(now)
         return []
 
     def _check_leases_and_jobs(self, now: float) -> list[object]:
@@ -556,14 +524,8 @@
         effects: list[object] = []
         self._admission.update_reachability(now)
         effects += faults.contain('shares', self._update_shares, now)
-        for worker in [*self._pool, *self._former_workers]:
-            if worker.placed and worker.lease_expired(now):
-                effects += self._outcomes.requeue_all(
-                    worker, 'agent_silent', now
-                )
-        self._former_workers = [
-            worker for worker in self._former_workers if worker.placed
-        ]
+        for worker in self._membership.find_expired(now):
+            effects += self._outcomes.requeue_all(worker, 'agent_silent', now)
         effects += faults.contain('capacity', self._end_without_room, now)
         effects += faults.contain('suspects', self._judge_suspects, now)
         for job in self._jobs.open_jobs():
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -10,15 +10,18 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import announced_capacity
 from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import overcommit
-from agatepick.repeatable import past_runs
+from agatepick.repeatable import overdue_stops
 from agatepick.repeatable import reports
+from agatepick.repeatable import run_times
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
+from agatepick.repeatable import unowned
 from agatepick.repeatable import worker_lease
 from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
@@ -29,12 +32,6 @@
 the retry is sent well within the 1.3 s after which callers submit a job
 again."""
 
-UNOWNED_STOP_RETRY_SECONDS = 0.2
-"""Pause before a run that no entry owns is stopped once more."""
-
-STOP_OVERDUE_SECONDS = 0.3
-"""Time from the first stop of a run after which its going on is noted."""
-
 START_RETRY_SECONDS = 0.03
 """Pause before an unanswered start is sent again.  A worker runs the same run
 once however often it receives the start, so a retry only saves time: giving up
@@ -44,19 +41,9 @@
 MAX_START_ATTEMPTS = 3
 """Largest number of times that one run's start is sent."""
 
-MAX_CAPACITY_AGE_SECONDS = 4.0
-"""Time without announcements after which a capacity that has changed before
-isn't relied on: two announcements in a row were lost."""
-
 NO_LIST_YET = -1
 """Number of the last acknowledged end while no lists have arrived yet."""
 
-MIN_EXPECTED_SECONDS = 0.05
-"""Lower bound of expected run times in health records.  Shorter runs take as
-long as a round trip to the worker on a busy machine, which doesn't show how
-the worker performs."""
-
-
 _RESULTS = (types.RunState.FINISHED, types.RunState.FAILED)
 
 
@@ -84,7 +71,6 @@
     ) -> None:
         self.runs: dict[str, runs.Run] = {}
         self._capacity = capacity
-        self._health = health_record
         self._reports = run_reports
         self._on_refused = on_refused
         self._usual_speed = usual_speed or speeds.UsualSpeed()
@@ -94,21 +80,13 @@
         self._crashes = crashes or crash_evidence.CrashEvidence(
             run_reports, enabled=False
         )
-        self._past_runs = past_runs.PastRuns()
+        self._unowned = unowned.UnownedRuns(self.runs)
+        self._run_times = run_times.RunTimes(health_record, self._usual_speed)
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
-        self._unowned_stopped_at = 0.0
-        self._unowned_listed = False
-        self._capacity_announced_at = 0.0
-        self._capacity_changes = False
-        # Whether no run that an earlier incarnation of this process started is
-        # left at the worker.  Each start extends the lease of all runs there:
-        # if tasks were started beside an earlier run whose stop got lost, that
-        # run would outlive the time after which its entry starts the task
-        # elsewhere, and a quote that the task files would be filed twice.
-        self._earlier_runs_over = False
+        self._announced = announced_capacity.AnnouncedCapacity(capacity)
 
     @property
     def worker(self) -> workerapi.WorkerAnnounced | None:
@@ -138,24 +116,8 @@
                 run.former_lease_over_at = self._lease.over_at
             effects += self._switch_incarnation(now, returned=returned)
         self._crashes.watch('' if event.draining else event.incarnation)
-        return effects + self._resize(event.capacity, known, now)
-
-    def _resize(
-        self, capacity: types.Needs, known_incarnation: str, now: float
-    ) -> list[object]:
-        before = self._capacity.announced
-        self._capacity.resize(capacity)
-        self._capacity_announced_at = now
-        if before == capacity or known_incarnation != self._state.incarnation:
-            return []
-        self._capacity_changes = True
-        fields = {
-            'from': f'{before.cpu:.1f}',
-            'to': f'{capacity.cpu:.1f}',
-            'used': f'{self._capacity.used.cpu:.1f}',
-            'memory_mb': capacity.memory_mb,
-        }
-        return [core.note('capacity_changed', **fields)]
+        same = known == event.incarnation
+        return effects + self._announced.record(event.capacity, same, now)
 
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
@@ -209,8 +171,7 @@
         # until their lease expires, and use capacity meanwhile: the next list
         # shows them.
         self._last_acknowledged_end_number = NO_LIST_YET
-        self._earlier_runs_over = False
-        self._unowned_listed = False
+        self._unowned.reset()
         self._list_requests.reset(now)
         if not returned:
             self._lease.extend_to_bound(now)
@@ -276,7 +237,7 @@
         others beside a run whose stops get no answer, that run would go on
         while its task starts elsewhere.
         """
-        return self._unowned_listed or any(
+        return self._unowned.listed or any(
             run.must_lapse(now) for run in self.runs.values()
         )
 
@@ -322,7 +283,7 @@
                 return []
         elif run.start_count == 1:
             self.runs.pop(run.name)
-            self._past_runs.add(run, event.result.value, now)
+            self._unowned.record_end(run, event.result.value, now)
             self._capacity.release(run.needs)
             return self.refuse(run.owner, run.ref, event.result.value)
         return self._give_up_start(
@@ -410,8 +371,8 @@
         silent = self._list_requests.is_silent(now)
         acknowledged = (
             self._last_acknowledged_end_number == self._last_handled_end_number
-            and self._earlier_runs_over
-            and not self._unowned_listed
+            and self._unowned.earlier_over
+            and not self._unowned.listed
         )
         refused = self._list_requests.refused
         if acknowledged and not busy and not silent and not refused:
@@ -420,7 +381,7 @@
         if not silent and not refused and self._should_extend_lease(now):
             lease_until = self._lease.extend(now)
         first_request = self._last_acknowledged_end_number == NO_LIST_YET
-        waits = busy or not self._earlier_runs_over and not first_request
+        waits = busy or not self._unowned.earlier_over and not first_request
         wait = list_requests.WAIT_SECONDS if waits else 0.0
         self._list_requests.record_request(wait, now)
         return [
@@ -441,16 +402,9 @@
         if it may have shrunk since its last announcement.
         """
         return (
-            not self._earlier_runs_over
+            not self._unowned.earlier_over
             or self._list_requests.blocks_starts(now)
-            or self._may_have_shrunk(now)
-        )
-
-    def _may_have_shrunk(self, now: float) -> bool:
-        return (
-            self._capacity.guarded
-            and self._capacity_changes
-            and now > self._capacity_announced_at + MAX_CAPACITY_AGE_SECONDS
+            or self._announced.may_have_shrunk(now)
         )
 
     def _should_extend_lease(self, now: float) -> bool:
@@ -481,7 +435,7 @@
                 self._review_crash(run)
             else:
                 effects += self._end_if_absent(run, event.requested_at, now)
-        effects += self._stop_unowned(event, now)
+        effects += self._unowned.stop_listed(event, self._state.epoch, now)
         return effects
 
     def handle_list_failure(
@@ -563,55 +517,13 @@
             return []
         return self._end_run(run, types.RunState.OVER, 'absent', now)
 
-    def _stop_unowned(
-        self, event: workerapi.ListsReceived, now: float
-    ) -> list[object]:
-        """Stop runs that an earlier incarnation of this process started."""
-        unowned = self._find_unowned(event, now)
-        self._earlier_runs_over = self._earlier_runs_over or not unowned
-        self._unowned_listed = bool(unowned)
-        if (
-            not unowned
-            or now < self._unowned_stopped_at + UNOWNED_STOP_RETRY_SECONDS
-        ):
-            return []
-        self._unowned_stopped_at = now
-        return [
-            workerapi.StopRun(
-                event.incarnation, self._state.epoch, run.name, run.run
-            )
-            for run in unowned
-        ]
-
-    def _find_unowned(
-        self, event: workerapi.ListsReceived, now: float
-    ) -> list[workerapi.RunningRun]:
-        """Return the listed runs that the agent doesn't count as running.
-
-        Those that ended after the request for the lists are left out: the
-        lists may be older than their end.
-        """
-        return [
-            run
-            for run in event.running
-            if (
-                run.name not in self.runs
-                or self.runs[run.name].ref.run != run.run
-            )
-            and not self._past_runs.ended_since(
-                (run.name, run.run), event.requested_at, now
-            )
-        ]
-
     def note_unowned(
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
         """Return notes on listed runs that should not run."""
         if not self._state.addresses(event.incarnation):
             return []
-        return self._past_runs.note_listed(
-            self._find_unowned(event, now), event.incarnation, now
-        )
+        return self._unowned.note_listed(event, now)
 
     # Runs
 
@@ -650,68 +562,29 @@
         self, run: runs.Run, state: types.RunState, reason: str, now: float
     ) -> list[object]:
         self.runs.pop(run.name)
-        self._past_runs.add(run, reason, now)
+        self._unowned.record_end(run, reason, now)
         self._capacity.release(run.needs)
         seconds = now - run.requested_at
         effects: list[object] = []
         if state in _RESULTS:
-            ratio = seconds / max(run.expected_seconds, MIN_EXPECTED_SECONDS)
             finished = state is types.RunState.FINISHED
-            self._health.record_end(
-                finished, ratio / self._usual_speed.slowness, now
+            effects += self._run_times.record_result(
+                run, finished, self._state.incarnation, now
             )
-            if finished and run.expected_seconds:
-                effects += self._record_speed(ratio, now)
         self._reports.add(run.owner, run.ref, state, reason, seconds)
         return [*effects, runs.run_note('run_' + state.value, run, reason)]
 
-    def _record_speed(self, ratio: float, now: float) -> list[object]:
-        """Record a finished run in the estimate of the usual speed."""
-        speed = self._usual_speed
-        was_known = speed.is_known
-        if not speed.record(ratio, now):
-            return []
-        if not was_known:
-            self._health.rescale(1.0 / speed.slowness)
-        return [
-            core.note(
-                'worker_speed',
-                life=self._state.incarnation,
-                slowness=f'{speed.slowness:.2f}',
-                runs=speed.run_count,
-            )
-        ]
-
     def record_overdue_runs(self, now: float) -> None:
         """Record runs that exceed their expected time."""
-        for run in self.runs.values():
-            if run.stopping or not run.expected_seconds:
-                continue
-            expected_seconds = max(run.expected_seconds, MIN_EXPECTED_SECONDS)
-            ratio = (now - run.requested_at) / expected_seconds
-            ratio /= self._usual_speed.slowness
-            if ratio >= run.next_overdue_ratio:
-                run.next_overdue_ratio *= 2.0
-                self._health.record_overdue(ratio, now)
+        self._run_times.record_overdue(self.runs.values(), now)
 
     def note_overdue_stops(self, now: float) -> list[object]:
         """Return a note for each run that has long been stopped, once."""
-        effects: list[object] = []
-        for run in self.runs.values():
-            if not run.first_stop_at or run.stop_overdue:
-                continue
-            seconds = now - run.first_stop_at
-            if seconds >= STOP_OVERDUE_SECONDS:
-                run.stop_overdue = True
-                effects.append(_note_overdue_stop(run, seconds))
-        return effects
+        return overdue_stops.note_overdue(self.runs.values(), now)
 
     def count_unwanted(self, now: float) -> int:
         """Return the number of runs that should have ended."""
-        return sum(
-            bool(run.first_stop_at) or run.owner.lease_until <= now
-            for run in self.runs.values()
-        )
+        return overdue_stops.count_unwanted(self.runs.values(), now)
 
     def next_due(self, now: float) -> float | None:
         """Return the instant of the next action, or ``None``."""
@@ -740,17 +613,3 @@
             if run.ref == ref:
                 return run
         return None
-
-
-def _note_overdue_stop(run: runs.Run, seconds: float) -> core.Note:
-    answered = run.stop_acknowledged_at > 0.0
-    return core.note(
-        'stop_overdue',
-        job=run.ref.job,
-        index=run.ref.index,
-        run=run.ref.run,
-        peer=run.owner.name,
-        reason='answered' if answered else 'unanswered',
-        seconds=f'{seconds:.3f}',
-        stops=run.stop_count,
-    )
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -4,6 +4,7 @@
 
 from agatepick import core
 from agatepick.net import messages
+from agatepick.repeatable import announced_capacity
 from agatepick.repeatable import health
 from agatepick.repeatable import leases
 from agatepick.repeatable import reports
@@ -11,6 +12,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
+from agatepick.repeatable import unowned
 from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
 from agatepick import types
@@ -427,7 +429,7 @@
     controller.handle_announcement(make_announcement(1), NOW)
     old = workerapi.RunningRun('j.0', 1)
     stops = 0
-    pause = 1.1 * run_controller.UNOWNED_STOP_RETRY_SECONDS
+    pause = 1.1 * unowned.STOP_RETRY_SECONDS
     for step in range(1, 5):
         effects = controller.handle_lists(
             make_lists(running=[old]), NOW + step * pause
@@ -638,7 +640,7 @@
         workerapi.ListsReceived('w@1', NOW, (), ()), NOW + 0.01
     )
     announce_capacity(controller, 32.0 if changes else 64.0)
-    later = NOW + 0.02 + run_controller.MAX_CAPACITY_AGE_SECONDS
+    later = NOW + 0.02 + announced_capacity.MAX_AGE_SECONDS
     controller.handle_lists(
         workerapi.ListsReceived('w@1', later - 0.1, (), ()), later - 0.05
     )
