--- a/tests/soak.py
+++ b/tests/soak.py
@@ -354,6 +354,7 @@
         self.ports = platform_standins.find_free_ports(4)
         self.store = Proxy(soak.store.address)
         self.links = Proxy(f'127.0.0.1:{self.ports[3]}')
+        self.front = Proxy(f'127.0.0.1:{self.ports[0]}')
         self.app = app
         self.process = None
         self.stopping_at = None
@@ -362,6 +363,7 @@
     async def start_all(self):
         await self.store.start()
         await self.links.start()
+        await self.front.start()
         self.start()
 
     def start(self):
@@ -411,6 +413,7 @@
         self.process.wait()
         self.store.stop()
         self.links.stop()
+        self.front.stop()
         self.log.close()
 
 
@@ -582,7 +585,10 @@
     async def _post(self, session, key, count):
         entry = self.rng.choice(self.entries)
         prefix = self.rng.choice(['/dates/', *self.extra_prefixes])
-        url = f'http://127.0.0.1:{entry.ports[0]}{prefix}{key}'
+        address = f'127.0.0.1:{entry.ports[0]}'
+        if Soak.reset_callers in self.faults:
+            address = entry.front.address
+        url = f'http://{address}{prefix}{key}'
         cpu = TASK_MILLICORES
         step = {'count': count, 'cpu': cpu, 'mem_mb': 64, 'estimated_ms': 200}
         body = {'best_effort': True, 'spec': 'x', 'steps': [step]}
@@ -699,6 +705,15 @@
         self._record_fault()
         self._choose_process().links.reset()
 
+    async def reset_callers(self):
+        """Reset callers' connections by turns, so that jobs come again."""
+        self._record_fault()
+        front = self.rng.choice(self.entries).front
+        for _ in range(self.rng.randint(1, 4)):
+            front.reset()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+        self._record_fault()
+
     async def fail_store_calls(self):
         """Let the store refuse calls, or not answer writes, for a while."""
         self._record_fault()
@@ -806,7 +821,14 @@
 OVERLAP_FAULTS = (*FAULTS, *(Soak.close_port, Soak.lose_orders) * 4)
 """Faults with many of those after which a run may go on unseen."""
 
-FAULT_SETS = {'all': ALL_FAULTS, 'overlaps': OVERLAP_FAULTS}
+CALLER_FAULTS = (*OVERLAP_FAULTS, *(Soak.reset_callers,) * 8)
+"""Faults with many of those after which jobs come again."""
+
+FAULT_SETS = {
+    'all': ALL_FAULTS,
+    'overlaps': OVERLAP_FAULTS,
+    'callers': CALLER_FAULTS,
+}
 
 
 def run_seed(seed, seconds, folder, faults=FAULTS):
