Keep the watch over callers' connections with the network's modules

Change: it is in net/, as it was; suspects tells that a refused connection counts as proven and may be dropped; the two tests of late starts share their set-up.

--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -11,7 +11,7 @@
 from tornado import http1connection
 from tornado import web
 
-from agatepick.platform import departures
+from agatepick.net import departures
 from agatepick.platform import quantities
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
--- a/src/agatepick/repeatable/suspects.py
+++ b/src/agatepick/repeatable/suspects.py
@@ -9,7 +9,8 @@
 pause that grows, at a worker without another suspect.  A crash is strong
 evidence if the task was the only run or the only suspect there, and if neither
 many workers crashed at that moment nor the same worker shortly before.  Two of
-these give the task up.  Whatever the evidence, a task is started only twice
+these give the task up.  A crash is dropped if its worker answers again, having
+only refused connections.  Whatever the evidence, a task is started only twice
 more after three crashes, and not at all if another entry started it before.
 """
 
@@ -69,7 +70,8 @@
 
     :ivar run: number of the run; 0 if another entry started it.
     :ivar alone: whether the task was the only run, or the only suspect, there.
-    :ivar proven: whether the worker crashed; otherwise it is silent.
+    :ivar proven: whether the worker crashed, or refuses connections; otherwise
+        it is silent.
     :ivar strong: whether it is strong evidence; ``None`` before it is weighed.
     """
 
@@ -90,7 +92,8 @@
     """An agent's report of a crash under a run.
 
     :param beside: number of runs at the worker, this one included.
-    :param proven: whether the worker crashed; otherwise it is silent.
+    :param proven: whether the worker crashed, or refuses connections; otherwise
+        it is silent.
     """
 
     agent: types.PeerName
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,7 +4,7 @@
 import pytest
 from tornado import iostream
 
-from agatepick.platform import departures
+from agatepick.net import departures
 
 
 class Callers:
--- a/tests/test_overlap_orders.py
+++ b/tests/test_overlap_orders.py
@@ -168,16 +168,22 @@
     assert not world.double_runs
 
 
-def test_a_late_start_is_carried_out_by_the_next_incarnation():
-    """By the next one's clock the start's lease is far ahead."""
+def make_world_with_lost_starts(seconds):
+    """Return a world in which starts at one worker may come late."""
     world = repeatable_world.World(agents=2)
     world.run(2.0)
     for worker in world.workers.values():
         worker.slowness = 400.0
     world.late_orders_reach_successors = True
-    world.lose_orders('agent-0', {'start'}, 0.5)
+    world.lose_orders('agent-0', {'start'}, seconds)
     spec = repeatable_world.make_job('j', 4, expected=30.0)
     world.submit(spec, to='entry-0')
+    return world
+
+
+def test_a_late_start_is_carried_out_by_the_next_incarnation():
+    """By the next one's clock the start's lease is far ahead."""
+    world = make_world_with_lost_starts(0.5)
     world.run(0.6)
     world.workers['agent-0'].restart()
     world.run(13.0)
@@ -186,14 +192,7 @@
 
 def test_a_late_start_precedes_all_orders_to_the_next_incarnation():
     """It has seen no epoch yet, so it takes the one of the former."""
-    world = repeatable_world.World(agents=2)
-    world.run(2.0)
-    for worker in world.workers.values():
-        worker.slowness = 400.0
-    world.late_orders_reach_successors = True
-    world.lose_orders('agent-0', {'start'}, 0.3)
-    spec = repeatable_world.make_job('j', 4, expected=30.0)
-    world.submit(spec, to='entry-0')
+    world = make_world_with_lost_starts(0.3)
     world.run(0.05)
     lost = world.nodes['agent-0'].reducer._controller.runs
     worker = world.workers['agent-0']
