--- a/src/agatepick/repeatable/suspects.py
+++ b/src/agatepick/repeatable/suspects.py
@@ -70,7 +70,7 @@
 
     :ivar run: number of the run; 0 if another entry started it.
     :ivar alone: whether the task was the only run, or the only suspect, there.
-    :ivar proven: whether the worker crashed, or refuses connections; otherwise
+    :ivar proven: whether the worker crashed or refuses connections; otherwise
         it is silent.
     :ivar strong: whether it is strong evidence; ``None`` before it is weighed.
     """
@@ -92,7 +92,7 @@
     """An agent's report of a crash under a run.
 
     :param beside: number of runs at the worker, this one included.
-    :param proven: whether the worker crashed, or refuses connections; otherwise
+    :param proven: whether the worker crashed or refuses connections; otherwise
         it is silent.
     """
 
