Withdraw no crash by a list that is older than the refusal

A list that was requested before a refused connection and is read after it showed the run, and the crash was withdrawn as if the next incarnation had listed it: the agent forgot the crash, and the next entry wasn't warned of the task. Cause: the review of listed runs didn't ask which incarnation had crashed. Change: it is a method of the evidence, which passes over runs that a refusal is still open for; these are withdrawn by a later request alone.

--- a/src/agatepick/repeatable/crash_evidence.py
+++ b/src/agatepick/repeatable/crash_evidence.py
@@ -141,13 +141,23 @@
         withdrawn = self._refusal.reported
         self._refusal = _NO_REFUSAL
         for run in withdrawn:
-            self.withdraw_run(run)
+            self._withdraw_run(run)
         if not withdrawn:
             return []
         return [core.note('worker_returned', runs=len(withdrawn))]
 
-    def withdraw_run(self, run: runs.Run) -> None:
-        """Withdraw the report of a crash under one run."""
+    def review_listed(self, run: runs.Run) -> None:
+        """Withdraw the crash under a run that the present incarnation lists.
+
+        Its start was in transit as the former one crashed, so it never ran
+        there, unless the start was sent to both.  While connections are
+        refused, the list may be older than the refusal.
+        """
+        refused = any(run is reported for reported in self._refusal.reported)
+        if run.crashed and run.start_count == 1 and not refused:
+            self._withdraw_run(run)
+
+    def _withdraw_run(self, run: runs.Run) -> None:
         run.crashed = False
         self._forget_one(run.name)
         self._reports.add(
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -432,7 +432,7 @@
         running = {(run.name, run.run) for run in event.running}
         for run in list(self.runs.values()):
             if (run.name, run.ref.run) in running:
-                self._review_crash(run)
+                self._crashes.review_listed(run)
             else:
                 effects += self._end_if_absent(run, event.requested_at, now)
         effects += self._unowned.stop_listed(event, self._state.epoch, now)
@@ -478,22 +478,13 @@
         run = self.runs.get(end.name)
         if run is None or run.ref.run != end.run:
             return []
-        self._review_crash(run)
+        self._crashes.review_listed(run)
         state = {
             workerapi.EndKind.DONE: types.RunState.FINISHED,
             workerapi.EndKind.FAILED: types.RunState.FAILED,
         }.get(end.kind, types.RunState.OVER)
         return self._end_run(run, state, end.reason, now)
 
-    def _review_crash(self, run: runs.Run) -> None:
-        """Withdraw the crash under a run that the present worker lists.
-
-        Its start was in transit as the former incarnation crashed, so it never
-        ran there, unless the start was sent to both.
-        """
-        if run.crashed and run.start_count == 1:
-            self._crashes.withdraw_run(run)
-
     def _end_if_absent(
         self, run: runs.Run, lists_requested_at: float, now: float
     ) -> list[object]:
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -163,6 +163,16 @@
     assert controller._crashes.count('j.0', NOW + 0.04) == 0
 
 
+def test_a_list_older_than_a_refusal_withdraws_no_crash(controller):
+    """The agent forgot the crash, and the next entry wasn't warned."""
+    controller._crashes.enabled = True
+    base.answer_start(controller, STARTED, NOW + 0.002)
+    refused = workerapi.ListsFailed('w@1', refused=True)
+    controller.handle_list_failure(refused, NOW + 0.02)
+    receive(controller, NOW + 0.01, NOW + 0.03, (J0,))
+    assert controller._crashes.count('j.0', NOW + 0.04) == 1
+
+
 def test_a_crash_between_two_starts_of_a_run_is_not_withdrawn(controller):
     """The first one may have crashed the worker before its answer."""
     controller.enforce_leases(NOW + 0.2)
