Bound the crashes under tasks that aren't culprits as before

Found when the whole change was read once more. Change: it holds again for each task that isn't a culprit, with the same figure, whoever started it. Tests only: no program changes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -89,6 +89,10 @@
 MAX_BOUNDED_STARTS = 2
 """Largest number of such starts by agents in touch."""
 
+MAX_CRASHES = BOUNDED_CRASHES + MAX_BOUNDED_STARTS
+"""Largest number of workers that may crash under a task that isn't a culprit,
+whoever started it."""
+
 CONTACT_SECONDS = 3.0
 """Time after the last disturbance of a process from which it is in touch."""
 
@@ -322,6 +326,9 @@
         self.crashes[task] += 1
         self.crashed[task].add(worker.name)
         culprit = task in self.culprits
+        bounded = self.bounded and not culprit
+        if bounded and self.crashes[task] > MAX_CRASHES:
+            self.record_violation('budget', f'{task} saw its workers crash')
         self.crash_lines.append(
             f'{_now():.3f} {worker.name} born={worker.born} {task} run={run}'
             f' beside={len(worker.runs)} culprit={culprit}'
