Review: runs go on beside their successors after a suspension

Cause: an agent that wakes takes its own pause for its worker's silence, sends no stop and asks for no lists for half a second.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,77 +1,135 @@
-"""One ping of another writer at each agent, after which nothing is served."""
+"""A side machine is suspended for 2 s, with its worker and its agent."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig  # noqa: E402
 
-JOBS = 30
-TRIES = 4
-RESEND_SECONDS = rig.BOUNDS['resend_ms'] / 1000.0
-FOREIGN_CLOCK_MS = 150
+SUSPENDED_SECONDS = 2.0
+ROUNDS = 2
+ALLOWED_SECONDS = 0.15
+"""Time after waking for which two runs aren't counted, though the rule has no
+such bound: `stop_timeout_ms` and twice that for the orders."""
 
 
-async def send_foreign_ping(case, agent, number):
-    """Ping an agent as another writer, of a service that isn't named here.
+class Worker(rig.Worker):
+    """A worker on a machine that may be suspended.
 
-    It has just started, so its clock is behind that of the worker.
+    Its steady clock, by which its lease is measured, doesn't count that time;
+    its runs stand still, and what reaches it waits in its sockets.
     """
-    name = f'i-5d2f77a{number}'
-    body = {
-        'service': 'zuqa77x',
-        'address': '127.0.0.1:9',
-        'zone': 'talca',
-        'version': 'v1',
-        'slots': 8,
-        'state': 'ready',
-        'cold_left_ms': 0,
-        'capacity': {'cpu': 64000, 'mem_mb': 262144, 'gpu': 0},
-        'labels': ['a', 'r1-1'],
-        'clock_ms': FOREIGN_CLOCK_MS,
-        'sequence': 1,
-        'born': int(time.time() * 1000) - FOREIGN_CLOCK_MS,
-    }
-    path = f'/v1/instances/{name}/heartbeat'
-    status, _ = await rig.call(agent.control, 'POST', path, body)
-    case.record.note(
-        f'another writer pings {agent.name} as {name} -> {status}'
-    )
-
-
-async def hand_in(case, number):
-    """Hand in a job, and again after each missing answer.
-
-    :returns: whether it was answered with success.
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.suspended_at = None
+        self.lost_seconds = 0.0
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    def steady(self):
+        return (self.suspended_at or time.monotonic()) - self.lost_seconds
+
+    def clock_ms(self):
+        return int((self.steady() - self.born_at) * 1000)
+
+    def suspend(self):
+        self.suspended_at = time.monotonic()
+        self.awake.clear()
+
+    def resume(self):
+        self.lost_seconds += time.monotonic() - self.suspended_at
+        self.suspended_at = None
+        self.awake.set()
+
+    async def finish(self, task, run, seconds):
+        end = self.steady() + seconds
+        while self.steady() < end:
+            await asyncio.sleep(0.005)
+        if self.runs.get(task) == run:
+            self.end(task, 'done')
+
+    async def handle(self, request):
+        await self.awake.wait()
+        answer = await super().handle(request)
+        await self.awake.wait()
+        return answer
+
+    async def ping(self):
+        await self.awake.wait()
+        await super().ping()
+
+
+class Rig(rig.Rig):
+    """Watches for tasks with two runs at the same time.
+
+    :ivar running: by task, the runs that go on, by worker and number.
     """
-    steps = [{'count': 2, 'cpu': 6200, 'mem_mb': 64, 'estimated_ms': 300}]
-    key = f'{number + 1:016x}'
-    for retry in range(TRIES):
-        status, state = await case.submit(number + retry, key, steps, 3.0)
-        if status not in (0, 502, 504):
-            return status == 200 and state == 'completed'
-        await asyncio.sleep(RESEND_SECONDS)
-    return False
+
+    worker_type = Worker
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.running = {}
+
+    def on_start(self, worker, task, run, body):
+        super().on_start(worker, task, run, body)
+        self.running.setdefault(task, {})[worker.name, run] = None
+
+    def on_end(self, worker, task, run, how):
+        super().on_end(worker, task, run, how)
+        self.running.get(task, {}).pop((worker.name, run), None)
+
+    def check(self, woke_at):
+        """Record the tasks that have two runs now."""
+        since = self.record.now() - woke_at
+        for task, runs in self.running.items():
+            if len(runs) > 1:
+                places = ', '.join(f'{run} at {name}' for name, run in runs)
+                self.violate(
+                    'TWICE',
+                    f'{task} has runs {places}, {since * 1000:.0f} ms after'
+                    ' the machine woke',
+                )
 
 
 async def play(case):
-    await case.start(entries=2, workers=3)
+    await case.start(entries=2, workers=4)
+    for number in range(ROUNDS):
+        await play_round(case, number)
+        await asyncio.sleep(1.0)
+
+
+async def play_round(case, number):
+    """Suspend a side machine while its worker runs tasks of two jobs."""
+    worker, agent = case.workers[0], case.agents[0]
+    steps = [{'count': 16, 'cpu': 6200, 'mem_mb': 64, 'estimated_ms': 3900}]
+    jobs = [
+        asyncio.create_task(
+            case.submit(client, f'{2 * number + client + 1:016x}', steps, 20.0)
+        )
+        for client in range(2)
+    ]
+    await asyncio.sleep(0.4)
+    if not worker.runs:
+        raise rig.CannotRun('nothing runs at the worker to be suspended')
+    if rig.TROUBLE:
+        case.record.note(f'the machine of {worker.name} is suspended')
+        agent.signal(signal.SIGSTOP)
+        worker.suspend()
+    await asyncio.sleep(SUSPENDED_SECONDS)
+    woke_at = case.record.now()
     if rig.TROUBLE:
-        for number, agent in enumerate(case.agents):
-            await send_foreign_ping(case, agent, number)
-    # The workers announce themselves again meanwhile.
-    await asyncio.sleep(2.0 * rig.HEARTBEAT_SECONDS)
-    jobs = []
-    for number in range(JOBS):
-        jobs.append(asyncio.create_task(hand_in(case, number)))
-        await asyncio.sleep(0.5)
-    served = sum(await asyncio.gather(*jobs))
-    case.record.note(f'{served} of {JOBS} requests served')
-    if not served:
-        case.violate('Fault', f'none of {JOBS} requests is served')
+        case.record.note(f'the machine of {worker.name} wakes')
+        worker.resume()
+        agent.signal(signal.SIGCONT)
+    await asyncio.sleep(ALLOWED_SECONDS)
+    case.check(woke_at)
+    await asyncio.wait(jobs, timeout=15.0)
 
 
 if __name__ == '__main__':
-    rig.main(__file__, rig.Rig, play)
+    rig.main(__file__, Rig, play)
--- a/review/rig.py
+++ b/review/rig.py
@@ -764,9 +764,12 @@
 class Rig:
     """A small deployment: entries, and agents with their workers.
 
+    :cvar worker_type: class of the stand-in workers.
     :ivar violations: what broke the rule of the case.
     """
 
+    worker_type = Worker
+
     def __init__(self, folder):
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -854,7 +857,9 @@
     async def start(self, entries, workers, **worker_args):
         """Start the deployment, and wait until it serves."""
         for number in range(workers):
-            worker = Worker(self, f'i-{number:08x}', **worker_args)
+            worker = self.worker_type(
+                self, f'i-{number:08x}', **worker_args
+            )
             await worker.start()
             self.workers.append(worker)
         self.publish()
