Review: count what an agent starts anew after its machine has woken

Cause: an agent that wakes reports runs as over that its worker still has. Change: case 5 suspends the machine for 1 s and for 2 s, and counts second runs that begin after it has woken.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A side machine is suspended for 2 s, with its worker and its agent."""
+"""A side machine is suspended for seconds, with its worker and its agent."""
 
 import asyncio
 import pathlib
@@ -9,8 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig  # noqa: E402
 
-SUSPENDED_SECONDS = 2.0
-ROUNDS = 2
+SUSPENDED_SECONDS = (1.0, 2.0)
 ALLOWED_SECONDS = 0.15
 """Time after waking for which two runs aren't counted, though the rule has no
 such bound: `stop_timeout_ms` and twice that for the orders."""
@@ -66,7 +65,11 @@
 class Rig(rig.Rig):
     """Watches for tasks with two runs at the same time.
 
+    While the machine is suspended and just after, runs that were started
+    elsewhere meanwhile aren't counted: no order can end the others sooner.
+
     :ivar running: by task, the runs that go on, by worker and number.
+    :ivar woke_at: instant at which the machine woke last.
     """
 
     worker_type = Worker
@@ -74,18 +77,29 @@
     def __init__(self, folder):
         super().__init__(folder)
         self.running = {}
+        self.woke_at = None
 
     def on_start(self, worker, task, run, body):
         super().on_start(worker, task, run, body)
-        self.running.setdefault(task, {})[worker.name, run] = None
+        others = self.running.setdefault(task, {})
+        for name, other in others:
+            if self.woke_at is not None:
+                since = self.record.now() - self.woke_at
+                self.violate(
+                    'TWICE',
+                    f'{task} starts at {worker.name} as run {run}'
+                    f' {since * 1000:.0f} ms after the machine woke, while'
+                    f' run {other} goes on at {name}',
+                )
+        others[worker.name, run] = None
 
     def on_end(self, worker, task, run, how):
         super().on_end(worker, task, run, how)
         self.running.get(task, {}).pop((worker.name, run), None)
 
-    def check(self, woke_at):
+    def check(self):
         """Record the tasks that have two runs now."""
-        since = self.record.now() - woke_at
+        since = self.record.now() - self.woke_at
         for task, runs in self.running.items():
             if len(runs) > 1:
                 places = ', '.join(f'{run} at {name}' for name, run in runs)
@@ -98,12 +112,12 @@
 
 async def play(case):
     await case.start(entries=2, workers=4)
-    for number in range(ROUNDS):
-        await play_round(case, number)
+    for number, seconds in enumerate(SUSPENDED_SECONDS):
+        await play_round(case, number, seconds)
         await asyncio.sleep(1.0)
 
 
-async def play_round(case, number):
+async def play_round(case, number, seconds):
     """Suspend a side machine while its worker runs tasks of two jobs."""
     worker, agent = case.workers[0], case.agents[0]
     steps = [{'count': 16, 'cpu': 6200, 'mem_mb': 64, 'estimated_ms': 3900}]
@@ -118,16 +132,17 @@
         raise rig.CannotRun('nothing runs at the worker to be suspended')
     if rig.TROUBLE:
         case.record.note(f'the machine of {worker.name} is suspended')
+        case.woke_at = None
         agent.signal(signal.SIGSTOP)
         worker.suspend()
-    await asyncio.sleep(SUSPENDED_SECONDS)
-    woke_at = case.record.now()
+    await asyncio.sleep(seconds)
+    case.woke_at = case.record.now()
     if rig.TROUBLE:
         case.record.note(f'the machine of {worker.name} wakes')
         worker.resume()
         agent.signal(signal.SIGCONT)
     await asyncio.sleep(ALLOWED_SECONDS)
-    case.check(woke_at)
+    case.check()
     await asyncio.wait(jobs, timeout=15.0)
 
 
