--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig  # noqa: E402
@@ -11,7 +10,8 @@
 CUT_SECONDS = 3.0
 ROUNDS = 2
 TASK = 6200
-FOREIGN_CLOCK_MS = 259_200_000
+EARLIER_MS = 1000
+AHEAD_MS = 2000
 
 
 class Rig(rig.Rig):
@@ -40,10 +40,12 @@
         self.running.get(task, {}).pop((worker.name, run), None)
 
 
-async def send_foreign_ping(case, agent):
-    """Ping an agent as another writer, of a service that isn't named here.
+async def send_foreign_ping(case, agent, worker):
+    """Ping an agent as a worker of a service that isn't named here.
 
-    Its clock counts from the start of its machine, three days ago.
+    It started a second before this machine's worker, so its clock is a second
+    ahead, on a machine whose time of day is two seconds ahead, so it seems to
+    have started a second later.
     """
     name = 'i-5d2f77aa'
     body = {
@@ -56,9 +58,9 @@
         'cold_left_ms': 0,
         'capacity': {'cpu': 64000, 'mem_mb': 262144, 'gpu': 0},
         'labels': ['a', 'r1-1'],
-        'clock_ms': FOREIGN_CLOCK_MS,
+        'clock_ms': worker.clock_ms() + EARLIER_MS,
         'sequence': 1,
-        'born': int(time.time() * 1000),
+        'born': worker.born - EARLIER_MS + AHEAD_MS,
     }
     path = f'/v1/instances/{name}/heartbeat'
     status, _ = await rig.call(agent.control, 'POST', path, body)
@@ -70,7 +72,7 @@
 async def play(case):
     await case.start(entries=2, workers=6)
     if rig.TROUBLE:
-        await send_foreign_ping(case, case.agents[0])
+        await send_foreign_ping(case, case.agents[0], case.workers[0])
     # The worker announces itself again meanwhile.
     await asyncio.sleep(2.0 * rig.HEARTBEAT_SECONDS)
     for number in range(ROUNDS):
