--- a/review/rig.py
+++ b/review/rig.py
@@ -670,14 +670,26 @@
 # Processes of the project
 
 
+FIRST_PORT, LAST_PORT = 20000, 32000
+"""Ports of the nodes: below those that a system hands out by itself, so that
+nothing takes one between its choice and the start, or a restart, of a node."""
+
+_ports = iter(range(FIRST_PORT + os.getpid() % 5000, LAST_PORT))
+
+
 def find_free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((IP, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return ports that are free and that no other node of this run has."""
+    ports = []
+    for port in _ports:
+        try:
+            with socket.socket() as sock:
+                sock.bind((IP, port))
+        except OSError:
+            continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRun('no free ports')
 
 
 def read_commands():
