Take the worker's clock from its own lists alone

Cause: the handler of pings added each `clock_ms` to the estimate of the worker's clock before anything had decided whose ping it was. A later `born` dropped all samples, and the worker's own were ignored for good.

Change: the clock is part of the reducer (`worker_clock`). Only a list says which incarnation sent it, so the first reading comes from a list; its request and arrival bound the clock from above, and readings of pings and of answers to orders count only below that bound. Until the first list nothing starts, as before. The bound also drops samples from before the VM was suspended. No request more than before: idle workers' pings go on keeping the clock.

--- a/src/agatepick/platform/announcements.py
+++ b/src/agatepick/platform/announcements.py
@@ -44,13 +44,8 @@
 
 
 class _Handler(web.RequestHandler):
-    def initialize(
-        self,
-        feed: typing.Callable[[object], None],
-        clock: worker.WorkerClock,
-    ) -> None:
+    def initialize(self, feed: typing.Callable[[object], None]) -> None:
         self._feed = feed
-        self._clock = clock
 
 
 class HeartbeatHandler(_Handler):
@@ -65,8 +60,6 @@
             self.set_status(400)
             self.finish({'reason': str(exc)})
             return
-        if heartbeat.clock_ms:
-            self._clock.add_sample(heartbeat.clock_ms, heartbeat.born)
         self._feed(_make_event(name, heartbeat))
         self.finish({})
 
@@ -88,10 +81,10 @@
 
 
 def make_application(
-    feed: typing.Callable[[object], None], clock: worker.WorkerClock
+    feed: typing.Callable[[object], None],
 ) -> web.Application:
     """Return the HTTP application for the worker."""
-    handler_args = {'feed': feed, 'clock': clock}
+    handler_args = {'feed': feed}
     return web.Application(
         [
             (
@@ -122,4 +115,5 @@
         labels=heartbeat.labels,
         draining=heartbeat.state == 'draining',
         address=heartbeat.address,
+        reading=heartbeat.clock_ms / worker.MILLISECONDS,
     )
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -148,8 +148,7 @@
     store = rows.RowStore(cfg.store)
     record = worker_record.WorkerRecord(store, cfg.worker, rng)
     proc.register_handler(workerapi.PersistWorker, record.update)
-    app = announcements.make_application(proc.feed, client.worker_clock)
-    _serve(app, cfg.control)
+    _serve(announcements.make_application(proc.feed), cfg.control)
     proc.begin()
 
     def apply_zones(snapshot: following.Snapshot) -> None:
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -1,8 +1,4 @@
-"""Client for requests to the worker on this machine, over HTTP.
-
-The worker expects a lease as an instant of its own clock until which all its
-runs may continue; this module computes it from the newest clock samples.
-"""
+"""Client for requests to the worker on this machine, over HTTP."""
 
 import asyncio
 import math
@@ -38,11 +34,7 @@
 all connections again for each has a cost; two in a row are one in hundreds.
 The third try of a start then has a new connection."""
 
-MAX_SAMPLE_AGE_SECONDS = 1.0
-"""Age, relative to the newest sample, up to which a clock sample is used."""
-
-MAX_SLOWNESS = 0.02
-"""Part of the time by which a worker's clock may fall behind."""
+MILLISECONDS = 1000.0
 
 _END_KINDS = {
     'done': workerapi.EndKind.DONE,
@@ -83,56 +75,6 @@
     born: int = 0
 
 
-class WorkerClock:
-    """An estimate of the worker's clock that is never ahead of it.
-
-    A lease that is too long would outlast the agent's own count of its end.
-    """
-
-    def __init__(self, clock: types.Clock):
-        self._clock = clock
-        self._samples: list[tuple[float, float]] = []
-        self._born = 0
-
-    def add_sample(self, clock_ms: float, born: int = 0) -> None:
-        """Add a reading of the worker's clock that arrived just now.
-
-        Each incarnation has its own clock, which restarts.  With samples of
-        an earlier incarnation, leases would be too long by the difference,
-        and runs would continue after the agent counts them as over.
-
-        :param clock_ms: the worker's clock, in milliseconds.
-        :param born: identifies the worker's incarnation; 0 if unknown.
-        """
-        if born and born < self._born:
-            return
-        if born > self._born:
-            self._born = born
-            self._samples.clear()
-        now = self._clock.now()
-        self._samples.append((now, clock_ms - now * 1000.0))
-        oldest = now - MAX_SAMPLE_AGE_SECONDS
-        while len(self._samples) > 1 and self._samples[0][0] < oldest:
-            self._samples.pop(0)
-
-    def convert(self, instant: float) -> int:
-        """Return the reading of the worker's clock at an instant of ours.
-
-        :returns: milliseconds.
-        """
-        # Each sample of the offset is too low by the transit time of its
-        # message, and may have become too high since; the highest is closest.
-        now = self._clock.now()
-        offset = max(
-            (
-                offset - (now - sampled_at) * 1000.0 * MAX_SLOWNESS
-                for sampled_at, offset in self._samples
-            ),
-            default=0.0,
-        )
-        return int(instant * 1000.0 + offset)
-
-
 class WorkerClient:
     """A client that executes the agent's effects and feeds it the answers."""
 
@@ -145,7 +87,6 @@
         self.address = address
         self._clock = clock
         self._feed = feed
-        self.worker_clock = WorkerClock(clock)
         self._client = httpcalls.Client(
             address, MAX_CONNECTIONS, MAX_UNANSWERED
         )
@@ -161,7 +102,7 @@
             'task': effect.name,
             'run': effect.ref.run,
             'spec': effect.payload.decode(),
-            'until_ms': self.worker_clock.convert(effect.lease_until),
+            'until_ms': int(effect.until * MILLISECONDS),
             'fencing_token': effect.epoch,
         }
         self._spawn(self._start(effect, body))
@@ -198,12 +139,12 @@
         except (OSError, msgspec.MsgspecError) as exc:
             logs.info(LOG, 'worker_unanswered', reason=repr(exc))
             return 0
-        self.worker_clock.add_sample(lists.clock_ms, lists.born)
         return lists.born
 
     async def _start(
         self, effect: workerapi.StartRun, body: dict[str, typing.Any]
     ) -> None:
+        answer = _Answer()
         try:
             status, data = await self._post(
                 '/v1/run-start',
@@ -217,29 +158,31 @@
         except OSError as exc:
             result, reason = workerapi.StartResult.UNKNOWN, repr(exc)
         else:
-            result, reason = self._decode_start(
-                effect.incarnation, status, data
-            )
+            if status in (200, 409):
+                answer = _decode_answer(data)
+            result, reason = self._decode_start(status, answer)
         self._feed(
             workerapi.StartAnswered(
-                effect.incarnation, effect.ref, result, reason
+                effect.incarnation,
+                effect.ref,
+                result,
+                reason,
+                answer.clock_ms / MILLISECONDS,
             )
         )
 
     def _decode_start(
-        self, incarnation: str, status: int, data: bytes
+        self, status: int, answer: _Answer
     ) -> tuple[workerapi.StartResult, str]:
         if status == 200:
-            self._decode_answer(incarnation, data)
             return workerapi.StartResult.STARTED, ''
         if status == 421:
             return workerapi.StartResult.OTHER_WORKER, ''
         if status == 409:
-            reason = self._decode_answer(incarnation, data).reason
             result = _RESULTS_BY_REASON.get(
-                reason, workerapi.StartResult.UNKNOWN
+                answer.reason, workerapi.StartResult.UNKNOWN
             )
-            return result, reason
+            return result, answer.reason
         if status in (429, 503):
             return workerapi.StartResult.UNWELL, str(status)
         logs.warning(LOG, 'start_rejected', status=status)
@@ -255,6 +198,7 @@
             'fencing_token': effect.epoch,
         }
         ok = False
+        answer = _Answer()
         try:
             status, data = await self._post(
                 '/v1/run-stop',
@@ -264,12 +208,16 @@
             )
             ok = status == 200
             if ok:
-                self._decode_answer(effect.incarnation, data)
+                answer = _decode_answer(data)
         except OSError as exc:
             logs.info(LOG, 'stop_unanswered', task=effect.name, reason=exc)
         self._feed(
             workerapi.StopAnswered(
-                effect.incarnation, effect.name, effect.run, ok
+                effect.incarnation,
+                effect.name,
+                effect.run,
+                ok,
+                answer.clock_ms / MILLISECONDS,
             )
         )
 
@@ -296,7 +244,7 @@
         }
         timeout_seconds = effect.wait_seconds + LISTS_MARGIN_SECONDS
         if effect.lease_until:
-            until_ms = self.worker_clock.convert(effect.lease_until)
+            until_ms = int(effect.until * MILLISECONDS)
             try:
                 return await self._post(
                     '/v1/hold',
@@ -344,14 +292,17 @@
         except (msgspec.MsgspecError, IndexError) as exc:
             logs.warning(LOG, 'lists_unreadable', reason=exc)
             return workerapi.ListsFailed(effect.incarnation)
-        self.worker_clock.add_sample(lists.clock_ms, lists.born)
         incarnation = make_incarnation(get_id(effect.incarnation), lists.born)
         if lists.born and incarnation != effect.incarnation:
             return workerapi.OtherIncarnationAnswered(
                 effect.incarnation, incarnation, lists.born
             )
         return workerapi.ListsReceived(
-            effect.incarnation, sent_at, running, ended
+            effect.incarnation,
+            sent_at,
+            running,
+            ended,
+            lists.clock_ms / MILLISECONDS,
         )
 
     async def _post(
@@ -381,23 +332,6 @@
         )
         return answer.status, answer.body
 
-    def _decode_answer(self, incarnation: str, data: bytes) -> _Answer:
-        """Decode an answer to a start or stop, and sample its clock.
-
-        :param incarnation: the one that the request was meant for.
-        """
-        try:
-            answer = msgspec.json.decode(data, type=_Answer)
-        except msgspec.MsgspecError as exc:
-            logs.warning(LOG, 'answer_unreadable', reason=exc)
-            return _Answer()
-        if answer.clock_ms:
-            # The answer doesn't say which incarnation sent it.  One of the
-            # former, which arrives late, must not set the clock of the next.
-            born = _get_born(incarnation)
-            self.worker_clock.add_sample(answer.clock_ms, born)
-        return answer
-
     def _spawn(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
@@ -407,6 +341,15 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _decode_answer(data: bytes) -> _Answer:
+    """Decode an answer to a start or stop."""
+    try:
+        return msgspec.json.decode(data, type=_Answer)
+    except msgspec.MsgspecError as exc:
+        logs.warning(LOG, 'answer_unreadable', reason=exc)
+        return _Answer()
+
+
 def make_incarnation(worker_id: str, born: int) -> str:
     """Return the name of one incarnation of a worker.
 
@@ -415,11 +358,6 @@
     return f'{worker_id}@{born}'
 
 
-def _get_born(incarnation: str) -> int:
-    """Return the instant of an incarnation's start, in milliseconds."""
-    return int(incarnation.rpartition('@')[2])
-
-
 def get_id(incarnation: str) -> str:
     """Return the id of a worker, which all its incarnations share."""
     return incarnation.rpartition('@')[0]
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -22,6 +22,7 @@
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
 from agatepick.repeatable import unowned
+from agatepick.repeatable import worker_clock
 from agatepick.repeatable import worker_lease
 from agatepick.repeatable import worker_state
 from agatepick.repeatable import workerapi
@@ -82,6 +83,7 @@
         )
         self._unowned = unowned.UnownedRuns(self.runs)
         self._run_times = run_times.RunTimes(health_record, self._usual_speed)
+        self._clock = worker_clock.WorkerClock()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
         self._last_handled_end_number = 0
@@ -116,6 +118,9 @@
                 run.former_lease_over_at = self._lease.over_at
             effects += self._switch_incarnation(now, returned=returned)
         self._crashes.watch('' if event.draining else event.incarnation)
+        if event.reading:
+            # A worker without runs sends no lists that would keep its clock.
+            self._clock.add(event.reading, now)
         same = known == event.incarnation
         return effects + self._announced.record(event.capacity, same, now)
 
@@ -173,6 +178,7 @@
         self._last_acknowledged_end_number = NO_LIST_YET
         self._unowned.reset()
         self._list_requests.reset(now)
+        self._clock.reset()
         if not returned:
             self._lease.extend_to_bound(now)
         effects: list[object] = []
@@ -213,6 +219,7 @@
         run.start_count += 1
         run.unanswered_start_count += 1
         run.start_sent_at = now
+        lease_until = self._bound_start(now)
         return [
             workerapi.StartRun(
                 self._state.incarnation,
@@ -220,7 +227,8 @@
                 run.ref,
                 run.name,
                 run.payload,
-                self._bound_start(now),
+                lease_until,
+                self._clock.convert(lease_until, now),
             )
         ]
 
@@ -254,6 +262,8 @@
     def _can_retry_start(self, run: runs.Run) -> bool:
         if self.worker is None or run.confirmed_at or run.stopping:
             return False
+        if not self._clock.known:
+            return False
         if run.unanswered_start_count and self._capacity.blocks_retries:
             return False
         return run.start_count < MAX_START_ATTEMPTS
@@ -266,6 +276,8 @@
         if run is None:
             return []
         run.unanswered_start_count -= 1
+        if event.reading:
+            self._clock.add(event.reading, now)
         if event.result is workerapi.StartResult.STARTED:
             run.confirmed_at = run.confirmed_at or now
             return []
@@ -357,6 +369,8 @@
         # What a former incarnation has stopped may still start at this one.
         if event.ok and self._state.addresses(event.incarnation):
             run.stop_acknowledged_at = now
+            if event.reading:
+                self._clock.add(event.reading, now)
         return []
 
     # Lists
@@ -391,6 +405,7 @@
                 self._last_handled_end_number,
                 lease_until,
                 wait,
+                self._clock.convert(lease_until, now) if lease_until else 0.0,
             )
         ]
 
@@ -403,13 +418,18 @@
         """
         return (
             not self._unowned.earlier_over
+            or not self._clock.known
             or self._list_requests.blocks_starts(now)
             or self._announced.may_have_shrunk(now)
         )
 
     def _should_extend_lease(self, now: float) -> bool:
         """Return whether the runs at the worker should go on."""
-        return self._has_renewed_run(now) and not self._must_lapse(now)
+        return (
+            self._clock.known
+            and self._has_renewed_run(now)
+            and not self._must_lapse(now)
+        )
 
     def _has_renewed_run(self, now: float) -> bool:
         """Return whether a run should go on; none does at a leaving worker."""
@@ -425,6 +445,7 @@
         if not self._state.addresses(event.incarnation):
             return []
         self._list_requests.record_answer(now)
+        self._clock.add_list(event.reading, event.requested_at, now)
         effects = self._crashes.record_answer(event.requested_at)
         self._last_acknowledged_end_number = self._last_handled_end_number
         for end in event.ended:
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -1,8 +1,7 @@
 """Requests and answers between an agent and its worker.
 
 The agent's reducer uses only these data classes as events and effects.
-Instants are those of the agent's clock; the code that connects to the worker
-converts leases to instants of the worker's clock.
+Instants are those of the agent's clock, and readings those of the worker's.
 
 A lease in an order is an instant that follows from the clock reading by which
 the order was decided.  A process may be suspended between the decision and the
@@ -32,6 +31,8 @@
     :param born: start of the incarnation in milliseconds, which orders them.
     :param sequence: number that increases within one incarnation; a delayed
         message has a lower one.
+    :param reading: the worker's clock as it was sent, in seconds; 0 if
+        unknown.
     """
 
     incarnation: str
@@ -42,6 +43,7 @@
     labels: tuple[str, ...]
     draining: bool
     address: str
+    reading: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +107,7 @@
     :param name: name of the task at the worker.
     :param lease_until: instant to which the worker's lease is extended; the
         start isn't sent from then on.
+    :param until: reading of the worker's clock at that instant.
     """
 
     incarnation: str
@@ -113,16 +116,21 @@
     name: str
     payload: bytes
     lease_until: float
+    until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartAnswered:
-    """Event: the worker answered a start, or the start timed out."""
+    """Event: the worker answered a start, or the start timed out.
+
+    :param reading: the worker's clock, in seconds; 0 if unknown.
+    """
 
     incarnation: str
     ref: messages.RunRef
     result: StartResult
     reason: str = ''
+    reading: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,12 +154,14 @@
 
     :param name: name of the task at the worker.
     :param run: number of the run.
+    :param reading: the worker's clock, in seconds; 0 if unknown.
     """
 
     incarnation: str
     name: str
     run: int
     ok: bool
+    reading: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,6 +174,7 @@
         From then on the lists are requested without it.
     :param wait_seconds: time for which the worker may delay its lists until a
         run ends.
+    :param until: reading of the worker's clock at ``lease_until``.
     """
 
     incarnation: str
@@ -171,6 +182,7 @@
     last_end_number: int
     lease_until: float
     wait_seconds: float
+    until: float = 0.0
 
 
 class EndKind(enum.StrEnum):
@@ -214,12 +226,14 @@
     """Event: the answer to a :class:`RequestLists`.
 
     :param requested_at: instant of the request.
+    :param reading: the worker's clock as it answered, in seconds.
     """
 
     incarnation: str
     requested_at: float
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    reading: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -77,6 +77,7 @@
         self.lost_orders = frozenset()
         self.late_stops = False
         self.epoch = 0
+        self.clock_offset = -world.now
 
     @property
     def incarnation(self):
@@ -90,8 +91,13 @@
         self.highest_runs.clear()
         self.ended.clear()
         self.epoch = 0
+        self.clock_offset = -self.world.now
         self.born += 1
 
+    def read_clock(self):
+        """Return the seconds that its own clock counts since its start."""
+        return self.world.now + self.clock_offset
+
     def exit(self):
         """End the process with all its runs."""
         self.up = False
@@ -395,6 +401,7 @@
         worker.expire()
         for task, (run, end_at, until) in worker.runs.items():
             worker.runs[task] = (run, end_at + seconds, until + seconds)
+        worker.clock_offset -= seconds
         self.freeze(name, seconds)
 
     # Callers
@@ -677,9 +684,10 @@
             return True
         return self.rng.random() < self.loss_rate
 
-    def _compute_lease_end(self, lease_until):
+    def _compute_lease_end(self, worker, until):
         """Return the end of a lease by a worker's clock that is 2% slow."""
-        seconds = lease_until - self.now + self.clock_lead_seconds
+        seconds = until - worker.read_clock() + self.clock_lead_seconds
+        seconds = min(seconds, leases.MAX_WORKER_LEASE_SECONDS)
         return self.now + seconds * leases.CLOCK_DRIFT
 
     def _is_other_id(self, worker, effect):
@@ -703,7 +711,7 @@
             )
             self._answer(node, node.incarnation, event)
             return
-        until = self._compute_lease_end(effect.lease_until)
+        until = self._compute_lease_end(worker, effect.until)
         args = (effect.name, effect.ref.run, until)
         if self._is_lost(worker, 'start') or not worker.up:
             delay = self.rng.uniform(2.0, 12.0)
@@ -798,7 +806,7 @@
             return
         if effect.lease_until > self.now:
             worker.expire()
-            worker.extend(self._compute_lease_end(effect.lease_until))
+            worker.extend(self._compute_lease_end(worker, effect.until))
         requested_at = self.now
         wait = 0.02 if effect.wait_seconds else 0.001
         self.schedule(
@@ -814,7 +822,11 @@
         worker = self.workers[node.name]
         running, ended = worker.list_runs(effect.last_end_number)
         event = workerapi.ListsReceived(
-            worker.incarnation, requested_at, running, ended
+            worker.incarnation,
+            requested_at,
+            running,
+            ended,
+            worker.read_clock(),
         )
         if worker.incarnation != effect.incarnation:
             return
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,7 +26,6 @@
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
-from agatepick.repeatable import leases
 from agatepick.repeatable import run_controller
 from agatepick.repeatable import workerapi
 from tests import platform_standins
@@ -388,10 +387,14 @@
         self.client = worker.WorkerClient(
             address or standin.address, self.clock, self.events.put_nowait
         )
-        self.client.worker_clock.add_sample(standin.clock_ms())
+        self.standin = standin
         self.incarnation = worker.make_incarnation(standin.name, standin.born)
         self.epoch = standin.born
 
+    def read_clock(self, lease_seconds):
+        """Return the worker's reading at the end of a lease."""
+        return self.standin.clock_ms() / 1000.0 + lease_seconds
+
     def start(self, run=1, lease_seconds=0.65):
         self.client.start(
             workerapi.StartRun(
@@ -401,6 +404,7 @@
                 'j.0.0.0',
                 b'text',
                 self.clock.now() + lease_seconds,
+                self.read_clock(lease_seconds),
             )
         )
 
@@ -412,6 +416,7 @@
                 0,
                 self.clock.now() + lease_seconds,
                 wait_seconds,
+                self.read_clock(lease_seconds),
             )
         )
 
@@ -630,105 +635,6 @@
     run(main)
 
 
-def test_a_new_incarnation_resets_the_clock_samples():
-    """A worker restarts with a clock that counts from its own start.
-
-    With the earlier incarnation's clock its leases would get the longest
-    allowed length, and runs that the agent counts as over would continue.
-    """
-
-    class Clock:
-        def now(self):
-            return 100.0
-
-    worker_clock = worker.WorkerClock(Clock())
-    worker_clock.add_sample(900_000, 1)
-    worker_clock.add_sample(20, 2)
-    assert worker_clock.convert(100.75) == 770
-    worker_clock.add_sample(900_010, 1)
-    assert worker_clock.convert(100.75) == 770
-
-
-def test_a_late_answer_does_not_set_the_worker_s_clock_back():
-    """A late answer makes the worker's clock appear to be behind.
-
-    Leases computed from it alone would be too short, and runs would be ended.
-    """
-
-    class Clock:
-        instant = 100.0
-
-        def now(self):
-            return self.instant
-
-    clock = Clock()
-    worker_clock = worker.WorkerClock(clock)
-    worker_clock.add_sample(5_000)
-    clock.instant += 0.5
-    worker_clock.add_sample(5_200)
-    # A slow clock may have fallen behind by 2% of the half second.
-    assert worker_clock.convert(clock.instant + 0.75) == 5_000 + 490 + 750
-
-
-def test_the_highest_of_old_samples_is_not_ahead_of_a_slow_clock():
-    """A worker that was idle or silent sent the last sample seconds ago."""
-
-    class Clock:
-        instant = 100.0
-
-        def now(self):
-            return self.instant
-
-        def read_slow_clock(self):
-            return self.instant * 0.98 * 1000.0
-
-    clock = Clock()
-    worker_clock = worker.WorkerClock(clock)
-    for _ in range(3):
-        worker_clock.add_sample(clock.read_slow_clock())
-        clock.instant += 0.5
-    clock.instant += 1.5
-    lease_ms = worker_clock.convert(clock.instant + 0.65)
-    assert lease_ms - clock.read_slow_clock() <= 650.0
-
-
-def test_a_former_incarnation_s_answer_does_not_set_the_next_one_s_clock():
-    """An order's answer comes after the next incarnation's first lists."""
-
-    async def main():
-        standin = platform_standins.Worker()
-        recorder = RecordingClient(standin)
-        worker_clock = recorder.client.worker_clock
-        worker_clock.add_sample(20, standin.born + 1)
-        recorder.start()
-        await recorder.get_event()
-        assert worker_clock.convert(recorder.clock.now()) < 10_000
-        await recorder.client.close()
-
-    run(main)
-
-
-@pytest.mark.parametrize('age', [1.0, 1.5, 3.0, 6.0])
-def test_a_lease_by_an_old_sample_is_not_too_long_for_a_slow_clock(age):
-    """The worker's runs would outlast the agent's count of their lease."""
-    rate = 0.98
-
-    class Clock:
-        instant = 100.0
-
-        def now(self):
-            return self.instant
-
-    clock = Clock()
-    worker_clock = worker.WorkerClock(clock)
-    worker_clock.add_sample(clock.instant * rate * 1000.0)
-    clock.instant += age
-    until = clock.instant + leases.WORKER_LEASE_SECONDS
-    ends_at = worker_clock.convert(until) / 1000.0 / rate
-    over_at = clock.instant + leases.WORKER_EXPIRY_SECONDS
-    assert ends_at + leases.STOP_SECONDS <= over_at
-
-
 # Settings that change
 
 
--- a/tests/test_resubmissions.py
+++ b/tests/test_resubmissions.py
@@ -123,7 +123,6 @@
     proc.register_handler(workerapi.RequestLists, client.request_lists)
     proc.register_handler(workerapi.PersistWorker, lambda effect: None)
     proc.begin()
-    client.worker_clock.add_sample(beside.clock_ms(), beside.born)
     proc.feed(events.ZonesClosed(frozenset()))
     proc.feed(events.EntriesListed((events.ListedEntry('entry', address),)))
     proc.feed(
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -196,7 +196,7 @@
     client = worker.WorkerClient(
         '127.0.0.1:9', process.new_clock(), lambda e: None
     )
-    result, _ = client._decode_start('w@1', 500, b'')
+    result, _ = client._decode_start(500, worker._decode_answer(b''))
     assert result is workerapi.StartResult.UNKNOWN
 
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -26,6 +26,9 @@
 """End of the lease of a worker that announced itself at ``NOW``: a request
 meant for an earlier incarnation may have extended it up to its bound."""
 
+CLOCK = 7.0
+"""Reading of the worker's clock at ``NOW``."""
+
 UNKNOWN = workerapi.StartResult.UNKNOWN
 
 
@@ -48,12 +51,19 @@
         workerapi.WorkerAnnounced('w@1', 1, 1, 'p', CAPACITY, (), False, ''),
         NOW,
     )
+    receive_first_list(controller)
     capacity.acquire(NEEDS)
     owner = runs.Owner('e', 1, lease_until=NOW + 60.0)
     controller.start(owner, SPEC, b'', NOW)
     return controller
 
 
+def receive_first_list(controller):
+    """Pass on the first list of the worker, which shows its clock."""
+    event = workerapi.ListsReceived('w@1', NOW, (), (), CLOCK)
+    controller.handle_lists(event, NOW)
+
+
 def filter_effects(effects, kind):
     return [effect for effect in effects if isinstance(effect, kind)]
 
@@ -528,6 +538,7 @@
     capacity = sharing.SharedCapacity(guarded=True)
     controller = make_controller(capacity)
     controller.handle_announcement(make_announcement(1), NOW)
+    receive_first_list(controller)
     capacity.acquire(NEEDS)
     owner = runs.Owner('e', 1, lease_until=NOW + 60.0)
     controller.start(owner, SPEC, b'', NOW)
@@ -601,6 +612,7 @@
     capacity = sharing.SharedCapacity()
     controller = make_controller(capacity)
     controller.handle_announcement(make_announcement(1), NOW)
+    receive_first_list(controller)
     capacity.acquire(NEEDS)
     owner = runs.Owner('e', 1, lease_until=NOW + 60.0)
     controller.start(owner, SPEC, b'', NOW)
