Act on an announcement once the worker has answered under its name

What callers saw: a ping of another writer at an agent ended all runs at its worker ("stopped"), and one that comes each 0.4 s let nothing run there any more. One that came before the worker's first, with a later `born`, shut the worker out until it named itself lost.

Cause: whoever called the agent's address was the worker. The announced name replaced the one that requests were sent to, before the worker's own word.

Evidence: `worker_up life=i-@..`, `worker_crashed`, `worker_lost` 2 ms later and `worker_up` of the worker again, in the agent's log of a broken play. What was missing is the note `announcement_ignored` with its reason.

Change: `identification` is the one place that settles whose announcement it is. Under the name that requests are sent to it is acted on at once, unless it names another pool than before. Any other is held until the worker, at its own address, has answered under that name with that time of birth, and until the desired state is read and names its pool. All else goes on meanwhile. Nothing waits that could run before: before the desired state is read an agent doesn't know its zone to be open, and the answer takes one request to the worker.

Cost: one request for lists more for each new incarnation and for each foreign ping; no start fewer. A foreign ping under another name also keeps runs that are missing from a list until their lease is over, as a successor's did.

--- a/src/agatepick/platform/desired.py
+++ b/src/agatepick/platform/desired.py
@@ -1,4 +1,4 @@
-"""The operator's rows in the store: queues of jobs, and closed zones.
+"""The operator's rows in the store: queues of jobs, pools and closed zones.
 
 A closed zone is one that the operator has taken out of service.
 """
@@ -41,6 +41,25 @@
     routes: tuple[_Route, ...] = ()
 
 
+class _Service(msgspec.Struct, frozen=True):
+    """A pool as the operator writes it."""
+
+    name: str
+
+
+class _PoolOfRoute(msgspec.Struct, frozen=True):
+    """The pool of a queue."""
+
+    service: str
+
+
+class _Pools(msgspec.Struct, frozen=True):
+    """The part of the value of that row which names pools."""
+
+    routes: tuple[_PoolOfRoute, ...] = ()
+    services: tuple[_Service, ...] = ()
+
+
 def parse_route_table(
     snapshot: following.Snapshot,
 ) -> routes.RouteTable | None:
@@ -62,6 +81,24 @@
     )
 
 
+def parse_pools(snapshot: following.Snapshot) -> events.PoolsNamed | None:
+    """Return the pools that the operator's rows name.
+
+    :returns: ``None`` if the row of the queues is missing or invalid.
+    """
+    value = snapshot.get(DESIRED_KEY)
+    if value is None:
+        return None
+    try:
+        pools = msgspec.json.decode(value, type=_Pools)
+    except msgspec.MsgspecError as exc:
+        logs.warning(LOG, 'desired_state_unreadable', reason=exc)
+        return None
+    names = {service.name for service in pools.services}
+    names |= {route.service for route in pools.routes}
+    return events.PoolsNamed(frozenset(names))
+
+
 def parse_closed_zones(snapshot: following.Snapshot) -> events.ZonesClosed:
     """Return the zones that the operator has taken out of service."""
     return events.ZonesClosed(
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -145,6 +145,7 @@
     proc.register_handler(workerapi.StartRun, client.start)
     proc.register_handler(workerapi.StopRun, client.stop)
     proc.register_handler(workerapi.RequestLists, client.request_lists)
+    proc.register_handler(workerapi.IdentifyWorker, client.identify)
     store = rows.RowStore(cfg.store)
     record = worker_record.WorkerRecord(store, cfg.worker, rng)
     proc.register_handler(workerapi.PersistWorker, record.update)
@@ -152,6 +153,9 @@
     proc.begin()
 
     def apply_zones(snapshot: following.Snapshot) -> None:
+        pools = desired.parse_pools(snapshot)
+        if pools is not None:
+            proc.feed(pools)
         proc.feed(desired.parse_closed_zones(snapshot))
 
     def apply_entries(snapshot: following.Snapshot) -> None:
--- a/src/agatepick/platform/worker.py
+++ b/src/agatepick/platform/worker.py
@@ -46,6 +46,10 @@
     'old': workerapi.StartResult.STALE_RUN,
     'late': workerapi.StartResult.LATE,
 }
+_IDENTITY_BY_STATUS = {
+    421: workerapi.Identity.OTHER,
+    409: workerapi.Identity.FENCED,
+}
 
 
 class _Answer(msgspec.Struct, frozen=True):
@@ -115,31 +119,42 @@
         """Extend the lease and request the running and ended runs."""
         self._spawn(self._request_lists(effect))
 
-    async def fetch_born(self, worker_id: str, epoch: int) -> int:
-        """Return the instant of the worker's start, in milliseconds.
+    def identify(self, effect: workerapi.IdentifyWorker) -> None:
+        """Ask the worker whether it is an incarnation."""
+        self._spawn(self._identify(effect))
+
+    async def _identify(self, effect: workerapi.IdentifyWorker) -> None:
+        identity = await self.fetch_identity(effect.incarnation, effect.epoch)
+        self._feed(workerapi.WorkerIdentified(effect.incarnation, identity))
 
-        The request has no effect: it extends no lease, and the worker lists
-        its ended runs again later.
+    async def fetch_identity(
+        self, incarnation: str, epoch: int
+    ) -> workerapi.Identity:
+        """Return whether the worker is an incarnation, by its own answer.
 
-        :param epoch: epoch of the incarnation that is expected.
-        :returns: 0 if no worker answers to this id, or if it has seen a higher
-            epoch.
+        The request extends no lease, and the worker lists its ended runs
+        again later.
+
+        :param epoch: epoch of the request, which the worker remembers.
         """
         body = {'fencing_token': epoch, 'last_seen': 0, 'wait_ms': 0}
         try:
             status, data = await self._post(
-                '/v1/hold',
-                make_incarnation(worker_id, 0),
-                body,
-                REQUEST_TIMEOUT_SECONDS,
+                '/v1/hold', incarnation, body, REQUEST_TIMEOUT_SECONDS
             )
             if status != 200:
-                return 0
-            lists = msgspec.json.decode(data, type=_Lists)
+                logs.info(LOG, 'worker_not_identified', status=status)
+                return _IDENTITY_BY_STATUS.get(
+                    status, workerapi.Identity.UNANSWERED
+                )
+            born = msgspec.json.decode(data, type=_Lists).born
         except (OSError, msgspec.MsgspecError) as exc:
-            logs.info(LOG, 'worker_unanswered', reason=repr(exc))
-            return 0
-        return lists.born
+            logs.info(LOG, 'worker_not_identified', reason=repr(exc))
+            return workerapi.Identity.UNANSWERED
+        if make_incarnation(get_id(incarnation), born) == incarnation:
+            return workerapi.Identity.SAME
+        logs.info(LOG, 'worker_not_identified', life=incarnation, born=born)
+        return workerapi.Identity.OTHER
 
     async def _start(
         self, effect: workerapi.StartRun, body: dict[str, typing.Any]
--- a/src/agatepick/platform/worker_record.py
+++ b/src/agatepick/platform/worker_record.py
@@ -119,12 +119,12 @@
         if row is not None and row.slowness:
             feed(_recall_slowness(row))
         while row is not None and loop.time() < deadline:
-            born = await client.fetch_born(row.name, row.born)
-            if born == row.born:
-                feed(_decode(row, client.address))
-                return
-            if born:
-                logs.info(LOG, 'worker_born_since', row=row.born, now=born)
+            stored = _decode(row, client.address)
+            identity = await client.fetch_identity(
+                stored.incarnation, row.born
+            )
+            if identity is workerapi.Identity.SAME:
+                feed(stored)
                 return
             await asyncio.sleep(RETRY_SECONDS)
 
--- a/src/agatepick/repeatable/agent.py
+++ b/src/agatepick/repeatable/agent.py
@@ -14,6 +14,7 @@
 from agatepick.repeatable import events
 from agatepick.repeatable import faults
 from agatepick.repeatable import health
+from agatepick.repeatable import identification
 from agatepick.repeatable import leases
 from agatepick.repeatable import policies
 from agatepick.repeatable import publishing
@@ -73,6 +74,7 @@
             self._usual_speed,
             self._crashes,
         )
+        self._identification = identification.Identification(self._controller)
         self._serving = serving.Serving(cfg.name)
         # None until the operator's rows are read: an agent that starts while
         # the store is unavailable can't determine whether its zone is closed,
@@ -90,7 +92,11 @@
             core.StopRequested: self._on_stop,
             events.EntriesListed: self._on_listed,
             events.ZonesClosed: self._on_zones,
-            workerapi.WorkerAnnounced: self._controller.handle_announcement,
+            events.PoolsNamed: self._on_pools,
+            workerapi.WorkerAnnounced: (
+                self._identification.handle_announcement
+            ),
+            workerapi.WorkerIdentified: self._identification.handle_answer,
             workerapi.WorkerLeft: self._controller.handle_departure,
             workerapi.SlownessRecalled: self._on_slowness_recalled,
             workerapi.StartAnswered: self._controller.handle_start_answer,
@@ -110,6 +116,7 @@
         self._later_steps: tuple[
             tuple[str, typing.Callable[[float], list[object]]], ...
         ] = (
+            ('identity', self._identification.ask),
             ('lists', self._request_lists),
             ('reports', self._reports.flush),
             ('overdue', self._record_overdue_runs),
@@ -416,6 +423,10 @@
         note_unowned = self._controller.note_unowned
         return effects + faults.contain('unowned', note_unowned, event, now)
 
+    def _on_pools(self, event: events.PoolsNamed, now: float) -> list[object]:
+        self._identification.pools = event.pools
+        return []
+
     def _on_zones(self, event: events.ZonesClosed, now: float) -> list[object]:
         was_closed = self._cfg.zone in (self._closed_zones or ())
         closed = self._cfg.zone in event.zones
@@ -480,6 +491,9 @@
         expiry = self._capacity.next_expiry()
         if expiry is not None:
             wakes.append(expiry)
+        identify_at = self._identification.next_due()
+        if identify_at is not None:
+            wakes.append(identify_at)
         update_at = self._publisher.next_due()
         if update_at is not None:
             wakes.append(update_at)
--- a/src/agatepick/repeatable/events.py
+++ b/src/agatepick/repeatable/events.py
@@ -49,6 +49,13 @@
     zones: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolsNamed:
+    """Event: the pools that a version of the desired state names."""
+
+    pools: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedEntry:
     """One entry in the list of available entries."""
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -99,6 +99,23 @@
 
     # The worker's incarnations
 
+    @property
+    def description(self) -> workerapi.WorkerAnnounced | None:
+        """The worker's last announcement, whether it can be reached or not."""
+        return self._state.description
+
+    def addresses(self, incarnation: str) -> bool:
+        """Return whether requests are sent to an incarnation."""
+        return self._state.addresses(incarnation)
+
+    def choose_epoch(self, born: int, now: float) -> int:
+        """Return the epoch of a request to an incarnation."""
+        return self._state.choose_epoch(born, now)
+
+    def raise_epoch(self) -> list[object]:
+        """Raise the epoch, as the worker has seen a higher one."""
+        return self._state.raise_epoch()
+
     def handle_announcement(
         self, event: workerapi.WorkerAnnounced, now: float
     ) -> list[object]:
@@ -112,10 +129,7 @@
             effects += self._crashes.record_incarnation(
                 event.incarnation, list(self.runs.values()), now
             )
-            # Another worker may have taken the place of one that goes on with
-            # its runs until their lease is over.
-            for run in self.runs.values():
-                run.former_lease_over_at = self._lease.over_at
+            self.expect_successor()
             effects += self._switch_incarnation(now, returned=returned)
         self._crashes.watch('' if event.draining else event.incarnation)
         if event.reading:
@@ -124,6 +138,14 @@
         same = known == event.incarnation
         return effects + self._announced.record(event.capacity, same, now)
 
+    def expect_successor(self) -> None:
+        """Expect that another worker may have taken the worker's place.
+
+        The former one may go on with its runs until their lease is over.
+        """
+        for run in self.runs.values():
+            run.former_lease_over_at = self._lease.over_at
+
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
     ) -> list[object]:
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -136,6 +136,18 @@
             self._epoch_incarnation = self.incarnation
             self.epoch = max(self.epoch + 1, born)
 
+    def choose_epoch(self, born: int, now: float) -> int:
+        """Return the epoch of a request to an incarnation.
+
+        :param born: start of the incarnation, in milliseconds, by its own
+            account.  The epoch follows it only while no orders are sent, and
+            not far beyond the time of day: it never falls again.
+        """
+        if not self.incarnation:
+            latest = int(now * 1000.0) + EPOCH_STEP
+            self.epoch = max(self.epoch, min(born, latest))
+        return self.epoch
+
     def raise_epoch(self) -> list[object]:
         """Raise the epoch, as the worker has seen a higher one.
 
--- a/src/agatepick/repeatable/workerapi.py
+++ b/src/agatepick/repeatable/workerapi.py
@@ -78,6 +78,42 @@
     incarnation: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdentifyWorker:
+    """Effect: ask the worker whether it is an incarnation.
+
+    The request has no effect there but that of its epoch.
+
+    :param epoch: see :class:`~.worker_state.WorkerState`.
+    """
+
+    incarnation: str
+    epoch: int
+
+
+class Identity(enum.StrEnum):
+    """Answer to an :class:`IdentifyWorker`.
+
+    ``FENCED``: the worker has that id, and has seen a higher epoch.
+    """
+
+    SAME = 'same'
+    OTHER = 'other'
+    FENCED = 'fenced'
+    UNANSWERED = 'unanswered'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerIdentified:
+    """Event: the worker answered an :class:`IdentifyWorker`, or didn't.
+
+    :param incarnation: the one that it was asked about.
+    """
+
+    incarnation: str
+    identity: Identity
+
+
 class StartResult(enum.StrEnum):
     """Result of a start at the worker.
 
--- a/tests/repeatable_world.py
+++ b/tests/repeatable_world.py
@@ -279,6 +279,7 @@
             table = routes.RouteTable(1, (ROUTE,))
             self.feed(name, events.RoutesRead(table))
         if name in self.workers and not self.store_unavailable:
+            self.feed(name, events.PoolsNamed(frozenset((ROUTE.pool,))))
             self.feed(name, events.ZonesClosed(frozenset()))
         if name in self.persisted:
             self.feed(name, self.persisted[name])
@@ -619,6 +620,8 @@
                 self._persist(node, effect)
             case workerapi.RequestLists():
                 self._handle_list_request(node, effect)
+            case workerapi.IdentifyWorker():
+                self._handle_identification(node, effect)
 
     def _persist(self, node, effect):
         worker = effect.worker
@@ -774,6 +777,20 @@
         if not worker.is_fenced(effect.epoch):
             worker.stop(effect.name, effect.run)
 
+    def _handle_identification(self, node, effect):
+        worker = self.workers[node.name]
+        identity = workerapi.Identity
+        answer, seconds = identity.OTHER, 0.0
+        if not worker.up or worker.refuses_connections:
+            answer = identity.UNANSWERED
+        elif self._is_lost(worker, 'lists'):
+            answer, seconds = identity.UNANSWERED, 0.12
+        elif worker.incarnation == effect.incarnation:
+            fenced = worker.is_fenced(effect.epoch)
+            answer = identity.FENCED if fenced else identity.SAME
+        event = workerapi.WorkerIdentified(effect.incarnation, answer)
+        self.schedule(seconds, self._answer, node, node.incarnation, event)
+
     def _handle_list_request(self, node, effect):
         worker = self.workers[node.name]
         if worker.refuses_connections or self._is_other_id(worker, effect):
--- a/tests/test_foreign_announcements.py
+++ b/tests/test_foreign_announcements.py
@@ -53,7 +53,8 @@
 
     async def ping_foreign(self, session, ahead=0.0, name='i-5d2f77aa', **now):
         """Announce another worker, whose clock is some seconds ahead."""
-        body = self.worker.make_heartbeat(1, service='zuqa77x', **now)
+        fields = {'sequence': 1, **now}
+        body = self.worker.make_heartbeat(service='zuqa77x', **fields)
         body['clock_ms'] += int(ahead * 1000)
         return await self.ping(session, name, body)
 
@@ -119,3 +120,49 @@
         await check_service(programs, session)
 
     play(tmp_path, action)
+
+
+RUN_SECONDS = 0.6
+
+
+@pytest.mark.parametrize(
+    'now',
+    [
+        {},
+        {'name': 'i-7f3a91c2', 'born': 1_800_000_000_000},
+        {'name': 'i-7f3a91c2', 'sequence': 1_000_000},
+        {'born': 1_600_000_000_000},
+    ],
+)
+def test_foreign_announcements_end_no_runs(tmp_path, now):
+    """Another writer's announcements, each 0.2 s, stop the worker's runs."""
+
+    async def action(programs, session):
+        await programs.announce(session)
+        pings = asyncio.create_task(programs.announce_forever(session))
+        await programs.wait_ready(session)
+        programs.worker.run_seconds = RUN_SECONDS
+        job = asyncio.create_task(programs.submit(session))
+        while not job.done():
+            await programs.ping_foreign(session, **now)
+            await asyncio.sleep(0.2)
+        pings.cancel()
+        assert await job == (200, {'state': 'completed'})
+        names = {name for name, body in programs.worker.requests}
+        assert names == {'hold', 'run-start'}
+
+    play(tmp_path, action)
+
+
+def test_a_worker_that_takes_another_s_place_is_used(tmp_path):
+    """Its announcement comes before the agent knows what has happened."""
+
+    async def action(programs, session):
+        await programs.announce(session)
+        await programs.wait_ready(session)
+        programs.worker.born += 60_000
+        programs.worker.name = 'i-00000002'
+        programs.worker.fencing_token = 0
+        await check_service(programs, session)
+
+    play(tmp_path, action)
--- a/tests/test_repeatable.py
+++ b/tests/test_repeatable.py
@@ -264,6 +264,7 @@
     world.run(0.1)
     assert not world.workers['agent-0'].runs
     assert not world.started_jobs
+    world.feed('agent-0', events.PoolsNamed(frozenset({'pool'})))
     world.feed('agent-0', events.ZonesClosed(frozenset({'other'})))
     world.run(0.5)
     world.submit(repeatable_world.make_job('k', 1, expected=0.2))
--- a/tests/test_resubmissions.py
+++ b/tests/test_resubmissions.py
@@ -121,8 +121,10 @@
     proc.register_handler(workerapi.StartRun, client.start)
     proc.register_handler(workerapi.StopRun, client.stop)
     proc.register_handler(workerapi.RequestLists, client.request_lists)
+    proc.register_handler(workerapi.IdentifyWorker, client.identify)
     proc.register_handler(workerapi.PersistWorker, lambda effect: None)
     proc.begin()
+    proc.feed(events.PoolsNamed(frozenset(('pool',))))
     proc.feed(events.ZonesClosed(frozenset()))
     proc.feed(events.EntriesListed((events.ListedEntry('entry', address),)))
     proc.feed(
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -23,6 +23,7 @@
         self.now = NOW
         self.notes = []
         self.effects = []
+        self.feed(events.PoolsNamed(frozenset(('p',))))
         self.feed(events.ZonesClosed(frozenset()))
         self.announce()
         self.feed(core.PeerUp(messages.Hello('e', 'entry', 1, 'z', '', '', 0)))
@@ -36,6 +37,9 @@
                 incarnation, born, 1, 'p', capacity, (), False, ''
             )
         )
+        self.feed(
+            workerapi.WorkerIdentified(incarnation, workerapi.Identity.SAME)
+        )
 
     def feed(self, event, seconds=0.0):
         """Let the agent handle an event; return the notes of it."""
