Wait for the worker's word before a woken agent ends its runs

Cause: an agent that wakes counted the time for which it stood still towards its worker's lease, and as the worker's silence. The worker's clock doesn't count a suspension, so its runs went on with what was left of their lease, while the agent reported them as over without a stop, and asked for no list for 0.5 s, as the worker "was silent".

That the agent's clock counts suspended time (CLOCK_BOOTTIME, on both kinds of machine) isn't the cause: a process that is stopped alone looks the same, and there the runs really are over.

Change: when more than 0.3 s pass between two events, the agent leaves the time out: the lease at the worker lasts that much longer, silence begins anew, lists are requested at once, and nothing starts and no lease is extended before one has come, as the clock of before is too high by the suspension. Runs whose entries' leases are over are stopped at once. What has ended is said by the list; if none comes, by the end of the lease, which holds in both cases. A new note, `runs_reviewed`, tells of it.

One list more for each pause of an idle agent. Suspensions below 0.3 s of a VM whose worker answers nothing remain: the runs may be counted as over that much too early.

Tests that let more than 0.3 s pass in one step now pass it in steps of 0.1 s, as the process's timer does; what they check is unchanged.

--- a/src/agatepick/repeatable/identification.py
+++ b/src/agatepick/repeatable/identification.py
@@ -62,6 +62,10 @@
         """Expect that another worker may have taken its place."""
         ...
 
+    def end_expectation(self) -> None:
+        """Expect no other worker any more."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
@@ -136,6 +140,7 @@
             return []
         self._drop_old(now)
         if not self._held:
+            self._controller.end_expectation()
             return []
         event = next(reversed(self._held.values())).event
         if event.pool not in self.pools:
@@ -174,6 +179,8 @@
             effects.append(_note_ignored(held.event, 'other_worker'))
         elif held is not None:
             effects += self._controller.handle_announcement(held.event, now)
+        if not self._held:
+            self._controller.end_expectation()
         return [*effects, *self.ask(now)]
 
     def next_due(self) -> float | None:
--- a/src/agatepick/repeatable/list_requests.py
+++ b/src/agatepick/repeatable/list_requests.py
@@ -70,6 +70,17 @@
         self._refused = False
         self._backoff.reset()
 
+    def record_pause(self, now: float) -> None:
+        """Record that this process stood still: request the lists at once.
+
+        The worker wasn't silent meanwhile, as nobody listened.
+        """
+        self._pending = 0
+        self._next_request_at = now
+        self._backoff.reset()
+        if self._unanswered_since is not None:
+            self._unanswered_since = now
+
     @property
     def refused(self) -> bool:
         """Whether nothing listened at the worker's address of late."""
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -16,6 +16,7 @@
 from agatepick.repeatable import list_requests
 from agatepick.repeatable import overcommit
 from agatepick.repeatable import overdue_stops
+from agatepick.repeatable import pauses
 from agatepick.repeatable import reports
 from agatepick.repeatable import run_times
 from agatepick.repeatable import runs
@@ -42,6 +43,10 @@
 MAX_START_ATTEMPTS = 3
 """Largest number of times that one run's start is sent."""
 
+PAUSE_SECONDS = 0.3
+"""Time without any event that shows that this process stood still: it has a
+timer each 0.25 s, and each 0.1 s while there are runs."""
+
 NO_LIST_YET = -1
 """Number of the last acknowledged end while no lists have arrived yet."""
 
@@ -86,6 +91,9 @@
         self._clock = worker_clock.WorkerClock()
         self._lease = worker_lease.WorkerLease()
         self._list_requests = list_requests.ListRequests()
+        self._successor_expected = False
+        self._pauses = pauses.PauseWatch(PAUSE_SECONDS)
+        self._successor_expected = False
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._announced = announced_capacity.AnnouncedCapacity(capacity)
@@ -129,7 +137,7 @@
             effects += self._crashes.record_incarnation(
                 event.incarnation, list(self.runs.values()), now
             )
-            self.expect_successor()
+            self._keep_former_runs()
             effects += self._switch_incarnation(now, returned=returned)
         self._crashes.watch('' if event.draining else event.incarnation)
         if event.reading:
@@ -141,11 +149,23 @@
     def expect_successor(self) -> None:
         """Expect that another worker may have taken the worker's place.
 
-        The former one may go on with its runs until their lease is over.
+        No start is sent again meanwhile, as it might reach both.
+        """
+        self._successor_expected = True
+        self._keep_former_runs()
+
+    def _keep_former_runs(self) -> None:
+        """Keep the runs until their lease is over, or listed as ended.
+
+        A worker whose place another one has taken may go on with them.
         """
         for run in self.runs.values():
             run.former_lease_over_at = self._lease.over_at
 
+    def end_expectation(self) -> None:
+        """Expect no other worker in the worker's place any more."""
+        self._successor_expected = False
+
     def handle_other_incarnation(
         self, event: workerapi.OtherIncarnationAnswered, now: float
     ) -> list[object]:
@@ -284,7 +304,7 @@
     def _can_retry_start(self, run: runs.Run) -> bool:
         if self.worker is None or run.confirmed_at or run.stopping:
             return False
-        if not self._clock.known:
+        if not self._clock.known or self._successor_expected:
             return False
         if run.unanswered_start_count and self._capacity.blocks_retries:
             return False
@@ -409,6 +429,7 @@
             self._last_acknowledged_end_number == self._last_handled_end_number
             and self._unowned.earlier_over
             and not self._unowned.listed
+            and self._clock.known
         )
         refused = self._list_requests.refused
         if acknowledged and not busy and not silent and not refused:
@@ -418,6 +439,7 @@
             lease_until = self._lease.extend(now)
         first_request = self._last_acknowledged_end_number == NO_LIST_YET
         waits = busy or not self._unowned.earlier_over and not first_request
+        waits = waits and self._clock.known
         wait = list_requests.WAIT_SECONDS if waits else 0.0
         self._list_requests.record_request(wait, now)
         return [
@@ -567,7 +589,7 @@
         Starts and stops that are unanswered for too long are sent again.
         """
         self._crashes.record_step(now)
-        effects: list[object] = []
+        effects = self._review_pause(now)
         for run in list(self.runs.values()):
             if self._lease.is_over(now):
                 effects += self._end_lapsed(run, now)
@@ -579,6 +601,35 @@
                 effects += self._retry_start(run, now)
         return effects
 
+    def _review_pause(self, now: float) -> list[object]:
+        """Review what is known of the worker if this process stood still.
+
+        Two cases look alike on waking.  If the process alone stood still, the
+        worker has ended the runs with their lease.  If the VM was suspended,
+        the worker stood still too, and they go on.  The worker's next list
+        tells which; until then nothing starts, no lease is extended, and the
+        runs count as over after the time that they had left before.
+        """
+        seconds = self._pauses.record_event(now)
+        if not seconds:
+            return []
+        self._lease.record_pause(seconds, now)
+        for run in self.runs.values():
+            run.former_lease_over_at += seconds
+        self._state.record_pause(seconds)
+        self._list_requests.record_pause(now)
+        self._clock.distrust()
+        if not self.runs:
+            return []
+        return [
+            core.note(
+                'runs_reviewed',
+                runs=len(self.runs),
+                seconds=f'{seconds:.3f}',
+                life=self._state.incarnation,
+            )
+        ]
+
     def _stop_unrenewed(self, run: runs.Run, now: float) -> list[object]:
         stops = self.stop(run, now)
         if run.unrenewed:
--- a/src/agatepick/repeatable/worker_lease.py
+++ b/src/agatepick/repeatable/worker_lease.py
@@ -30,6 +30,15 @@
         """Return the instant of the last extension, without a further one."""
         return self._extended_to
 
+    def record_pause(self, seconds: float, now: float) -> None:
+        """Leave out the time for which this process stood still.
+
+        The VM may have been suspended with the worker, whose clock stood
+        still too: the runs there have as much of their lease left as before.
+        """
+        if self._over_at > now - seconds:
+            self._over_at += seconds
+
     def extend_to_bound(self, now: float) -> None:
         """Expect the longest lease, which another incarnation may have given.
 
--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -192,6 +192,10 @@
         self._announced_at = now
         return True
 
+    def record_pause(self, seconds: float) -> None:
+        """Leave out the time for which this process stood still."""
+        self._announced_at += seconds
+
     def _persist(
         self, announced: workerapi.WorkerAnnounced, now: float
     ) -> list[object]:
--- a/tests/test_identification.py
+++ b/tests/test_identification.py
@@ -22,6 +22,7 @@
         self.incarnation = ''
         self.handled = []
         self.epochs_raised = 0
+        self.expects_successor = False
 
     def addresses(self, incarnation):
         return incarnation == self.incarnation
@@ -39,7 +40,10 @@
         return []
 
     def expect_successor(self):
-        pass
+        self.expects_successor = True
+
+    def end_expectation(self):
+        self.expects_successor = False
 
 
 @pytest.fixture
@@ -94,10 +98,11 @@
     effects = identity.handle_announcement(event, NOW)
     assert get_asked(effects) == [incarnation]
     assert ctl.handled == []
-    assert get_ignored(answer(identity, incarnation, OTHER)) == [
-        'other_worker'
-    ]
+    assert ctl.expects_successor
+    ignored = get_ignored(answer(identity, incarnation, OTHER))
+    assert ignored == ['other_worker']
     assert ctl.handled == []
+    assert not ctl.expects_successor
 
 
 @pytest.mark.parametrize('incarnation', ['x@1', 'w@2', 'w@0'])
--- a/tests/test_overlap_orders.py
+++ b/tests/test_overlap_orders.py
@@ -5,6 +5,7 @@
 import pytest
 
 from agatepick.repeatable import events
+from agatepick.repeatable import leases
 from tests import repeatable_world
 
 RUN_SECONDS = 8.0
@@ -127,6 +128,64 @@
     assert not world.double_runs
 
 
+STOPPED_SECONDS = 0.15
+"""Time after waking in which a suspended worker's runs are stopped."""
+
+
+@pytest.mark.parametrize('seconds', [0.35, 0.5, 0.66, 0.8, 1.0, 1.15])
+@pytest.mark.parametrize('pauses', [1, 3])
+def test_a_woken_agent_ends_no_runs_that_its_worker_goes_on_with(
+    world, seconds, pauses
+):
+    """Both stood still: the agent's clock shows a lease that isn't over."""
+    for _ in range(pauses):
+        world.stand_still('agent-0', seconds)
+        world.run(seconds + 0.6)
+    world.run(4.0)
+    assert not world.double_runs
+
+
+@pytest.mark.parametrize('seconds', [1.3, 1.5, 2.0, 3.5])
+def test_a_woken_agent_stops_the_runs_that_its_worker_goes_on_with(
+    world, seconds
+):
+    """Their tasks were started elsewhere while both stood still."""
+    world.stand_still('agent-0', seconds)
+    world.run(seconds + STOPPED_SECONDS)
+    assert world.double_runs
+    worker = world.workers['agent-0']
+    running, _ = worker.list_runs(0)
+    elsewhere = set(world.workers['agent-1'].runs)
+    assert not elsewhere.intersection(run.name for run in running)
+    world.double_runs.clear()
+    world.run(4.0)
+    assert not world.double_runs
+
+
+def test_a_woken_agent_waits_out_the_lease_at_a_worker_without_answers(world):
+    """Its worker went on with its runs, or stood still: nobody tells."""
+    world.lose_orders('agent-0', {'stop', 'lists'}, 10.0)
+    world.stand_still('agent-0', 1.0)
+    world.run(1.0 + leases.WORKER_EXPIRY_SECONDS + 0.1)
+    worker = world.workers['agent-0']
+    assert not worker.list_runs(0)[0]
+    assert not world.nodes['agent-0'].reducer._controller.runs
+    assert not world.double_runs
+
+
+def test_a_woken_agent_extends_no_lease_by_the_clock_of_before(world):
+    """Its VM stood still, so the worker's clock is behind what it was."""
+    world.run(0.5)
+    world.stand_still('agent-0', 0.4)
+    world.run(0.4)
+    worker = world.workers['agent-0']
+    longest = leases.WORKER_LEASE_SECONDS * leases.CLOCK_DRIFT
+    for _ in range(20):
+        world.run(0.01)
+        for _, _, until in worker.runs.values():
+            assert until <= world.now + longest + 1e-6
+
+
 def test_a_full_report_names_a_run_of_the_job_s_first_submission():
     """Both submissions' runs have number 1, and the first was refused."""
     world = repeatable_world.World(entries=1, agents=2)
--- a/tests/test_review_of_overlaps.py
+++ b/tests/test_review_of_overlaps.py
@@ -105,8 +105,10 @@
     base.answer_start(controller, STARTED, NOW + 0.002)
     for step in range(1, 20):
         now = NOW + step * period
-        controller.enforce_leases(now - 0.001)
-        controller.handle_list_failure(failure, now - 0.9 * period)
+        failed_at = now - 0.9 * period
+        base.pass_time(controller, now - period, failed_at)
+        controller.handle_list_failure(failure, failed_at)
+        base.pass_time(controller, failed_at, now - 0.001)
         controller.handle_announcement(base.make_announcement(step + 1), now)
 
 
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -29,6 +29,9 @@
 CLOCK = 7.0
 """Reading of the worker's clock at ``NOW``."""
 
+STEP_SECONDS = 0.1
+"""Interval of a process's timer while there are runs."""
+
 UNKNOWN = workerapi.StartResult.UNKNOWN
 
 
@@ -68,6 +71,14 @@
     return [effect for effect in effects if isinstance(effect, kind)]
 
 
+def pass_time(controller, start, end):
+    """Let a running process see some time pass; return the last effects."""
+    steps = int((end - start) / STEP_SECONDS)
+    for step in range(1, steps + 1):
+        controller.enforce_leases(start + step * STEP_SECONDS)
+    return controller.enforce_leases(end)
+
+
 def answer_start(controller, result, now, incarnation='w@1'):
     event = workerapi.StartAnswered(incarnation, REF, result)
     return controller.handle_start_answer(event, now)
@@ -181,15 +192,16 @@
     its task would run twice.
     """
     run = controller.runs['j.0']
-    (again,) = controller.enforce_leases(NOW + 1.0)
-    assert again.lease_until == NOW + 1.0 + leases.WORKER_LEASE_SECONDS
+    (again,) = controller.enforce_leases(NOW + 0.25)
+    assert again.lease_until == NOW + 0.25 + leases.WORKER_LEASE_SECONDS
+    pass_time(controller, NOW + 0.25, NOW + 0.9)
+    (request,) = controller.request_lists(NOW + 0.9)
+    assert request.lease_until == NOW + 0.9 + leases.WORKER_LEASE_SECONDS
+    run.owner.lease_until = NOW + 0.9
     (request,) = controller.request_lists(NOW + 1.1)
-    assert request.lease_until == NOW + 1.1 + leases.WORKER_LEASE_SECONDS
-    run.owner.lease_until = NOW + 1.1
-    (request,) = controller.request_lists(NOW + 1.3)
     assert request.lease_until == 0.0
-    over_at = NOW + 1.1 + leases.WORKER_EXPIRY_SECONDS
-    controller.enforce_leases(over_at - 0.001)
+    over_at = NOW + 0.9 + leases.WORKER_EXPIRY_SECONDS
+    pass_time(controller, NOW + 0.9, over_at - 0.001)
     assert 'j.0' in controller.runs
     controller.enforce_leases(over_at + 0.001)
     assert controller.runs == {}
@@ -289,7 +301,7 @@
         for request in controller.request_lists(now):
             assert request.lease_until == 0.0
         assert 'j.0' in controller.runs
-    controller.enforce_leases(FIRST_LEASE_OVER_AT - 0.001)
+    pass_time(controller, now, FIRST_LEASE_OVER_AT - 0.001)
     assert 'j.0' in controller.runs
     controller.enforce_leases(FIRST_LEASE_OVER_AT + 0.001)
     assert controller.runs == {}
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -126,7 +126,8 @@
     """A worker goes on with a run after the end of its lease."""
     agent.start()
     refuse_connections(agent)
-    agent.feed(core.Tick(), 1.2)
+    for _ in range(11):
+        agent.feed(core.Tick(), 0.1)
     agent.announce()
     agent.feed(core.Tick(), 0.3)
     agent.list_runs(RUNNING)
