Cancel a job whose queue has been removed

Cause: the handler of DELETE looked for the queue first. A job outlives its queue, and the entry knows it by its ID.

Change: the job is looked for by its ID, and counts if it was submitted under that very host and path.

--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -31,7 +31,9 @@
 """Largest number of tasks of a job, many times more than a pool runs at once.
 A number in the wrong unit must not fill the memory of the process."""
 
-_KEY = re.compile(r'[0-9a-f]{16}', re.IGNORECASE)
+KEY_LENGTH = 16
+
+_KEY = re.compile(f'[0-9a-f]{{{KEY_LENGTH}}}', re.IGNORECASE)
 
 _STATES = {
     jobs.Verdict.COMPLETE: 'completed',
@@ -173,16 +175,19 @@
         self.finish({'pending': self._front.entry.count_pending(route.name)})
 
     def delete(self) -> None:
-        """Cancel a job."""
-        route_and_key = self._find_route()
-        if route_and_key is None:
-            return
-        _, key = route_and_key
-        if not self._front.entry.owns_open_job(key):
+        """Cancel a job, whether its queue is still there or not."""
+        path = self.request.path
+        key = path[-KEY_LENGTH:]
+        owner = self._front.entry
+        if owner.owns_open_job(key, self.request.host_name, path):
+            self._front.feed(events.JobCancelled(key))
+            self.finish({})
+        elif owner.routes is None:
+            self._refuse(503, 'no_desired_state', 1.0)
+        elif _KEY.fullmatch(key):
             self._refuse(410, 'no_such_job', 0.0)
-            return
-        self._front.feed(events.JobCancelled(key))
-        self.finish({})
+        else:
+            self._refuse(404, 'no_such_path', 0.0)
 
     def on_connection_close(self) -> None:
         """Release the request after its caller closed the connection."""
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -207,10 +207,17 @@
         """Whether the process has been asked to stop."""
         return self._stopping.requested
 
-    def owns_open_job(self, key: types.JobKey) -> bool:
-        """Return whether this entry owns a job that isn't answered yet."""
+    def owns_open_job(self, key: types.JobKey, host: str, path: str) -> bool:
+        """Return whether this entry owns a job that isn't answered yet.
+
+        :param path: path under which it was submitted.  Its queue may have
+            been removed since.
+        """
         job = self._jobs.get(key)
-        return job is not None and not job.answered
+        if job is None or job.answered:
+            return False
+        route = job.spec.route
+        return (route.host, route.prefix + key) == (host, path)
 
     def count_pending(self, route: str) -> int:
         """Return the number of a queue's jobs of which no task has started."""
