Give the messages about runs a module of their own

Those about runs of repeatable tasks are in run_messages.py; messages exports them, so that nothing else changes: the codec, its schema and the names stay.

--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from agatepick.net import run_messages
 from agatepick import types
 
 
@@ -310,181 +311,19 @@
     reason: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Room:
-    """Description and free capacity of an agent's worker.
-
-    :param open: whether runs may be started at the worker.
-    :param pool: name of the pool that the worker belongs to.
-    :param free: free capacity; with a grant, capacity that is reserved for
-        the receiver.
-    :param grant: number that the next :class:`StartRuns` returns, whether the
-        grant was used or not; 0 for capacity that any entry may request.
-    :param taken: number of the receiver's last :class:`StartRuns` that
-        ``free`` accounts for.
-    :param entries: number of entries connected to the agent.
-    :param cost: expected time until a result, divided by that at a healthy
-        worker.
-    :param slowness: usual run time at the worker, divided by that at the
-        typical worker of its pool; 1 where it isn't learnt, and 0 until
-        enough runs were seen.
-    """
-
-    agent_incarnation: int
-    open: bool
-    pool: str
-    labels: tuple[str, ...]
-    capacity: types.Needs
-    free: types.Needs
-    grant: int = 0
-    taken: int = 0
-    entries: int = 1
-    cost: float = 1.0
-    slowness: float = 1.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Want:
-    """Demand of an entry: tasks that it can't place at any worker.
-
-    :param count: number of the tasks; 0 withdraws an earlier demand.
-    :param least: needs of the smallest task.
-    :param slack: seconds until the most urgent task should have started.
-    :param total: sum of the needs of all the tasks.
-    """
-
-    count: int
-    least: types.Needs
-    slack: float
-    total: types.Needs
-
-
-NO_WANT = Want(0, types.Needs(), 0.0, types.Needs())
-"""Demand of an entry without waiting tasks."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunSpec:
-    """A run of a task of a repeatable job.
-
-    :param run: number of the run, from 1; a later run has a higher number.
-    :param name: the task's name at the worker.
-    :param expected: expected duration in seconds.
-    :param crashes: crashes of the receiver's worker under the task that the
-        sender knows of.
-    :param apart: whether it must not run beside another such run, as workers
-        crashed under the task.
-    """
-
-    job: str
-    index: int
-    run: int
-    name: str
-    needs: types.Needs
-    expected: float = 0.0
-    crashes: int = 0
-    apart: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Payload:
-    """Input of every task of a repeatable job."""
-
-    job: str
-    data: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartRuns:
-    """Request to start runs now.
-
-    :param number: number of this message among those on the connection,
-        from 1.
-    :param grant: number of the grant in the :class:`Room` that this message
-        answers, or 0.
-    :param want: remaining demand; it replaces an earlier :class:`Want`.
-    :param payloads: payloads of the jobs for which the receiver has none yet.
-    """
-
-    number: int
-    grant: int
-    runs: tuple[RunSpec, ...]
-    want: Want = NO_WANT
-    payloads: tuple[Payload, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunRef:
-    """Reference to a run."""
-
-    job: str
-    index: int
-    run: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopRuns:
-    """Request to stop runs; each is reported once it has ended."""
-
-    runs: tuple[RunRef, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunReport:
-    """State of a run; ``state`` is a ``RunState``.
-
-    :param seconds: time from the request of the run to its end.
-    :param beside: number of runs at the worker when it crashed, this one
-        included.
-    :param crashes: crashes of the worker under the task that a refusal is
-        about.
-    """
-
-    job: str
-    index: int
-    run: int
-    state: str
-    reason: str = ''
-    seconds: float = 0.0
-    beside: int = 0
-    crashes: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunReports:
-    """Reports of an agent to the entry that owns the runs.
-
-    :param whole: whether the reports cover all runs of the receiver at the
-        agent; any other run has ended.
-    """
-
-    reports: tuple[RunReport, ...]
-    whole: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewal:
-    """Request of an agent to an entry to renew the lease on the entry's runs.
-
-    :param sent: when the agent sent the request, by the agent's clock.
-    :param trip: round trip time of the previous renewal, in seconds.
-    """
-
-    sent: float
-    trip: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewed:
-    """Renewal of a lease, which starts when its :class:`Renewal` was sent.
-
-    :param sent: ``sent`` of that request.
-    :param agents: number of agents from which the entry receives messages.
-    """
-
-    sent: float
-    agents: int = 1
-
+# Messages about runs of repeatable tasks.
+Room = run_messages.Room
+Want = run_messages.Want
+NO_WANT = run_messages.NO_WANT
+RunSpec = run_messages.RunSpec
+Payload = run_messages.Payload
+StartRuns = run_messages.StartRuns
+RunRef = run_messages.RunRef
+StopRuns = run_messages.StopRuns
+RunReport = run_messages.RunReport
+RunReports = run_messages.RunReports
+Renewal = run_messages.Renewal
+Renewed = run_messages.Renewed
 
 Message = (
     Hello
