--- a/src/agatepick/platform/desired.py
+++ b/src/agatepick/platform/desired.py
@@ -3,6 +3,8 @@
 A closed zone is one that the operator has taken out of service.
 """
 
+import typing
+
 import msgspec
 
 from agatepick.platform import following
@@ -16,6 +18,8 @@
 DESIRED_KEY = 'config'
 EVACUATE_PREFIX = 'evacuate/'
 
+_Decoded = typing.TypeVar('_Decoded')
+
 
 class _Route(msgspec.Struct, frozen=True):
     """A queue as the operator writes it.
@@ -68,14 +72,8 @@
 
     :returns: ``None`` if the row of the queues is missing or invalid.
     """
-    value = snapshot.get(DESIRED_KEY)
-    if value is None:
-        return None
-    try:
-        desired = msgspec.json.decode(value, type=_DesiredState)
-    except msgspec.MsgspecError as exc:
-        # The last valid state stays in force.
-        logs.warning(LOG, 'desired_state_unreadable', reason=exc)
+    desired = _decode(snapshot, _DesiredState)
+    if desired is None:
         return None
     return routes.RouteTable(
         desired.version, tuple(_make_route(route) for route in desired.routes)
@@ -87,13 +85,8 @@
 
     :returns: ``None`` if the row of the queues is missing or invalid.
     """
-    value = snapshot.get(DESIRED_KEY)
-    if value is None:
-        return None
-    try:
-        pools = msgspec.json.decode(value, type=_Pools)
-    except msgspec.MsgspecError as exc:
-        logs.warning(LOG, 'desired_state_unreadable', reason=exc)
+    pools = _decode(snapshot, _Pools)
+    if pools is None:
         return None
     names = {service.name for service in pools.services}
     names |= {route.service for route in pools.routes}
@@ -114,6 +107,21 @@
     )
 
 
+def _decode(
+    snapshot: following.Snapshot, kind: type[_Decoded]
+) -> _Decoded | None:
+    """Return the row of the queues, or ``None`` if it's missing or invalid."""
+    value = snapshot.get(DESIRED_KEY)
+    if value is None:
+        return None
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.MsgspecError as exc:
+        # The last valid state stays in force.
+        logs.warning(LOG, 'desired_state_unreadable', reason=exc)
+        return None
+
+
 def _make_route(route: _Route) -> routes.Route:
     return routes.Route(
         name=route.name,
--- a/tests/soak_evidence.py
+++ b/tests/soak_evidence.py
@@ -178,21 +178,22 @@
         number = self.rng.randrange(soak.AGENTS)
         agent, worker = self.agents[number], self.workers[number]
         name, data = self._make_foreign(worker)
-        url = f'http://127.0.0.1:{agent.ports[2]}/v1/instances/{name}'
-        path = self.rng.choice(('heartbeat',) * 5 + ('deregister',))
-        timeout = aiohttp.ClientTimeout(total=1.0)
+        call = self.rng.choice(('heartbeat',) * 5 + ('deregister',))
         for _ in range(self.rng.choice((1, 1, 6))):
-            try:
-                post = self.session.post(
-                    f'{url}/{path}', data=data, timeout=timeout
-                )
-                async with post:
-                    pass
-            except (aiohttp.ClientError, TimeoutError):
-                # The agent is down or suspended.
-                pass
+            await self._call_agent(agent, f'{name}/{call}', data)
             await asyncio.sleep(0.4)
 
+    async def _call_agent(self, agent, path, data):
+        """Call an agent as workers do, whether it answers or not."""
+        url = f'http://127.0.0.1:{agent.ports[2]}/v1/instances/{path}'
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.session.post(url, data=data, timeout=timeout):
+                pass
+        except (aiohttp.ClientError, TimeoutError):
+            # The agent is down or suspended.
+            pass
+
     def _make_foreign(self, worker):
         """Return the name and the body of another writer's announcement."""
         body = worker.make_heartbeat(1, service='other')
@@ -213,17 +214,8 @@
             body = worker.make_heartbeat(1, service='other')
             body['clock_ms'] -= 5000
             body['born'] += 1000
-            url = f'http://127.0.0.1:{agent.ports[2]}/v1/instances/i-5d2f77aa'
-            timeout = aiohttp.ClientTimeout(total=1.0)
-            try:
-                post = self.session.post(
-                    f'{url}/heartbeat', json=body, timeout=timeout
-                )
-                async with post:
-                    pass
-            except (aiohttp.ClientError, TimeoutError):
-                # The agent is down or suspended.
-                pass
+            path = 'i-5d2f77aa/heartbeat'
+            await self._call_agent(agent, path, json.dumps(body))
 
     async def suspend_vm(self):
         """Suspend an agent with its worker, some times in a row."""
