Ask for a stored worker by the epoch that its orders had

Cause: the first request to a new worker bears its birth as epoch, and counted as an epoch given: the orders that followed had birth + 1. After a restart the stored worker is asked by its birth, which it refused as outdated.

Evidence: found by measuring what a loss of power costs.

Change: the epoch of such a request isn't kept; a refusal raises the epoch from there. The test restarts an agent without any further ping: the job is served where the worker guards itself, and not before an announcement elsewhere.

--- a/src/agatepick/repeatable/worker_state.py
+++ b/src/agatepick/repeatable/worker_state.py
@@ -54,6 +54,7 @@
         self.incarnation = ''
         self._last_incarnation = ''
         self.epoch = 0
+        self._asked_epoch = 0
         self._epoch_incarnation = ''
         self.description: workerapi.WorkerAnnounced | None = None
         self.leaving = False
@@ -143,10 +144,11 @@
             account.  The epoch follows it only while no orders are sent, and
             not far beyond the time of day: it never falls again.
         """
+        self._asked_epoch = self.epoch
         if not self.incarnation:
             latest = int(now * 1000.0) + EPOCH_STEP
-            self.epoch = max(self.epoch, min(born, latest))
-        return self.epoch
+            self._asked_epoch = max(self.epoch, min(born, latest))
+        return self._asked_epoch
 
     def raise_epoch(self) -> list[object]:
         """Raise the epoch, as the worker has seen a higher one.
@@ -154,7 +156,7 @@
         Nobody else sends it orders: a late one to another incarnation, or an
         earlier incarnation of this process, had the higher number.
         """
-        self.epoch += EPOCH_STEP
+        self.epoch = max(self.epoch, self._asked_epoch) + EPOCH_STEP
         return [
             core.note('epoch_raised', life=self.incarnation, to=self.epoch)
         ]
--- a/tests/test_foreign_announcements.py
+++ b/tests/test_foreign_announcements.py
@@ -64,9 +64,9 @@
             await self.ping(session, self.worker.name, body)
             await asyncio.sleep(PING_PAUSE_SECONDS)
 
-    async def submit(self, session):
+    async def submit(self, session, **headers):
         path = f'/dates/{next(KEYS):016x}'
-        return await self.post(session, path, test_platform.JOB)
+        return await self.post(session, path, test_platform.JOB, **headers)
 
 
 def play(tmp_path, action):
@@ -166,3 +166,27 @@
         await check_service(programs, session)
 
     play(tmp_path, action)
+
+
+@pytest.mark.parametrize('guards', [True, False])
+def test_a_restarted_agent_uses_what_it_stored_of_a_guarding_worker(
+    tmp_path, guards
+):
+    """Its orders' epoch is the worker's birth, by which it asks again."""
+
+    async def action(programs, session):
+        services = [{'name': 'pool', 'rejects_overload': guards}]
+        state = {**test_platform.DESIRED, 'services': services}
+        programs.store.put('op', 'config', state)
+        await programs.announce(session)
+        await programs.wait_ready(session)
+        assert await programs.submit(session) == (200, {'state': 'completed'})
+        assert programs.worker.fencing_token == programs.worker.born
+        programs.processes[-1].kill()
+        programs.processes[-1].wait()
+        programs.start('agent')
+        await asyncio.sleep(2.0)
+        status, _ = await programs.submit(session, **{'X-Deadline-Ms': '2000'})
+        assert (status == 200) is guards
+
+    play(tmp_path, action)
