End the wait for another worker with the last announcement held

What callers saw: after an announcement that came before the desired state was read, and whose pool that state doesn't name, starts without an answer weren't sent again until the next announcement was settled.

Cause: ask() dropped the last held announcement for its pool and returned without ending the expectation of another worker; only the other two places that drop one ended it.

Change: one method drops all that is old or unnamed, and what follows from nothing being held stands once behind it.

Both cases of test_starts_are_sent_again_once_no_held_pool_is_named fail on the code before (the expectation stays) and hold now; test_identification, test_run_controller and test_foreign_announcements hold.

--- a/src/agatepick/repeatable/identification.py
+++ b/src/agatepick/repeatable/identification.py
@@ -138,25 +138,29 @@
         """Ask the worker about the newest announcement that is held."""
         if not self._held or self.pools is None or now < self._ask_at:
             return []
-        self._drop_old(now)
+        effects = self._drop_useless(self.pools, now)
         if not self._held:
             self._controller.end_expectation()
-            return []
+            return effects
         event = next(reversed(self._held.values())).event
-        if event.pool not in self.pools:
-            del self._held[event.incarnation]
-            return [_note_ignored(event, 'pool'), *self.ask(now)]
         self._asked = event.incarnation
         self._ask_at = now + ANSWER_SECONDS
         epoch = self._controller.choose_epoch(event.born, now)
-        return [workerapi.IdentifyWorker(event.incarnation, epoch)]
-
-    def _drop_old(self, now: float) -> None:
-        self._held = {
-            name: held
-            for name, held in self._held.items()
-            if now <= held.at + HOLD_SECONDS
-        }
+        return [
+            *effects,
+            workerapi.IdentifyWorker(event.incarnation, epoch),
+        ]
+
+    def _drop_useless(self, pools: frozenset[str], now: float) -> list[object]:
+        """Drop announcements that are old, or of a pool without a name."""
+        effects: list[object] = []
+        for name, held in list(self._held.items()):
+            if held.event.pool not in pools:
+                effects.append(_note_ignored(held.event, 'pool'))
+            elif now <= held.at + HOLD_SECONDS:
+                continue
+            del self._held[name]
+        return effects
 
     def handle_answer(
         self, event: workerapi.WorkerIdentified, now: float
--- a/tests/test_identification.py
+++ b/tests/test_identification.py
@@ -213,3 +213,26 @@
     event = announce('w@2', sequence=workerapi.NOT_ANNOUNCED)
     identity.handle_announcement(event, NOW)
     assert ctl.handled == [event]
+
+
+@pytest.mark.parametrize('names', [('x@2',), ('x@2', 'y@3')])
+def test_starts_are_sent_again_once_no_held_pool_is_named(ctl, names):
+    """Unanswered starts waited for the next announcement."""
+    identity = identification.Identification(ctl)
+    for name in names:
+        identity.handle_announcement(announce(name, pool='unnamed'), NOW)
+    assert ctl.expects_successor
+    identity.pools = POOLS
+    assert get_ignored(identity.ask(NOW)) == ['pool'] * len(names)
+    assert not ctl.expects_successor
+
+
+def test_a_held_announcement_is_asked_about_beside_unnamed_ones(ctl):
+    identity = identification.Identification(ctl)
+    identity.handle_announcement(announce('x@2'), NOW)
+    identity.handle_announcement(announce('y@3', pool='unnamed'), NOW)
+    identity.pools = POOLS
+    effects = identity.ask(NOW)
+    assert get_ignored(effects) == ['pool']
+    assert get_asked(effects) == ['x@2']
+    assert ctl.expects_successor
