Leave out a missing reading in the worker's clock itself

The check that an answer has a reading stood three times before WorkerClock.add. It stands in add() now, so that no caller can forget it.

Behaviour is the same: a reading of 0 could never count, as it would have to be at least what the clock reads by then.

--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -148,9 +148,8 @@
         self._crashes.watch('' if event.draining else event.incarnation)
         same = known == event.incarnation
         effects += self._announced.record(event, same, now)
-        if event.reading:
-            # A worker without runs sends no lists that would keep its clock.
-            self._clock.add(event.reading, now)
+        # A worker without runs sends no lists that would keep its clock.
+        self._clock.add(event.reading, now)
         return effects
 
     def expect_successor(self) -> None:
@@ -334,8 +333,7 @@
         if run is None:
             return []
         run.unanswered_start_count -= 1
-        if event.reading:
-            self._clock.add(event.reading, now)
+        self._clock.add(event.reading, now)
         if event.result is workerapi.StartResult.STARTED:
             run.confirmed_at = run.confirmed_at or now
             return []
@@ -427,8 +425,7 @@
         # What a former incarnation has stopped may still start at this one.
         if event.ok and self._state.addresses(event.incarnation):
             run.stop_acknowledged_at = now
-            if event.reading:
-                self._clock.add(event.reading, now)
+            self._clock.add(event.reading, now)
         return []
 
     # Lists
--- a/src/agatepick/repeatable/worker_clock.py
+++ b/src/agatepick/repeatable/worker_clock.py
@@ -76,10 +76,12 @@
         """Add a reading that arrived just now and may be another clock's.
 
         It doesn't count before a list.
+
+        :param reading: 0 if the message had none.
         """
         sample = self._sample
         offset = reading - now
-        if sample is None or offset > self._max_offset:
+        if not reading or sample is None or offset > self._max_offset:
             return
         if offset >= sample.compute_offset(now):
             self._sample = _Sample(now, offset)
--- a/tests/test_worker_clock.py
+++ b/tests/test_worker_clock.py
@@ -115,3 +115,10 @@
     date = clock.date(READING + 1.0, sent_at + seconds)
     assert sent_at <= date <= sent_at + 0.1
     assert date <= sent_at + seconds
+
+
+def test_an_answer_without_a_clock_changes_nothing(clock):
+    """A missing reading isn't the reading of a clock that has just begun."""
+    known = clock.convert(NOW, NOW)
+    clock.add(0.0, READING)
+    assert clock.convert(NOW, NOW) == known
