Bound what a process takes in from all its clients together

What callers saw: clients that misbehave at any path of an entry, also at paths without a queue and at the readiness address, ran the process out of its memory, filled its processor, or took its descriptors; ordinary jobs beside them weren't served, and after them neither.

A body was read whole before its path was looked at. Nothing bounded all requests of a process together.

Change: agatepick.intake serves every HTTP address of every program. What a process holds for its clients (connections, heads, bodies, bytes read ahead, bytes that the system holds unread) has one limit, from the memory and the descriptors of its machine; beyond it the connections that hold most for longest are refused or closed, not the next one that comes, and none whose job was accepted. Refusals by the head (size, path, memory) read no further. Heads with thousands of fields are cut to those that an endpoint reads before they are parsed. What is sent ahead, and bodies in tiny chunks, are read in turns that leave the processor to others. The library's parser and handlers stay.

--- a/src/agatepick/agentside/announce.py
+++ b/src/agatepick/agentside/announce.py
@@ -10,12 +10,12 @@
 import urllib.parse
 
 import msgspec
-import tornado.httpserver
 import tornado.web
 
 from agatepick.agentside import upstream
 from agatepick.api import web
 from agatepick.conf import settings
+from agatepick import intake
 from agatepick import types
 
 MAX_REQUEST_BYTES = 64 * 1024
@@ -76,12 +76,17 @@
 
 
 def build_server(
-    feed: Feed, cfg: settings.Upstreams
-) -> tornado.httpserver.HTTPServer:
+    feed: Feed,
+    cfg: settings.Upstreams,
+    clients: intake.Intake | None = None,
+) -> intake.Server:
     """Return the HTTP server for the upstream of an agent.
 
     :param feed: callback that passes an event to the agent's reducer.
+    :param clients: what the HTTP servers of the process share.
     """
+    if clients is None:
+        clients = intake.Intake(intake.ProcessLimits.from_config())
     handler_args = {'feed': feed, 'cfg': cfg}
     app = tornado.web.Application(
         [('/v1/upstream', _UpstreamHandler, handler_args)],
@@ -89,13 +94,15 @@
         default_handler_args=handler_args,
         log_function=_skip_request_log,
     )
-    return tornado.httpserver.HTTPServer(
-        app,
-        max_body_size=MAX_REQUEST_BYTES,
-        max_header_size=MAX_REQUEST_BYTES,
-        idle_connection_timeout=60.0,
-        body_timeout=10.0,
+    address = intake.Address(
+        'upstream',
+        clients.limits.max_small_connections,
+        frozenset({'POST', 'PUT', 'PATCH', 'DELETE'}),
+        drop_fields=False,
+        max_body_bytes=MAX_REQUEST_BYTES,
+        max_header_bytes=MAX_REQUEST_BYTES,
     )
+    return intake.Server(app, clients, address)
 
 
 class _Faulty(Exception):
--- a/src/agatepick/api/web.py
+++ b/src/agatepick/api/web.py
@@ -13,13 +13,14 @@
 import typing
 
 import msgspec
-import tornado.httpserver
+import tornado.httputil
 import tornado.routing
 import tornado.web
 
 from agatepick.api import calls
 from agatepick.conf import settings
 from agatepick import exceptions
+from agatepick import intake
 from agatepick.telemetry import logs
 from agatepick.telemetry import metrics
 from agatepick import types
@@ -52,6 +53,8 @@
     :param name: name of this process, reported as the peer in errors.
     :param ready: returns whether a balancer may send requests here.
     :param measured: metrics of the process, updated after each request.
+    :param clients: what the HTTP servers of the process share; ``None`` for
+        a server that is alone.
     """
 
     name: types.PeerName
@@ -64,6 +67,7 @@
     measured: metrics.Metrics = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    clients: intake.Intake | None = None
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -348,11 +352,29 @@
     return hmac.compare_digest(token.encode(), other_token.encode())
 
 
+def make_intake(
+    limits: settings.Http, cfg: intake.IntakeSettings
+) -> intake.Intake:
+    """Return what the HTTP servers of a process share.
+
+    :param limits: limits of each request.
+    """
+    return intake.Intake(
+        intake.ProcessLimits.from_config(cfg),
+        intake.RequestLimits(
+            limits.max_header_bytes * HARD_SIZE_LIMIT_FACTOR,
+            limits.max_body_bytes * HARD_SIZE_LIMIT_FACTOR,
+            limits.idle_seconds,
+            limits.idle_seconds,
+        ),
+    )
+
+
 def server(
     front: Front,
     routes: list[tornado.routing.URLSpec],
     tls: typing.Any = None,
-) -> tornado.httpserver.HTTPServer:
+) -> intake.Server:
     """Return an HTTP server for the routes, with the configured limits.
 
     :param tls: an ``ssl.SSLContext``, or ``None`` for plain HTTP.
@@ -363,15 +385,16 @@
         default_handler_args={'front': front},
         log_function=_log_request,
     )
-    limits = front.limits
-    return tornado.httpserver.HTTPServer(
-        app,
-        ssl_options=tls,
-        max_body_size=limits.max_body_bytes * HARD_SIZE_LIMIT_FACTOR,
-        max_header_size=limits.max_header_bytes * HARD_SIZE_LIMIT_FACTOR,
-        idle_connection_timeout=limits.idle_seconds,
-        chunk_size=64 << 10,
+    clients = front.clients
+    if clients is None:
+        clients = make_intake(front.limits, intake.IntakeSettings())
+    address = intake.Address(
+        'http',
+        clients.limits.max_connections,
+        frozenset({'POST', 'PUT', 'PATCH', 'DELETE'}),
+        drop_fields=False,
     )
+    return intake.Server(app, clients, address, tls)
 
 
 def _log_request(handler: tornado.web.RequestHandler) -> None:
--- a/src/agatepick/conf/settings.py
+++ b/src/agatepick/conf/settings.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from agatepick import intake
+
 Name = typing.Annotated[
     str,
     msgspec.Meta(
@@ -225,6 +227,7 @@
     timing: Timing = Timing()
     metrics: Metrics = Metrics()
     log: Log = Log()
+    limits: intake.IntakeSettings = intake.IntakeSettings()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -275,6 +278,7 @@
     timing: Timing = Timing()
     metrics: Metrics = Metrics()
     log: Log = Log()
+    limits: intake.IntakeSettings = intake.IntakeSettings()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/agatepick/intake/__init__.py
@@ -0,0 +1,21 @@
+"""Limits on what a process takes in from its clients."""
+
+from agatepick.intake.limits import IntakeSettings
+from agatepick.intake.limits import ProcessLimits
+from agatepick.intake.limits import RequestLimits
+from agatepick.intake.server import Address
+from agatepick.intake.server import Intake
+from agatepick.intake.server import Refusal
+from agatepick.intake.server import Screen
+from agatepick.intake.server import Server
+
+__all__ = [
+    'Address',
+    'Intake',
+    'IntakeSettings',
+    'ProcessLimits',
+    'Refusal',
+    'RequestLimits',
+    'Screen',
+    'Server',
+]
--- /dev/null
+++ b/src/agatepick/intake/stream.py
@@ -0,0 +1,234 @@
+"""Streams of bytes from clients, read within the limits of the process."""
+
+import asyncio
+import select
+import socket
+import typing
+
+from tornado import iostream
+
+from agatepick.intake import connections
+from agatepick.intake import heads
+from agatepick.intake import limits
+from agatepick.intake import turns
+from agatepick.telemetry import logs
+
+LOG = logs.logger(__name__)
+
+READ_BYTES = 16 * limits.KIB
+"""Bytes that are read at a time."""
+
+MAX_BUFFER_BYTES = 8 * limits.MIB
+"""Bound of the library on a stream's buffer, which the limits of requests
+don't let it reach."""
+
+PART_COST = 1
+"""Cost of a part of a body, such as the size of a chunk or its bytes."""
+
+BYTES_PER_COST = 256
+"""Bytes that cost as much as a part, beside it."""
+
+HEAD_COST = 256
+"""Cost of a head, and of the request that it begins."""
+
+TURN_CREDIT = HEAD_COST
+"""Sum of the costs of what is read in one turn."""
+
+FIRST_CREDIT = 3 * HEAD_COST
+"""What a client may send at once without waiting for a turn."""
+
+BUSY_CREDIT = HEAD_COST + 64
+"""The same while much has been read in this round of the event loop: enough
+for a head and a body of some KiB."""
+
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class LimitedStream(iostream.IOStream):
+    """A stream whose client can't read ahead of others.
+
+    What has been sent ahead is read in turns, and is dropped once the client
+    has left.
+
+    :ivar conn: connection that counts the bytes; set before the first read.
+    """
+
+    conn: connections.Connection
+
+    def __init__(
+        self,
+        sock: typing.Any,
+        queue: turns.TurnQueue,
+        now: typing.Callable[[], float],
+        drop_fields: bool,
+    ):
+        super().__init__(
+            sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES
+        )
+        self._queue = queue
+        self._now = now
+        self._drop_fields = drop_fields
+        self._credit = FIRST_CREDIT
+        self._in_read = False
+        self._read_bytes_total = 0
+        self._taken_bytes = 0
+        self._pending: asyncio.Future[bytes] | None = None
+        self._turn: _StreamTurn | None = None
+
+    def close(self, exc_info: typing.Any = False) -> None:
+        """Close the stream, and drop what was sent ahead."""
+        super().close(exc_info)
+        if self._turn is not None:
+            self._turn.drop()
+
+    def count_unread(self) -> int:
+        """Return the bytes that were read and not asked for yet."""
+        self._settle()
+        return self._read_bytes_total - self._taken_bytes
+
+    def has_left(self) -> bool:
+        """Return whether the client has closed its side."""
+        if self.closed():
+            return True
+        poll = select.poll()
+        poll.register(self.socket.fileno(), select.POLLRDHUP)
+        return any(found & _GONE for _, found in poll.poll(0))
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what is there, and count it."""
+        count = super().read_from_fd(buf)
+        if count:
+            self._read_bytes_total += count
+            self._in_read = True
+            try:
+                self.conn.record_read(count, self._now())
+            finally:
+                self._in_read = False
+        return count
+
+    def end_writing(self) -> None:
+        """Tell the client that no further answer follows."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            # The client has left meanwhile.
+            logs.info(LOG, 'client_left', reason=exc)
+
+    def close_soon(self) -> None:
+        """Close, but not while a read is under way in this stream."""
+        if self._in_read:
+            self.io_loop.add_callback(self.close)
+        else:
+            self.close()
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> typing.Awaitable[bytes]:
+        """Read the head of a request."""
+        fut = super().read_until_regex(regex, max_bytes)
+        return self._take_turn(fut, HEAD_COST, self._drop_fields)
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> typing.Awaitable[bytes]:
+        """Read the size of a chunk."""
+        fut = super().read_until(delimiter, max_bytes)
+        return self._take_turn(fut, PART_COST)
+
+    def read_bytes(
+        self, num_bytes: int, partial: bool = False
+    ) -> typing.Awaitable[bytes]:
+        """Read bytes of a body."""
+        fut = super().read_bytes(num_bytes, partial)
+        return self._take_turn(fut, PART_COST)
+
+    def _take_turn(
+        self,
+        fut: typing.Awaitable[bytes],
+        cost: int,
+        drop_fields: bool = False,
+    ) -> typing.Awaitable[bytes]:
+        """Return the result of a read, at its turn if it was sent ahead."""
+        assert isinstance(fut, asyncio.Future)
+        self._settle()
+        self._pending = fut
+        if not fut.done():
+            self._credit = FIRST_CREDIT
+            return _drop_unused_fields(fut) if drop_fields else fut
+        if fut.cancelled() or fut.exception() is not None:
+            return fut
+        self._settle()
+        data = fut.result()
+        cost += len(data) // BYTES_PER_COST
+        self._credit -= cost
+        self._queue.spend(cost)
+        if drop_fields:
+            data = heads.drop_unused_fields(data)
+        if self._credit >= self._get_least_credit():
+            return _make_done(data) if drop_fields else fut
+        self._turn = _StreamTurn(self, data, cost)
+        self.conn.set_stalled(True)
+        self._queue.wait(self._turn)
+        return self._turn.fut
+
+    def _get_least_credit(self) -> int:
+        """Return the credit below which a read has to wait for its turn."""
+        if self._queue.is_busy():
+            return FIRST_CREDIT - BUSY_CREDIT
+        return 0
+
+    def end_turn(self, cost: int) -> None:
+        """Go on reading after a wait for a read of some cost."""
+        self._credit = self._get_least_credit() + TURN_CREDIT - cost
+        self._turn = None
+        self.conn.set_stalled(False)
+
+    def _settle(self) -> None:
+        """Count the bytes of a read that has ended."""
+        fut = self._pending
+        if fut is None or not fut.done():
+            return
+        self._pending = None
+        if not fut.cancelled() and fut.exception() is None:
+            self._taken_bytes += len(fut.result())
+
+
+class _StreamTurn:
+    """A read whose bytes are there, and which waits for its turn."""
+
+    def __init__(self, stream: LimitedStream, data: bytes, cost: int):
+        self._stream = stream
+        self._data = data
+        self._cost = cost
+        self.fut: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def take(self) -> None:
+        """Return the bytes to the reader, unless the client has left."""
+        if self.fut.done():
+            return
+        if self._stream.has_left():
+            self._stream.close()
+            return
+        self._stream.end_turn(self._cost)
+        self.fut.set_result(self._data)
+
+    def drop(self) -> None:
+        """Forget the bytes of a stream that was closed."""
+        self._data = b''
+        if not self.fut.done():
+            self.fut.set_exception(iostream.StreamClosedError())
+            # The reader may have been cancelled; the exception isn't an error
+            # that nobody has seen.
+            self.fut.exception()
+
+
+async def _drop_unused_fields(fut: asyncio.Future[bytes]) -> bytes:
+    return heads.drop_unused_fields(await fut)
+
+
+def _make_done(data: bytes) -> asyncio.Future[bytes]:
+    fut: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+    fut.set_result(data)
+    return fut
--- a/src/agatepick/platform/desired.py
+++ b/src/agatepick/platform/desired.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from agatepick import intake
 from agatepick.platform import following
 from agatepick.repeatable import events
 from agatepick.repeatable import routes
 from agatepick.telemetry import logs
+from agatepick import types
 
 LOG = logs.logger(__name__)
 
@@ -65,6 +67,12 @@
     services: tuple[_Service, ...] = ()
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """The part of the value of that row which limits callers' requests."""
+
+    limits: dict[str, typing.Any] = {}
+
+
 def parse_route_table(
     snapshot: following.Snapshot,
 ) -> routes.RouteTable | None:
@@ -107,6 +115,40 @@
     )
 
 
+def parse_request_limits(
+    snapshot: following.Snapshot,
+) -> intake.RequestLimits | None:
+    """Return the limits of callers' requests in the operator's rows.
+
+    A limit that is missing or invalid has its default.
+
+    :returns: ``None`` if the row of the queues is missing or invalid.
+    """
+    state = _decode(snapshot, _Limits)
+    if state is None:
+        return None
+    defaults = intake.RequestLimits()
+    values = state.limits
+    return intake.RequestLimits(
+        _get_limit(values, 'max_header_bytes', defaults.max_header_bytes),
+        _get_limit(values, 'max_body_bytes', defaults.max_body_bytes),
+        _get_limit(values, 'header_timeout_ms', defaults.header_seconds * 1000)
+        / 1000.0,
+        _get_limit(values, 'idle_timeout_ms', defaults.idle_seconds * 1000)
+        / 1000.0,
+    )
+
+
+def _get_limit(
+    values: dict[str, typing.Any], name: str, default: float
+) -> int:
+    value = values.get(name, default)
+    if isinstance(value, int | float) and 1 <= value <= types.MAX_COUNT:
+        return int(value)
+    logs.warning(LOG, 'limit_bad', field=f'limits.{name}', used=default)
+    return int(default)
+
+
 def _decode(
     snapshot: following.Snapshot, kind: type[_Decoded]
 ) -> _Decoded | None:
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -9,8 +9,10 @@
 
 import msgspec
 from tornado import http1connection
+from tornado import httputil
 from tornado import web
 
+from agatepick import intake
 from agatepick.net import departures
 from agatepick.platform import quantities
 from agatepick.repeatable import entry
@@ -114,6 +116,22 @@
         if handler is not None:
             handler.answer(effect.answer)
 
+    def screen(
+        self, line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> intake.Refusal | None:
+        """Return why the body of a request isn't read, if it isn't."""
+        table = self.entry.routes
+        if table is None:
+            return intake.Refusal(503, 'no_desired_state', 1.0)
+        if line.method == 'DELETE':
+            # The queue may have been removed since the job came.
+            return None
+        host, _ = httputil.split_host_and_port(headers.get('Host', '').lower())
+        path, _, _ = line.path.partition('?')
+        if table.match(host, path) is None:
+            return intake.Refusal(404, 'no_such_queue')
+        return None
+
 
 class Ready(web.RequestHandler):
     """The readiness endpoint for the load balancer."""
@@ -147,6 +165,8 @@
         job = self._parse_job(route, key)
         if job is None:
             return
+        # The body isn't held beside the job.
+        self.request.body = b''
         self._done = asyncio.get_running_loop().create_future()
         self._call = self._front.submit(self, job)
         await self._wait_for_answer()
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -7,11 +7,11 @@
 import sys
 import typing
 
-from tornado import httpserver
+from tornado import httputil
 from tornado import netutil
-from tornado import web
 
 from agatepick import exceptions
+from agatepick import intake
 from agatepick.platform import announcements
 from agatepick.platform import desired
 from agatepick.platform import following
@@ -48,6 +48,9 @@
 """Largest number of log lines that a process writes in a second; further ones
 are counted and dropped."""
 
+MAX_ANNOUNCEMENT_BYTES = 4 << 20
+"""Limit of a worker's announcement."""
+
 METRICS_PORT = 9464
 """Port of the metrics, the same as in ``deploy/system.toml``."""
 
@@ -81,33 +84,37 @@
     try:
         file = reloading.SettingsFile(settings.path_from_env())
         cfg = file.read()
-        switches = policies.Policies()
+        own = policies.Settings()
         if len(args) == 2:
-            switches = policies.read(args[1])
+            own = policies.read_settings(args[1])
     except exceptions.BadSettings as exc:
         print(exc.show(), file=sys.stderr)
         return exc.exit_status
     logs.setup_bounded(cfg.name, LOG_LINES_PER_SECOND)
-    asyncio.run(programs[args[0]](cfg, file, switches))
+    asyncio.run(programs[args[0]](cfg, file, own))
     return 0
 
 
 async def run_entry(
     cfg: settings.NodeSettings,
     file: reloading.SettingsFile,
-    switches: policies.Policies,
+    own: policies.Settings,
 ) -> None:
     """Run an entry, on a machine that callers reach."""
     rng = random.Random(process.new_incarnation())
     reducer = entry.Entry.from_config(
-        entry.EntryConfig(cfg.name, cfg.zone, switches), rng
+        entry.EntryConfig(cfg.name, cfg.zone, own.policies), rng
     )
     proc = _make_process(cfg, 'entry', reducer)
+    clients = _make_intake(cfg, own)
     front = ingress.Front(reducer, proc.feed, proc.clock)
     proc.register_handler(events.Reply, front.reply)
     proc.listen(cfg.links)
-    serve_callers(ingress.make_application(front), cfg.front)
-    _serve(ingress.make_ready_application(front), cfg.ready)
+    app = ingress.make_application(front)
+    serve_callers(app, cfg.front, clients, front.screen)
+    _serve_small(
+        ingress.make_ready_application(front), clients, 'ready', cfg.ready
+    )
     proc.begin()
     store = rows.RowStore(cfg.store)
 
@@ -115,6 +122,9 @@
         table = desired.parse_route_table(snapshot)
         if table is not None:
             proc.feed(events.RoutesRead(table))
+        limits = desired.parse_request_limits(snapshot)
+        if limits is not None:
+            clients.request_limits = limits
 
     coroutines = [
         following.watch_table(
@@ -126,19 +136,19 @@
         ),
         members.register(store, cfg.name, cfg.links, cfg.zone, rng),
     ]
-    await _run_until_stopped(cfg, file, proc, store, coroutines)
+    await _run_until_stopped(cfg, file, proc, store, clients, coroutines)
 
 
 async def run_agent(
     cfg: settings.NodeSettings,
     file: reloading.SettingsFile,
-    switches: policies.Policies,
+    own: policies.Settings,
 ) -> None:
     """Run an agent, on a worker's machine."""
     incarnation = process.new_incarnation()
     rng = random.Random(incarnation)
     reducer = agent.Agent.from_config(
-        agent.AgentConfig(cfg.name, cfg.zone, switches), incarnation
+        agent.AgentConfig(cfg.name, cfg.zone, own.policies), incarnation
     )
     proc = _make_process(cfg, 'agent', reducer, incarnation)
     client = worker.WorkerClient(cfg.worker, proc.clock, proc.feed)
@@ -149,7 +159,18 @@
     store = rows.RowStore(cfg.store)
     record = worker_record.WorkerRecord(store, cfg.worker, rng)
     proc.register_handler(workerapi.PersistWorker, record.update)
-    _serve(announcements.make_application(proc.feed), cfg.control)
+    clients = _make_intake(cfg, own)
+    _serve(
+        announcements.make_application(proc.feed),
+        clients,
+        intake.Address(
+            'control',
+            clients.limits.max_small_connections,
+            frozenset({'POST'}),
+            max_body_bytes=MAX_ANNOUNCEMENT_BYTES,
+        ),
+        cfg.control,
+    )
     proc.begin()
 
     def apply_zones(snapshot: following.Snapshot) -> None:
@@ -179,7 +200,7 @@
             rng,
         ),
     ]
-    await _run_until_stopped(cfg, file, proc, store, coroutines)
+    await _run_until_stopped(cfg, file, proc, store, clients, coroutines)
     await client.close()
 
 
@@ -199,18 +220,60 @@
     )
 
 
-def _serve(app: web.Application, address: str) -> list[socket.socket]:
+def _make_intake(
+    cfg: settings.NodeSettings, own: policies.Settings
+) -> intake.Intake:
+    return intake.Intake(
+        intake.ProcessLimits.from_config(
+            own.limits, cfg.memory_mb, cfg.descriptors
+        )
+    )
+
+
+def _serve(
+    app: httputil.HTTPServerConnectionDelegate,
+    clients: intake.Intake,
+    options: intake.Address,
+    address: str,
+) -> list[socket.socket]:
     """Serve HTTP at ``ip:port``, and return the listening sockets."""
     host, _, port = address.rpartition(':')
-    server = httpserver.HTTPServer(app)
     socks = netutil.bind_sockets(int(port), host)
-    server.add_sockets(socks)
+    intake.Server(app, clients, options).add_sockets(socks)
     return socks
 
 
-def serve_callers(app: web.Application, address: str) -> None:
-    """Serve HTTP at ``ip:port``, with keep-alive probes to the callers."""
-    for sock in _serve(app, address):
+def _serve_small(
+    app: httputil.HTTPServerConnectionDelegate,
+    clients: intake.Intake,
+    name: str,
+    address: str,
+) -> None:
+    """Serve HTTP at an address that is asked now and then."""
+    most = clients.limits.max_small_connections
+    _serve(app, clients, intake.Address(name, most), address)
+
+
+def serve_callers(
+    app: httputil.HTTPServerConnectionDelegate,
+    address: str,
+    clients: intake.Intake | None = None,
+    screen: intake.Screen | None = None,
+) -> None:
+    """Serve callers at ``ip:port``, with keep-alive probes to them.
+
+    :param clients: what the servers of the process share; that of a process
+        whose machine isn't known by default.
+    :param screen: refuses requests by their heads.
+    """
+    clients = clients or intake.Intake(intake.ProcessLimits.from_config())
+    options = intake.Address(
+        'front',
+        clients.limits.max_connections,
+        frozenset({'POST'}),
+        screen=screen,
+    )
+    for sock in _serve(app, clients, options, address):
         # Accepted connections inherit the options.
         _set_keep_alive(sock)
 
@@ -227,12 +290,14 @@
 
 
 def _serve_metrics(
-    cfg: settings.NodeSettings, proc_measures: measures.Measures
+    cfg: settings.NodeSettings,
+    proc_measures: measures.Measures,
+    clients: intake.Intake,
 ) -> None:
     app = metrics.make_application(proc_measures.text)
     host = cfg.links.rpartition(':')[0]
     try:
-        _serve(app, f'{host}:{METRICS_PORT}')
+        _serve_small(app, clients, 'metrics', f'{host}:{METRICS_PORT}')
     except OSError as exc:
         # Another process on this machine uses the port; metrics are optional.
         logs.warning(LOG, 'metrics_not_served', reason=exc)
@@ -243,6 +308,7 @@
     file: reloading.SettingsFile,
     proc: process.Process,
     store: rows.RowStore,
+    clients: intake.Intake,
     coroutines: list[typing.Coroutine[typing.Any, typing.Any, None]],
 ) -> None:
     loop = asyncio.get_running_loop()
@@ -251,8 +317,12 @@
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    proc.measures.register(proc.gauges, lambda: store.call_counts)
-    _serve_metrics(cfg, proc.measures)
+    proc.measures.register(
+        lambda: {**proc.gauges(), **clients.gauges()},
+        lambda: store.call_counts,
+        clients.count_refused,
+    )
+    _serve_metrics(cfg, proc.measures, clients)
 
     def apply_settings(new_cfg: settings.NodeSettings) -> None:
         # Only the store's address can change while the process runs.
--- a/src/agatepick/platform/settings.py
+++ b/src/agatepick/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for each process."""
 
 import dataclasses
+import math
 import os
 import typing
 
@@ -26,6 +27,9 @@
     :param worker: address at which this machine's worker takes requests.
     :param store: address of the platform's store.
     :param grace_seconds: time from the request to stop until the kill.
+    :param memory_mb: memory of the process; 0 if it isn't given.
+    :param descriptors: files and sockets that it may open; 0 if that isn't
+        given.
     """
 
     name: str
@@ -37,6 +41,8 @@
     worker: str
     store: str
     grace_seconds: float
+    memory_mb: float = 0.0
+    descriptors: float = 0.0
 
 
 def path_from_env() -> str:
@@ -91,6 +97,13 @@
             raise _make_error(name, 'must be a number')
         return float(value)
 
+    def get_size(self, name: str) -> float:
+        """Return a size; 0 if it isn't given."""
+        value = self.get_number(name, 0.0)
+        if not 0.0 <= value < math.inf:
+            raise _make_error(name, 'must be 0 or more')
+        return value
+
     def get_address(self, name: str, default: str | None = None) -> str:
         value = self.get_text(name, default)
         if not value and default is not None:
@@ -132,6 +145,8 @@
         worker=fields.get_address('app', ''),
         store=fields.get_address('platform.address'),
         grace_seconds=fields.get_number('bounds.grace_s', 6.0),
+        memory_mb=fields.get_size('limits.memory_mb'),
+        descriptors=fields.get_size('limits.max_fds'),
     )
 
 
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -38,23 +38,31 @@
     'over_committed_cores': 'cores in use beyond what the worker has now',
     'worker_open': '1 while runs may be started at the worker',
     'worker_slowness': 'usual run time at the worker over the expected one',
+    'client_connections': 'open connections of clients, at all addresses',
+    'client_bytes': 'memory for connections and unfinished requests',
+    'client_job_bytes': 'memory for jobs whose callers wait',
+    'client_turns_waiting': 'reads of what clients have sent ahead',
 }
 """Gauges and their help texts by name.  The values are computed on each scrape
 only."""
 
 Gauges = typing.Callable[[], dict[str, float]]
 Counts = typing.Callable[[], dict[tuple[str, str], int]]
+Refusals = typing.Callable[[], typing.Mapping[str, int]]
 
 
 class _Reader(registry.Collector):
-    """Collector that turns gauges and store call counts into metrics."""
+    """Collector that turns gauges and counts into metrics."""
 
-    def __init__(self, gauges: Gauges, store_calls: Counts):
+    def __init__(
+        self, gauges: Gauges, store_calls: Counts, refusals: Refusals
+    ):
         self._gauges = gauges
         self._store_calls = store_calls
+        self._refusals = refusals
 
     def collect(self) -> typing.Iterator[families.Metric]:
-        """Yield a metric for each gauge, and one for calls to the store."""
+        """Yield a metric for each gauge, and one for each set of counts."""
         for name, value in self._gauges().items():
             yield families.GaugeMetricFamily(
                 f'agatepick_{name}', GAUGES[name], value
@@ -67,6 +75,14 @@
         for labels, count in self._store_calls().items():
             calls.add_metric(labels, count)
         yield calls
+        refused = families.CounterMetricFamily(
+            'agatepick_clients_refused',
+            'Connections ended and requests refused at a limit, by reason',
+            labels=('reason',),
+        )
+        for reason, count in self._refusals().items():
+            refused.add_metric((reason,), count)
+        yield refused
 
 
 class Measures:
@@ -98,12 +114,18 @@
         if verdict is not None:
             self._answers.labels(verdict).observe(float(fields['seconds']))
 
-    def register(self, gauges: Gauges, store_calls: Counts) -> None:
-        """Export gauges and the calls to the store on each scrape.
+    def register(
+        self,
+        gauges: Gauges,
+        store_calls: Counts,
+        refusals: Refusals = dict,
+    ) -> None:
+        """Export gauges and counts on each scrape.
 
         :param store_calls: returns the calls so far by path and outcome.
+        :param refusals: returns the clients refused so far by reason.
         """
-        self._registry.register(_Reader(gauges, store_calls))
+        self._registry.register(_Reader(gauges, store_calls, refusals))
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/agatepick/repeatable/policies.py
+++ b/src/agatepick/repeatable/policies.py
@@ -1,4 +1,4 @@
-"""Switches of the optional decisions under load.
+"""Switches of the optional decisions under load, and limits of clients.
 
 Each decision acts only where what a process observes calls for it, and not at
 all while its switch is off.
@@ -8,6 +8,7 @@
 
 from agatepick.conf import typed_toml
 from agatepick import exceptions
+from agatepick import intake
 
 SECTION = 'policies'
 """Table of the settings file that holds the switches."""
@@ -37,26 +38,42 @@
     def from_toml(cls, text: str, file: str) -> 'Policies':
         """Return the switches in a settings file; missing ones are off.
 
+        :raises agatepick.exceptions.BadSettings: if the text isn't valid.
+        """
+        return Settings.from_toml(text, file).policies
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """The whole settings file."""
+
+    policies: Policies = Policies()
+    limits: intake.IntakeSettings = intake.IntakeSettings()
+
+    @classmethod
+    def from_toml(cls, text: str, file: str) -> 'Settings':
+        """Return the settings in a file; missing switches are off.
+
         :param file: name by which errors refer to the text.
         :raises agatepick.exceptions.BadSettings: if the text isn't valid; the
             message names each faulty field.
         """
         tables = typed_toml.parse_toml(text, file)
         faults: list[str] = []
-        parsed = typed_toml.build(tables, _File, faults)
+        parsed = typed_toml.build(tables, cls, faults)
         if faults:
             raise exceptions.BadSettings(
                 f'{file}: {"; ".join(faults)}', step='settings'
             )
-        return parsed.policies
+        return parsed
 
 
-@dataclasses.dataclass(frozen=True)
-class _File:
-    policies: Policies = Policies()
+def read(path: str) -> Policies:
+    """Return the switches in a settings file; see :func:`read_settings`."""
+    return read_settings(path).policies
 
 
-def read(path: str) -> Policies:
+def read_settings(path: str) -> Settings:
     """Read and check a settings file.
 
     :raises agatepick.exceptions.BadSettings: if the file can't be read or
@@ -69,4 +86,4 @@
         raise exceptions.BadSettings(
             f'{path}: {exc}', step='settings'
         ) from exc
-    return Policies.from_toml(text, path)
+    return Settings.from_toml(text, path)
--- a/src/agatepick/runtime/processes.py
+++ b/src/agatepick/runtime/processes.py
@@ -11,7 +11,6 @@
 import secrets
 import typing
 
-from tornado import httpserver
 from tornado import netutil
 
 from agatepick.agentside import agent
@@ -29,6 +28,7 @@
 from agatepick.decisions import dispatch
 from agatepick.decisions import placement
 from agatepick import exceptions
+from agatepick import intake
 from agatepick.net import clocks
 from agatepick.net import links
 from agatepick.net import messages
@@ -98,8 +98,10 @@
         stop_seconds: float,
         timeline_events: int,
         metrics_cfg: settings.Metrics,
+        clients: intake.Intake,
         dependencies: Dependencies,
     ):
+        self.clients = clients
         self.name = cfg.name
         self.incarnation = new_incarnation()
         self.dependencies = dependencies
@@ -109,9 +111,9 @@
         self.metrics = metrics.Metrics()
         self.metrics_address = ''
         self._metrics_cfg = metrics_cfg
-        self._metrics_http: httpserver.HTTPServer | None = None
+        self._metrics_http: intake.Server | None = None
         self._stop_seconds = stop_seconds
-        self._http: httpserver.HTTPServer | None = None
+        self._http: intake.Server | None = None
         self._close_task: asyncio.Task[None] | None = None
         self.shell: shell.Shell
         self.links: links.Links
@@ -173,8 +175,12 @@
     def _serve_metrics(self) -> None:
         sockets = _bind_sockets(self._metrics_cfg.listen)
         self.metrics_address = _format_address(sockets)
-        self._metrics_http = httpserver.HTTPServer(
-            metrics.make_application(self._render_metrics)
+        self._metrics_http = intake.Server(
+            metrics.make_application(self._render_metrics),
+            self.clients,
+            intake.Address(
+                'metrics', self.clients.limits.max_small_connections
+            ),
         )
         self._metrics_http.add_sockets(sockets)
 
@@ -204,6 +210,8 @@
         self.metrics.set_gauge('links_messages_in', traffic.messages_in)
         self.metrics.set_gauge('links_bytes_out', traffic.bytes_out)
         self.metrics.set_gauge('links_bytes_in', traffic.bytes_in)
+        for name, value in self.clients.gauges().items():
+            self.metrics.set_gauge(name, value)
         return self.metrics.text()
 
 
@@ -221,6 +229,7 @@
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
             cfg.metrics,
+            web.make_intake(cfg.http, cfg.limits),
             dependencies,
         )
         self.cfg = cfg
@@ -302,6 +311,7 @@
             self.timeline,
             lambda: self.entry.ready(self.dependencies.clock.now()),
             self.metrics,
+            self.clients,
         )
         routes = [*callers.routes(front), *operators.routes(front)]
         self._http = web.server(front, routes, contexts.http)
@@ -354,6 +364,7 @@
             cfg.timing.stop_seconds,
             cfg.log.timeline_events,
             cfg.metrics,
+            web.make_intake(settings.Http(cfg.operators.listen), cfg.limits),
             dependencies,
         )
         self.cfg = cfg
@@ -361,7 +372,7 @@
         self.upstream_address = ''
         self.operators_address = ''
         self._upstream: upstream.Upstream
-        self._operators_http: httpserver.HTTPServer | None = None
+        self._operators_http: intake.Server | None = None
 
     @classmethod
     def from_settings(
@@ -420,7 +431,9 @@
     def _listen_announcements(self) -> None:
         sockets = _bind_sockets(self.cfg.upstream.listen)
         self.upstream_address = _format_address(sockets)
-        self._http = announce.build_server(self.shell.feed, self.cfg.upstream)
+        self._http = announce.build_server(
+            self.shell.feed, self.cfg.upstream, self.clients
+        )
         self._http.add_sockets(sockets)
 
     def _listen_operators(self, contexts: tls.Contexts) -> None:
@@ -434,6 +447,7 @@
             settings.Tokens(cfg.token),
             self.timeline,
             measured=self.metrics,
+            clients=self.clients,
         )
         routes = operators.process_routes(front)
         self._operators_http = web.server(front, routes, contexts.http)
--- a/src/agatepick/telemetry/metrics.py
+++ b/src/agatepick/telemetry/metrics.py
@@ -101,6 +101,30 @@
             'bytes',
             'bytes taken from peers since the start',
         ),
+        Metric(
+            'client_connections',
+            Kind.GAUGE,
+            'connections',
+            'open connections of clients, at all addresses',
+        ),
+        Metric(
+            'client_bytes',
+            Kind.GAUGE,
+            'bytes',
+            'memory for connections and unfinished requests',
+        ),
+        Metric(
+            'client_job_bytes',
+            Kind.GAUGE,
+            'bytes',
+            'memory for jobs whose callers wait',
+        ),
+        Metric(
+            'client_turns_waiting',
+            Kind.GAUGE,
+            'reads',
+            'reads of what clients have sent ahead',
+        ),
     )
 }
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,7 @@
 import subprocess
 import sys
 import tempfile
+import types
 
 import aiohttp
 import yaml
@@ -406,6 +407,12 @@
         return [sys.executable, 'deploy/start.py', self.role, POLICIES]
 
     def write_settings(self):
+        path = self.soak.folder / f'{self.name}.yaml'
+        path.write_text(yaml.safe_dump(self.make_settings()))
+        return path
+
+    def make_settings(self):
+        """Return the fields of the settings file."""
         front, ready, control, links = self.ports
         fields = {
             'node_name': self.name,
@@ -423,9 +430,7 @@
             }
         else:
             fields['app'] = self.app
-        path = self.soak.folder / f'{self.name}.yaml'
-        path.write_text(yaml.safe_dump(fields))
-        return path
+        return fields
 
     def send_signal(self, number):
         """Send a signal to the process if it runs."""
@@ -453,10 +458,16 @@
 
     :cvar worker_type: class of the stand-in workers.
     :cvar process_type: class of the processes.
+    :cvar entry_count: number of entries.
+    :cvar agent_count: number of agents, each with a worker.
+    :cvar more_desired: further fields of the desired state.
     """
 
     worker_type = Worker
     process_type = Process
+    entry_count = ENTRIES
+    agent_count = AGENTS
+    more_desired = types.MappingProxyType({})
 
     def __init__(self, seed, seconds, folder, faults):
         self.faults = faults
@@ -467,11 +478,12 @@
         self.folder = folder
         self.store = Store(self)
         self.workers = [
-            self.worker_type(self, number) for number in range(AGENTS)
+            self.worker_type(self, number)
+            for number in range(self.agent_count)
         ]
         self.entries = [
             self.process_type(self, 'entry', number)
-            for number in range(ENTRIES)
+            for number in range(self.entry_count)
         ]
         self.agents = [
             self.process_type(self, 'agent', number, worker.address)
@@ -683,7 +695,7 @@
             for prefix in ['/dates/', *self.extra_prefixes]
         ]
         desired = {'version': self.version, 'routes': routes, 'services': []}
-        self.store.put('op', 'config', desired)
+        self.store.put('op', 'config', {**desired, **self.more_desired})
 
     def record_culprit_start(self, worker, task):
         """Record the start of a culprit by the agent beside a worker."""
--- /dev/null
+++ b/tests/test_intake_connections.py
@@ -0,0 +1,210 @@
+import pytest
+
+from agatepick.intake import budget
+from agatepick.intake import connections
+from agatepick.intake import limits
+
+MOST = 100
+REQUEST_BYTES = 4 * limits.MIB
+
+
+class Peer:
+    """A client's side that records what is done to it."""
+
+    def __init__(self):
+        self.conn = None
+        self.writing = False
+        self.refused = []
+        self.closed = False
+
+    def is_writing(self):
+        return self.writing
+
+    def refuse(self, reason):
+        self.refused.append(reason)
+        self.conn.begin_refusal(self.conn.since)
+
+    def close(self):
+        self.closed = True
+
+
+class Clients:
+    """The connections of a process, and a clock."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.connections = connections.Connections(
+            limits.ProcessLimits(MOST, MOST, REQUEST_BYTES, 0),
+            limits.RequestLimits(),
+            lambda: self.now,
+        )
+
+    def open(self, group='front', most=MOST):
+        peer = Peer()
+        peer.conn = self.connections.open(group, most, peer)
+        return peer
+
+    def send_body(self, size, group='front'):
+        """Return a client that has sent a part of a body."""
+        peer = self.open(group)
+        peer.conn.record_read(100, self.now)
+        peer.conn.begin_body(4, self.now)
+        peer.conn.record_read(size, self.now)
+        return peer
+
+
+@pytest.fixture
+def clients():
+    return Clients()
+
+
+def test_bodies_that_stand_still_make_room_for_the_next(clients):
+    """Held bodies filled the memory, each within the limit of a request."""
+    held = [clients.send_body(200_000) for _ in range(18)]
+    clients.now = 1.0
+    ordinary = [clients.send_body(1000) for _ in range(50)]
+    late = [clients.send_body(200_000) for _ in range(10)]
+    assert clients.connections.held <= REQUEST_BYTES
+    assert any(peer.refused for peer in held)
+    assert not any(peer.refused or peer.closed for peer in ordinary + late)
+    assert clients.connections.ended[connections.Reason.MEMORY] == sum(
+        len(peer.refused) for peer in held
+    )
+
+
+@pytest.mark.parametrize('size', [1, 3000, 60_000, 400_000, 5_000_000])
+def test_no_mix_of_clients_holds_more_than_the_limit(clients, size):
+    for number in range(3 * MOST):
+        clients.now += 0.001
+        peer = clients.open(f'group-{number % 3}')
+        if peer.conn is None:
+            continue
+        peer.conn.record_read(size, clients.now)
+        if number % 3:
+            peer.conn.begin_body(size // 100, clients.now)
+            peer.conn.record_read(size, clients.now)
+        if number % 3 == 2:
+            peer.conn.begin_answer(size, clients.now)
+        assert clients.connections.held <= REQUEST_BYTES
+
+
+def test_a_caller_that_waits_for_its_answer_keeps_its_connection(clients):
+    """An accepted job would be lost with it."""
+    waiting = clients.send_body(100_000)
+    waiting.conn.begin_answer(0, clients.now)
+    clients.now = 10.0
+    for _ in range(100):
+        clients.send_body(100_000)
+    assert not waiting.refused and not waiting.closed
+
+
+def test_who_sends_ahead_of_its_answer_may_lose_its_connection(clients):
+    greedy = clients.send_body(1000)
+    greedy.conn.begin_answer(200_000, clients.now)
+    clients.now = 10.0
+    for _ in range(100):
+        clients.send_body(100_000)
+    assert greedy.closed
+
+
+def test_the_oldest_idle_connections_make_room_for_new_ones(clients):
+    """Idle clients kept all descriptors, and no other could connect."""
+    idle = [clients.open() for _ in range(MOST)]
+    clients.now = 1.0
+    fresh = clients.open()
+    assert fresh.conn is not None
+    assert sum(peer.closed for peer in idle) == 6
+
+
+def test_no_connection_is_opened_while_all_wait_for_answers(clients):
+    for _ in range(MOST):
+        clients.send_body(10).conn.begin_answer(0, clients.now)
+    assert clients.open().conn is None
+    reason = connections.Reason.CONNECTIONS
+    assert clients.connections.ended[reason] == 1
+
+
+def test_crowds_at_one_address_leave_the_others_their_connections(clients):
+    for _ in range(3 * MOST):
+        clients.open('front')
+    balancer = clients.open('ready', most=2)
+    for _ in range(3 * MOST):
+        clients.open('front')
+    assert not balancer.closed
+
+
+def test_each_time_limit_ends_those_that_pass_it(clients):
+    idle = clients.open()
+    head = clients.open()
+    head.conn.record_read(1, 0.0)
+    body = clients.send_body(10)
+    unread = clients.send_body(10)
+    unread.conn.begin_answer(0, 0.0)
+    unread.writing = True
+    waiting = clients.send_body(10)
+    waiting.conn.begin_answer(0, 0.0)
+    ended = {}
+    for second in range(40):
+        clients.now = float(second)
+        clients.connections.check_times()
+        for name, peer in {
+            'idle': idle,
+            'head': head,
+            'body': body,
+            'unread': unread,
+            'waiting': waiting,
+        }.items():
+            if peer.closed or peer.refused:
+                ended.setdefault(name, second)
+    assert ended == {'idle': 16, 'head': 4, 'body': 16, 'unread': 16}
+
+
+def test_a_slow_body_may_take_its_time_if_it_gets_on(clients):
+    """A caller on a slow link is within the limits of the pages."""
+    slow = clients.send_body(0)
+    for second in range(120):
+        clients.now = float(second)
+        slow.conn.record_read(2000, clients.now)
+        clients.connections.check_times()
+    assert not slow.refused and not slow.closed
+
+
+def test_a_body_of_a_byte_a_second_is_refused(clients):
+    """Such bodies kept their connections for hours."""
+    slow = clients.send_body(0)
+    for second in range(30):
+        clients.now = float(second)
+        slow.conn.record_read(1, clients.now)
+        clients.connections.check_times()
+    assert slow.refused or slow.closed
+
+
+def test_closed_connections_hold_nothing(clients):
+    peers = [clients.send_body(10_000) for _ in range(20)]
+    for peer in peers:
+        clients.connections.discard(peer.conn)
+        peer.conn.record_read(10_000, 1.0)
+        clients.connections.discard(peer.conn)
+    assert clients.connections.held == 0
+    assert clients.connections.count() == 0
+
+
+def test_large_jobs_leave_room_for_small_ones():
+    """Jobs of thousands of tasks filled the memory of the process."""
+    jobs = budget.JobBudget(32 * limits.MIB)
+    large = budget.estimate_job_bytes(1, 10_000, 0)
+    assert jobs.reserve(large)
+    while jobs.reserve(large):
+        pass
+    small = budget.estimate_job_bytes(4000, 8, 0)
+    assert sum(jobs.reserve(small) for _ in range(100)) == 100
+    assert jobs.held <= jobs.max_bytes
+
+
+def test_a_job_that_is_alone_gets_all_the_memory_for_jobs():
+    jobs = budget.JobBudget(1000)
+    assert jobs.reserve(1000)
+    assert not jobs.reserve(1)
+    jobs.release(1000)
+    assert not jobs.reserve(1001)
+    assert jobs.held == 0
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -1,4 +1,5 @@
 from agatepick import core
+from agatepick import intake
 from agatepick.repeatable import measures
 from tests import repeatable_world
 
@@ -55,9 +56,9 @@
         name: node.reducer.gauges(world.now)
         for name, node in world.nodes.items()
     }
-    assert set(gauges['entry-0']) | set(gauges['agent-0']) == set(
-        measures.GAUGES
-    )
+    clients = intake.Intake(intake.ProcessLimits.from_config())
+    exported = {*gauges['entry-0'], *gauges['agent-0'], *clients.gauges()}
+    assert exported == set(measures.GAUGES)
     assert gauges['entry-0']['jobs_open'] == 1.0
     assert gauges['entry-0']['jobs_waiting'] == 1.0
     assert gauges['entry-0']['workers_usable'] == 1.0
--- /dev/null
+++ b/tests/test_misbehaving_clients.py
@@ -0,0 +1,101 @@
+import contextlib
+import fcntl
+import itertools
+import os
+import pathlib
+import tempfile
+
+import pytest
+
+from tests import intake_rig
+
+COUNTS = {
+    'held_body': 600,
+    'pieced_body': 600,
+    'huge_body': 6,
+    'huge_chunked_body': 6,
+    'tiny_chunks': 100,
+    'many_fields': 1000,
+    'many_form_fields': 200,
+    'many_query_fields': 800,
+    'sent_ahead': 300,
+    'jobs_sent_ahead': 60,
+    'endless_line': 1500,
+    'idle': 3000,
+    'half_body': 2700,
+    'half_head': 3000,
+    'slow_head': 2500,
+    'slow_reader': 500,
+}
+"""Clients at each entry, by kind."""
+
+IN_TIME_SHARE = 0.9
+"""Share of the ordinary jobs that are completed in time beside such clients,
+and after they have left."""
+
+PLAYS_AT_ONCE = 2
+"""Plays at a time on one machine: each takes up to four processors."""
+
+FEW_DESCRIPTORS = 1700
+"""1,500 sockets, and those for files."""
+
+
+@contextlib.contextmanager
+def take_slot():
+    """Wait until one of the places for plays is free."""
+    folder = pathlib.Path(tempfile.gettempdir())
+    files = [
+        open(folder / f'agatepick-play-{os.getuid()}-{number}', 'w')
+        for number in range(PLAYS_AT_ONCE)
+    ]
+    try:
+        own = files[os.getpid() % PLAYS_AT_ONCE]
+        for file in files:
+            with contextlib.suppress(BlockingIOError):
+                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                break
+        else:
+            fcntl.flock(own, fcntl.LOCK_EX)
+        yield
+    finally:
+        for file in files:
+            file.close()
+
+
+def check_play(tmp_path, *doses, **options):
+    """Play some clients; no process ends, and ordinary jobs are served."""
+    with take_slot():
+        result = intake_rig.play(doses, tmp_path, **options)
+    summary = result.describe()
+    assert not result.passed, summary
+    assert not result.ended, summary
+    for results in (result.during, result.after):
+        assert sum(results) >= IN_TIME_SHARE * len(results), summary
+
+
+@pytest.mark.parametrize(
+    'kind, place', itertools.product(COUNTS, intake_rig.PLACES)
+)
+def test_ordinary_jobs_are_served_beside(kind, place, tmp_path):
+    """Clients at any path run a process out of memory, time or sockets."""
+    dose = intake_rig.Dose(kind, place, COUNTS[kind])
+    check_play(tmp_path, dose, seconds=4.0, after_seconds=2.0)
+
+
+@pytest.mark.parametrize(
+    'kind', ['idle', 'half_body', 'half_head', 'slow_head']
+)
+def test_crowds_leave_descriptors_for_others(kind, tmp_path):
+    """No descriptor is left for ordinary callers, peers and the store."""
+    dose = intake_rig.Dose(kind, 'route', COUNTS[kind])
+    check_play(tmp_path, dose, descriptors=FEW_DESCRIPTORS)
+
+
+def test_all_kinds_at_once(tmp_path):
+    """Each limit alone holds, and all of them together exceed the memory."""
+    places = itertools.cycle(intake_rig.PLACES)
+    doses = [
+        intake_rig.Dose(kind, next(places), max(2, count // 8))
+        for kind, count in COUNTS.items()
+    ]
+    check_play(tmp_path, *doses)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -21,7 +21,7 @@
 def test_the_page_lists_each_event_that_the_programs_log():
     """Engineers look up events of logs in the page, which lists no others."""
     logged = set(EVENTS_WITHOUT_LOG_CALL)
-    for package in ('repeatable', 'platform'):
+    for package in ('intake', 'repeatable', 'platform'):
         for path in (ROOT / 'src' / 'agatepick' / package).glob('*.py'):
             for call in LOG_CALL_PATTERNS:
                 logged |= set(re.findall(call, path.read_text()))
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -50,7 +50,7 @@
     )
     assert sorted(parse_faults(text)) == [
         'entry.toml: extra: found an unknown key; allowed: process, http, '
-        'peers, store, tokens, tls, timing, metrics, log',
+        'peers, store, tokens, tls, timing, metrics, log, limits',
         'entry.toml: http.idle_secs: found an unknown key (did you mean '
         "'idle_seconds'?); allowed: listen, max_body_bytes, "
         'max_header_bytes, max_tasks, max_open, idle_seconds, '
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -22,6 +22,7 @@
 from agatepick.standins import standin_table
 from agatepick.standins import standin_upstream
 from agatepick import types
+from tests import test_intake_server
 
 LOOPBACK = x509.IPAddress(ipaddress.ip_address('127.0.0.1'))
 START = datetime.datetime(2020, 1, 1)
@@ -227,3 +228,19 @@
             await table.stop()
 
     assert asyncio.run(main()).complete
+
+
+def test_limits_of_clients_hold_behind_tls(ours):
+    async def scenario(door):
+        options = ssl.create_default_context(cafile=str(ours.file))
+        reader, writer = await door.connect(ssl=options)
+        writer.write(test_intake_server.make_post(1000) + b'x' * 1000)
+        answer = await test_intake_server.read_answer(reader)
+        assert answer[1]['size'] == 1000
+        writer.write(test_intake_server.make_post(99 << 20))
+        assert (await test_intake_server.read_answer(reader))[0] == 413
+
+    cfg = ours.settings('entry-1')
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(cfg.peer_certificate, cfg.peer_key)
+    test_intake_server.run(scenario, tls=context)
