Bound the memory of all jobs whose callers wait

What callers saw: some dozens of jobs of thousands of steps each took an entry past its memory, and with it went every other caller's job.

Cause: a job may have 10,000 tasks, and nothing bounded the tasks of all jobs together; a task takes up a hundred times its bytes in the request.

Change: a job reserves memory by its tasks until it is answered, at most half of what is left, so small jobs find room long after large ones are refused (503, Retry-After 2 s, not run). A job that is alone gets all of it. Its input has at most the 4,000 bytes that the pages allow. The library's own entry does the same with http.max_tasks.

--- a/src/agatepick/api/callers.py
+++ b/src/agatepick/api/callers.py
@@ -25,6 +25,7 @@
 from agatepick.api import calls
 from agatepick.api import job_bodies
 from agatepick.api import web
+from agatepick.intake import budget
 from agatepick import types
 
 ASYNC_HOLD_SECONDS = 0.05
@@ -194,11 +195,16 @@
             body, key, team, now, self.front.limits.max_tasks
         )
         hold_seconds = self._get_hold_seconds()
+        cost = budget.estimate_job_bytes(len(body), len(job.tasks), 0)
+        self._reserve_memory(cost)
         self._reply_task = asyncio.create_task(
             self.front.calls.call(
                 lambda number: calls.JobSubmitted(number, job)
             )
         )
+        self._reply_task.add_done_callback(
+            lambda _: self._release_memory(cost)
+        )
         done, _ = await asyncio.wait([self._reply_task], timeout=hold_seconds)
         if self._reply_task.cancelled():
             return
@@ -209,6 +215,21 @@
             answer = types.JobAnswer(key, types.JobStatus.PENDING)
         self.send_answer(answer)
 
+    def _reserve_memory(self, cost: int) -> None:
+        clients = self.front.clients
+        if clients is not None and not clients.jobs.reserve(cost):
+            raise web.Refused(
+                503,
+                'busy',
+                'the jobs that wait take up the memory for jobs',
+                run=self.get_run_before_submission(),
+                retry_after=web.BUSY_RETRY_SECONDS,
+            )
+
+    def _release_memory(self, cost: int) -> None:
+        if self.front.clients is not None:
+            self.front.clients.jobs.release(cost)
+
     def on_connection_close(self) -> None:
         super().on_connection_close()
         if self._reply_task is not None:
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -13,6 +13,7 @@
 from tornado import web
 
 from agatepick import intake
+from agatepick.intake import budget
 from agatepick.net import departures
 from agatepick.platform import quantities
 from agatepick.repeatable import entry
@@ -33,6 +34,13 @@
 """Largest number of tasks of a job, many times more than a pool runs at once.
 A number in the wrong unit must not fill the memory of the process."""
 
+MAX_SPEC_BYTES = 4000
+"""Largest input of a job, by the platform's pages."""
+
+TOO_MANY_TASKS_RETRY_SECONDS = 2.0
+"""When to come back with a job for whose tasks there is no memory; most jobs
+end within that time."""
+
 KEY_LENGTH = 16
 
 _KEY = re.compile(f'[0-9a-f]{{{KEY_LENGTH}}}', re.IGNORECASE)
@@ -87,32 +95,46 @@
         reducer: entry.Entry,
         feed: typing.Callable[[object], None],
         clock: types.Clock,
+        job_budget: budget.JobBudget | None = None,
     ):
         self.entry = reducer
         self.feed = feed
         self.clock = clock
         self.departures = departures.DepartureWatch()
+        self._budget = job_budget or budget.JobBudget(
+            intake.ProcessLimits.from_config().max_job_bytes
+        )
         self._calls = itertools.count(1)
         self._waiting: dict[int, 'Queue'] = {}
+        self._costs: dict[int, int] = {}
 
     def submit(self, handler: 'Queue', job: jobs.Job) -> int:
         """Submit a job to the entry and return the number of the call.
 
         :meth:`reply` delivers the answer.
+
+        :returns: 0 if there is no memory for it.
         """
+        references = sum(len(earlier) for earlier in job.after)
+        cost = budget.estimate_job_bytes(
+            len(job.payload), len(job.tasks), references
+        )
+        if not self._budget.reserve(cost):
+            return 0
         call = next(self._calls)
+        self._costs[call] = cost
         self._waiting[call] = handler
         self.feed(events.JobArrived(call, job))
         return call
 
     def disconnect(self, call: int) -> None:
         """Notify the entry that a caller left before its answer was sent."""
-        if self._waiting.pop(call, None) is not None:
+        if self._remove(call) is not None:
             self.feed(events.CallerLeft(call))
 
     def reply(self, effect: events.Reply) -> None:
         """Deliver the entry's answer to the waiting caller."""
-        handler = self._waiting.pop(effect.call, None)
+        handler = self._remove(effect.call)
         if handler is not None:
             handler.answer(effect.answer)
 
@@ -132,6 +154,11 @@
             return intake.Refusal(404, 'no_such_queue')
         return None
 
+    def _remove(self, call: int) -> 'Queue | None':
+        handler = self._waiting.pop(call, None)
+        self._budget.release(self._costs.pop(call, 0))
+        return handler
+
 
 class Ready(web.RequestHandler):
     """The readiness endpoint for the load balancer."""
@@ -169,6 +196,10 @@
         self.request.body = b''
         self._done = asyncio.get_running_loop().create_future()
         self._call = self._front.submit(self, job)
+        if not self._call:
+            logs.info(LOG, 'job_refused', job=key, reason='too_many_tasks')
+            self._refuse(503, 'too_many_tasks', TOO_MANY_TASKS_RETRY_SECONDS)
+            return
         await self._wait_for_answer()
 
     async def _wait_for_answer(self) -> None:
@@ -309,6 +340,9 @@
         raise ValueError("best_effort: only jobs that needn't be kept")
     if sum(step.count for step in body.steps) > MAX_TASKS:
         raise ValueError(f'steps: count of more than {MAX_TASKS} tasks')
+    payload = body.spec.encode()
+    if len(payload) > MAX_SPEC_BYTES:
+        raise ValueError(f'spec: more than {MAX_SPEC_BYTES} bytes')
     tasks: list[jobs.Task] = []
     for index, step in enumerate(body.steps):
         if step.gang:
@@ -321,7 +355,7 @@
     return jobs.Job(
         key=key,
         route=route,
-        payload=body.spec.encode(),
+        payload=payload,
         tasks=tuple(tasks),
         after=tuple(frozenset(step.after) for step in body.steps),
         deadline=deadline,
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -107,7 +107,7 @@
     )
     proc = _make_process(cfg, 'entry', reducer)
     clients = _make_intake(cfg, own)
-    front = ingress.Front(reducer, proc.feed, proc.clock)
+    front = ingress.Front(reducer, proc.feed, proc.clock, clients.jobs)
     proc.register_handler(events.Reply, front.reply)
     proc.listen(cfg.links)
     app = ingress.make_application(front)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -99,3 +99,23 @@
         for kind, count in COUNTS.items()
     ]
     check_play(tmp_path, *doses)
+
+
+@pytest.mark.parametrize(
+    'kind, count', [('many_steps', 75), ('many_tasks', 100)]
+)
+def test_jobs_of_thousands_of_tasks_stay_within_the_memory(
+    kind, count, tmp_path
+):
+    """Jobs that wait fill the memory by their tasks, not by their bytes."""
+    dose = intake_rig.Dose(kind, 'route', count)
+    with take_slot():
+        result = intake_rig.play([dose], tmp_path, after_seconds=6.0)
+    assert not result.passed, result.describe()
+    assert not result.ended, result.describe()
+
+
+def test_ordinary_jobs_are_served_beside_a_job_of_tiny_tasks(tmp_path):
+    """Thousands of runs at once fill the processors of agents and entries."""
+    dose = intake_rig.Dose('many_tasks', 'route', 1)
+    check_play(tmp_path, dose)
