--- a/tests/test_intake_server.py
+++ b/tests/test_intake_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 import json
 import os
 import resource
@@ -12,6 +13,7 @@
 from agatepick import intake
 from agatepick.intake import connections
 from agatepick.intake import limits
+from agatepick.intake import stream
 from agatepick.intake import turns
 
 TIMEOUT_SECONDS = 20.0
@@ -393,3 +395,37 @@
     asyncio.run(main())
     assert taken[:8] == [*(['first'] * 3), 'ahead'] * 2
     assert sorted(taken) == ['ahead'] * 8 + ['first'] * 8
+
+
+@pytest.mark.parametrize('path', ['/none', '/half', '/reset'])
+def test_ended_connections_leave_no_garbage(path):
+    """Thousands of them filled the memory until the next collection."""
+
+    async def scenario(door):
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(5):
+                reader, writer = await door.connect()
+                writer.write(make_post(3, path) + b'a')
+                if path == '/none':
+                    await read_answer(reader)
+                elif path == '/half':
+                    await asyncio.sleep(0.05)
+                writer.transport.abort()
+                while door.intake.connections.count():
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            left = [
+                one
+                for one in gc.get_objects()
+                if isinstance(one, stream.LimitedStream)
+            ]
+            assert not left
+        finally:
+            gc.enable()
+
+    def screen(line, headers):
+        return intake.Refusal(404, 'x') if line.path == '/none' else None
+
+    run(scenario, screen=screen)
