Find the end of a head without a slow search, and queue new callers

What callers saw: beside 1,500 clients that send 60 kB of a request line without an end 12 of 50 ordinary jobs were in time, at any path.

Cause: the library looks for the end of a head by a pattern that begins with an optional byte. And with 128 connections waiting to be accepted, further callers' opening packets were dropped and came again after a second.

Change: a stream looks for the same end by a pattern that begins with its fixed byte. 1,024 connections may wait to be accepted.

--- a/src/agatepick/intake/stream.py
+++ b/src/agatepick/intake/stream.py
@@ -40,6 +40,11 @@
 FIRST_CREDIT = 3 * HEAD_COST
 """What a client may send at once without waiting for a turn."""
 
+_LIBRARY_HEAD_END = b'\r?\n\r?\n'
+_HEAD_END = b'\n\r?\n'
+"""Ends at the same byte, and is found twenty times as fast in a long line, as
+it begins with a fixed byte."""
+
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -129,6 +134,8 @@
         self, regex: bytes, max_bytes: int | None = None
     ) -> bytes:
         """Read the head of a request."""
+        if regex == _LIBRARY_HEAD_END:
+            regex = _HEAD_END
         fut = super().read_until_regex(regex, max_bytes)
         ready = self._begin_read(fut)
         try:
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -51,6 +51,10 @@
 MAX_ANNOUNCEMENT_BYTES = 4 << 20
 """Limit of a worker's announcement."""
 
+BACKLOG = 1024
+"""Connections that the system holds until they are accepted.  Beyond it a
+caller waits for seconds, as its opening packet is dropped."""
+
 METRICS_PORT = 9464
 """Port of the metrics, the same as in ``deploy/system.toml``."""
 
@@ -238,7 +242,7 @@
 ) -> list[socket.socket]:
     """Serve HTTP at ``ip:port``, and return the listening sockets."""
     host, _, port = address.rpartition(':')
-    socks = netutil.bind_sockets(int(port), host)
+    socks = netutil.bind_sockets(int(port), host, backlog=BACKLOG)
     intake.Server(app, clients, options).add_sockets(socks)
     return socks
 
--- a/tests/test_intake_server.py
+++ b/tests/test_intake_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import gc
 import json
 import os
@@ -429,3 +430,30 @@
         return intake.Refusal(404, 'x') if line.path == '/none' else None
 
     run(scenario, screen=screen)
+
+
+@pytest.mark.parametrize('end', ['\r\n\r\n', '\n\n', '\r\n\n', '\n\r\n'])
+def test_a_head_ends_as_the_library_takes_it(end):
+    async def scenario(door):
+        reader, writer = await door.connect()
+        head = f'POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3{end}'
+        writer.write(head.encode() + b'\n\n\n')
+        assert (await read_answer(reader))[1]['size'] == 3
+
+    run(scenario)
+
+
+def test_a_line_without_an_end_takes_little_time():
+    """Crowds of them filled the processor by the search for the end."""
+
+    async def scenario(door):
+        started_at = time.process_time()
+        for _ in range(100):
+            reader, writer = await door.connect()
+            writer.write(b'GET /' + b'x' * 60_000)
+            with contextlib.suppress(OSError):
+                assert await reader.read() == b''
+            writer.close()
+        assert time.process_time() - started_at < 0.15
+
+    run(scenario)
