Pass a cancel on to the entry that has the job

Cause: an entry looked for the job among its own alone, and entries aren't connected to each other.

Change: an entry that doesn't have the job sends the cancel to an agent, which passes it on to all other entries and their answers back. At most 256 cancels wait at an entry, further ones get 503. Nothing is stored, and jobs cost no message more.

--- a/src/agatepick/net/messages.capnp
+++ b/src/agatepick/net/messages.capnp
@@ -32,6 +32,8 @@
     runReports @26 :RunReports;
     renewal @27 :Renewal;
     renewed @28 :Renewed;
+    cancelJob @29 :CancelJob;
+    cancelAnswer @30 :CancelAnswer;
   }
   stamp @21 :UInt64;
 }
@@ -303,3 +305,17 @@
   sent @0 :Float64;
   agents @1 :UInt32;
 }
+
+struct CancelJob {
+  number @0 :UInt64;
+  asker @1 :Text;
+  job @2 :Text;
+  host @3 :Text;
+  path @4 :Text;
+}
+
+struct CancelAnswer {
+  number @0 :UInt64;
+  asker @1 :Text;
+  found @2 :Bool;
+}
--- a/src/agatepick/net/messages.py
+++ b/src/agatepick/net/messages.py
@@ -312,6 +312,8 @@
 
 
 # Messages about runs of repeatable tasks.
+CancelAnswer = run_messages.CancelAnswer
+CancelJob = run_messages.CancelJob
 Room = run_messages.Room
 Want = run_messages.Want
 NO_WANT = run_messages.NO_WANT
@@ -351,6 +353,8 @@
     | RunReports
     | Renewal
     | Renewed
+    | CancelJob
+    | CancelAnswer
     | QuotaAsk
     | QuotaGrant
     | Goodbye
--- a/src/agatepick/net/run_messages.py
+++ b/src/agatepick/net/run_messages.py
@@ -8,6 +8,8 @@
 from agatepick import types
 
 __all__ = [
+    'CancelAnswer',
+    'CancelJob',
     'NO_WANT',
     'Payload',
     'Renewal',
@@ -197,3 +199,34 @@
 
     sent: float
     agents: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Request to cancel a job, wherever it is.
+
+    An entry sends it to an agent, which passes it on to all other entries.
+
+    :param number: number of the request among those of the asker.
+    :param asker: entry that the caller's request reached.
+    :param host: host in the caller's request.
+    :param path: path in the caller's request, which ends with the job's key.
+    """
+
+    number: int
+    asker: str
+    job: str
+    host: str
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAnswer:
+    """Answer of an entry to a :class:`CancelJob`, by way of the agent.
+
+    :param found: whether it had the job, and has cancelled it.
+    """
+
+    number: int
+    asker: str
+    found: bool
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -41,6 +41,10 @@
 """When to come back with a job for whose tasks there is no memory; most jobs
 end within that time."""
 
+MAX_CANCELS = 256
+"""Largest number of cancels that wait for other entries: each is passed on to
+all of them."""
+
 KEY_LENGTH = 16
 
 _KEY = re.compile(f'[0-9a-f]{{{KEY_LENGTH}}}', re.IGNORECASE)
@@ -107,6 +111,7 @@
         self._calls = itertools.count(1)
         self._waiting: dict[int, 'Queue'] = {}
         self._costs: dict[int, int] = {}
+        self._cancels: dict[int, asyncio.Future[bool]] = {}
 
     def submit(self, handler: 'Queue', job: jobs.Job) -> int:
         """Submit a job to the entry and return the number of the call.
@@ -138,6 +143,26 @@
         if handler is not None:
             handler.answer(effect.answer)
 
+    def may_cancel(self) -> bool:
+        """Return whether a cancel may be passed on to other entries."""
+        return len(self._cancels) < MAX_CANCELS
+
+    async def cancel(self, key: str, host: str, path: str) -> bool:
+        """Cancel a job of another entry; return whether one had it."""
+        call = next(self._calls)
+        found: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._cancels[call] = found
+        self.feed(events.CancelAsked(call, key, host, path))
+        return await found
+
+    def reply_to_cancel(self, effect: events.CancelReply) -> None:
+        """Deliver the entry's answer to a cancel."""
+        found = self._cancels.pop(effect.call, None)
+        if found is not None and not found.done():
+            found.set_result(effect.found)
+
     def screen(
         self, line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
     ) -> intake.Refusal | None:
@@ -225,20 +250,24 @@
             return
         self.finish({'pending': self._front.entry.count_pending(route.name)})
 
-    def delete(self) -> None:
+    async def delete(self) -> None:
         """Cancel a job, whether its queue is still there or not."""
-        path = self.request.path
+        host, path = self.request.host_name, self.request.path
         key = path[-KEY_LENGTH:]
         owner = self._front.entry
-        if owner.owns_open_job(key, self.request.host_name, path):
+        if owner.owns_open_job(key, host, path):
             self._front.feed(events.JobCancelled(key))
             self.finish({})
         elif owner.routes is None:
             self._refuse(503, 'no_desired_state', 1.0)
-        elif _KEY.fullmatch(key):
-            self._refuse(410, 'no_such_job', 0.0)
-        else:
+        elif not _KEY.fullmatch(key):
             self._refuse(404, 'no_such_path', 0.0)
+        elif not self._front.may_cancel():
+            self._refuse(503, 'too_many_cancels', 1.0)
+        elif await self._front.cancel(key, host, path):
+            self.finish({})
+        else:
+            self._refuse(410, 'no_such_job', 0.0)
 
     def on_connection_close(self) -> None:
         """Release the request after its caller closed the connection."""
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -113,6 +113,7 @@
     clients = _make_intake(cfg, own)
     front = ingress.Front(reducer, proc.feed, proc.clock, clients.jobs)
     proc.register_handler(events.Reply, front.reply)
+    proc.register_handler(events.CancelReply, front.reply_to_cancel)
     proc.listen(cfg.links)
     app = ingress.make_application(front)
     serve_callers(app, cfg.front, clients, front.screen)
--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -13,6 +13,7 @@
 from agatepick import core
 from agatepick.net import messages
 from agatepick.repeatable import admission
+from agatepick.repeatable import cancelling
 from agatepick.repeatable import choosing
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
@@ -120,6 +121,7 @@
         self._pauses = pauses.PauseWatch(pauses.PAUSE_SECONDS)
         self._place_from = 0.0
         self._membership = membership.Membership(self._pool)
+        self._cancelling = cancelling.Cancelling(cfg.name, self._pool, rng)
         self._stopping = stopping.Stopping()
         self.routes: routes.RouteTable | None = None
         self._handlers: dict[type, core.Handler] = {
@@ -131,6 +133,7 @@
             core.StopRequested: self._on_stop,
             events.JobArrived: self._on_job,
             events.JobCancelled: self._on_cancel,
+            events.CancelAsked: self._cancelling.ask,
             events.CallerLeft: self._on_caller_left,
             events.RoutesRead: self._on_routes,
         }
@@ -138,6 +141,8 @@
             messages.Room: self._handle_room,
             messages.RunReports: self._outcomes.handle_reports,
             messages.Renewal: self._handle_renewal,
+            messages.CancelJob: self._handle_cancel,
+            messages.CancelAnswer: self._cancelling.handle_answer,
         }
 
     @classmethod
@@ -361,6 +366,18 @@
             job, jobs.Answer(jobs.Verdict.CANCELLED, 'cancelled'), now
         )
 
+    def _handle_cancel(
+        self, worker: pool.Worker, message: messages.CancelJob, now: float
+    ) -> list[object]:
+        """Cancel a job at the request of another entry."""
+        found = self.owns_open_job(message.job, message.host, message.path)
+        answer = messages.CancelAnswer(message.number, message.asker, found)
+        effects: list[object] = [core.Send(worker.name, answer)]
+        if found:
+            cancel = events.JobCancelled(message.job)
+            effects += self._on_cancel(cancel, now)
+        return effects
+
     def _on_routes(self, event: events.RoutesRead, now: float) -> list[object]:
         current = self.routes
         if current is not None and event.table.version <= current.version:
@@ -515,6 +532,7 @@
     def _on_tick(self, event: core.Tick, now: float) -> list[object]:
         effects = faults.contain('agents', self._forget_agents, now)
         effects += faults.contain('check', self._check_leases_and_jobs, now)
+        effects += faults.contain('cancels', self._cancelling.check, now)
         due = self._placement_due or now >= self._placed_at + PLACE_SECONDS
         if due and now >= self._place_from and self._may_place():
             effects += faults.contain('place', self._place, now)
--- a/src/agatepick/repeatable/events.py
+++ b/src/agatepick/repeatable/events.py
@@ -35,6 +35,20 @@
     key: types.JobKey
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """Event: a caller cancelled a job that this entry doesn't have.
+
+    :param call: number of the caller's request.
+    :param path: path of the request, which ends with the key.
+    """
+
+    call: int
+    key: types.JobKey
+    host: str
+    path: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutesRead:
     """Event: a version of the desired state, with all queues, was read."""
@@ -86,3 +100,15 @@
 
     call: int
     answer: jobs.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelReply:
+    """Effect: answer a caller's cancel.
+
+    :param call: number of the request.
+    :param found: whether an entry had the job, and has cancelled it.
+    """
+
+    call: int
+    found: bool
