Keep what clients send out of the log

What an engineer saw: each faulty head was quoted in a line of the HTTP library, 16 KiB at most, and a crowd of them used up the 300 lines a second, so lines that explain a failed job were dropped.

Change: a library's message is cut after 300 characters, and one of level info is dropped first under load, as lines of jobs that went well are.

Evidence: test_what_clients_send_takes_up_little_of_the_log fails without the change (lines of 16,000 characters, and no room for the job's line).

--- a/src/agatepick/telemetry/logs.py
+++ b/src/agatepick/telemetry/logs.py
@@ -18,6 +18,10 @@
 )
 
 
+MAX_MESSAGE_CHARACTERS = 300
+"""Length of a library's message, which may hold what a client has sent."""
+
+
 def line(name: str, fields: typing.Iterable[tuple[str, object]]) -> str:
     """Return ``event=name key=value ...``, with values quoted if needed."""
     pairs = [('event', name), *fields]
@@ -117,7 +121,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line or count it as dropped."""
-        routine = getattr(record, 'routine', False)
+        routine = getattr(record, 'routine', _is_library_info(record))
         if not self._budget.acquire(routine, record.created):
             return
         dropped = self._budget.pop_dropped_count()
@@ -159,7 +163,8 @@
     def format(self, record: logging.LogRecord) -> str:
         text = record.getMessage()
         if not text.startswith('event='):
-            text = line('log', [('logger', record.name), ('message', text)])
+            message = text[:MAX_MESSAGE_CHARACTERS]
+            text = line('log', [('logger', record.name), ('message', message)])
         if record.exc_info and record.exc_info[1] is not None:
             exc = record.exc_info[1]
             text += f' error={_quote(f"{type(exc).__name__}: {exc}")}'
@@ -170,6 +175,15 @@
         )
 
 
+def _is_library_info(record: logging.LogRecord) -> bool:
+    """Return whether a library tells of a client's faulty request.
+
+    A crowd of them would leave no room for the lines that explain a failure.
+    """
+    of_library = not record.name.startswith('agatepick')
+    return of_library and record.levelno <= logging.INFO
+
+
 def _quote(value: str) -> str:
     if value and _UNQUOTED_CHARACTERS.issuperset(value):
         return value
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -67,3 +67,27 @@
     assert 'event=lines_dropped count=' in text
     os.close(reading)
     os.close(writing)
+
+
+def test_what_clients_send_takes_up_little_of_the_log():
+    """A library quotes a faulty head, of 16 KiB, in each of its lines."""
+    reading, writing = os.pipe()
+    handler = logs.BoundedHandler(writing, 20.0)
+    handler.setFormatter(logs._Formatter('entry-1'))
+    for number in range(200):
+        handler.handle(make_record('tornado.general', 'x' * 16_000, number))
+    handler.handle(make_record('agatepick.x', 'event=job_refused', 1))
+    os.close(writing)
+    with os.fdopen(reading) as file:
+        lines = file.read().splitlines()
+    assert max(map(len, lines)) < 500
+    assert sum('tornado' in line for line in lines) <= 10
+    assert any('job_refused' in line for line in lines)
+
+
+def make_record(name, message, number):
+    record = logging.LogRecord(
+        name, logging.INFO, __file__, 1, message, None, None
+    )
+    record.created = 1000.0 + number / 1e6
+    return record
