Give start retries and an entry's notes modules of their own

An entry has one way to refuse a job, by a Refusal; a flag that was set twice is set once. The cheap half of the check for a retry comes first, as most runs are confirmed.

Plays of one client with intake kinds go one at a time on a machine (a lock in place of two slots), as each takes four processors.

--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -18,6 +18,7 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
 from agatepick.repeatable import faults
+from agatepick.repeatable import job_notes
 from agatepick.repeatable import jobs
 from agatepick.repeatable import kinds
 from agatepick.repeatable import membership
@@ -268,23 +269,18 @@
             self._jobs_by_call[event.call] = existing
             return [core.note('job_rejoined', job=spec.key)]
         if existing is not None:
-            return self._refuse_call(event.call, spec, 'ending', 1.0)
+            return self._refuse(event, admission.Refusal('ending', 1.0))
         bad_field = spec.find_bad_field()
         if bad_field:
-            return self._refuse_call(event.call, spec, f'bad_{bad_field}', 0.0)
+            refusal = admission.Refusal(f'bad_{bad_field}', 0.0)
+            return self._refuse(event, refusal)
         longest = self._estimator.estimate_longest_chain(spec)
         if not self._stopping.accepts(longest, now):
-            return self._refuse_call(event.call, spec, 'stopping', 1.0)
+            return self._refuse(event, admission.Refusal('stopping', 1.0))
         self._admission.record_demand(spec, now)
-        refusal = self._admission.find_refusal(spec, now)
-        if refusal is not None:
-            return self._refuse_call(
-                event.call,
-                spec,
-                refusal.reason,
-                refusal.retry_after,
-                refusal.load,
-            )
+        found = self._admission.find_refusal(spec, now)
+        if found is not None:
+            return self._refuse(event, found)
         job = owned_jobs.OwnedJob(
             event.call,
             spec,
@@ -299,48 +295,19 @@
         self._suspects.readmit(spec.key, len(spec.tasks))
         job.queue_ready_tasks()
         self._waiting.add(job)
-        return [
-            core.note(
-                'job_admitted',
-                job=spec.key,
-                queue=spec.route.name,
-                tasks=len(spec.tasks),
-                expected=f'{longest:.3f}',
-                slack=f'{job.latest_start - now:.3f}',
-            )
-        ]
+        return [job_notes.note_admitted(job, longest, now)]
 
-    def _refuse_call(
-        self,
-        call: int,
-        spec: jobs.Job,
-        reason: str,
-        retry_after: float,
-        load: admission.Load | None = None,
+    def _refuse(
+        self, event: events.JobArrived, refusal: admission.Refusal
     ) -> list[object]:
-        answer = jobs.Answer(jobs.Verdict.NOT_RUN, reason, retry_after)
-        inputs = {}
-        if load is not None:
-            inputs = {
-                'needed': f'{load.needed_cores:.0f}',
-                'free': f'{load.free_cores:.0f}',
-                'rate': f'{load.released_cores_per_second:.0f}',
-                'wait': f'{load.compute_wait():.3f}',
-            }
-        if reason == 'over_share' and load is not None:
-            inputs['share'] = f'{load.share_cores:.1f}'
-            inputs['held'] = f'{load.held_cores:.1f}'
+        """Answer that a job isn't run."""
+        answer = jobs.Answer(
+            jobs.Verdict.NOT_RUN, refusal.reason, refusal.retry_after
+        )
+        version = self.routes.version if self.routes else 0
         return [
-            core.note(
-                'job_refused',
-                job=spec.key,
-                queue=spec.route.name,
-                reason=reason,
-                retry_after=f'{retry_after:.1f}',
-                version=self.routes.version if self.routes else 0,
-                **inputs,
-            ),
-            events.Reply(call, answer),
+            job_notes.note_refused(event.job, refusal, version),
+            events.Reply(event.call, answer),
         ]
 
     def _on_caller_left(
@@ -412,22 +379,7 @@
             in_time = not job.started_late()
             self._admission.record_start(job, in_time)
         self._resubmitted.record_end(job, answer, now)
-        return [
-            core.note(
-                'job_ended',
-                job=job.spec.key,
-                queue=job.spec.route.name,
-                verdict=answer.verdict.value,
-                reason=answer.reason or 'done',
-                seconds=f'{now - job.arrived_at:.3f}',
-                began=_format_seconds(job.arrived_at, job.started_at),
-                all_began=_format_seconds(
-                    job.arrived_at, job.get_last_sent_at()
-                ),
-                slowest=f'{job.compute_longest_run():.3f}',
-                late=f'{now - job.objective_ends_at:.3f}',
-            )
-        ]
+        return [job_notes.note_ended(job, answer, now)]
 
     def _fail_job(
         self,
@@ -638,8 +590,3 @@
         if self._stopping.try_exit(bool(self._jobs_by_call), now):
             effects.append(core.Exit())
         return effects
-
-
-def _format_seconds(since: float, until: float | None) -> str:
-    """Return the seconds between two instants; ``never`` without ``until``."""
-    return 'never' if until is None else f'{until - since:.3f}'
--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -14,7 +14,6 @@
 from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
-from agatepick.repeatable import overcommit
 from agatepick.repeatable import overdue_stops
 from agatepick.repeatable import pauses
 from agatepick.repeatable import reports
@@ -22,6 +21,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
+from agatepick.repeatable import start_retries
 from agatepick.repeatable import unowned
 from agatepick.repeatable import worker_clock
 from agatepick.repeatable import worker_lease
@@ -34,15 +34,6 @@
 the retry is sent well within the 1.3 s after which callers submit a job
 again."""
 
-START_RETRY_SECONDS = 0.03
-"""Pause before an unanswered start is sent again.  A worker runs the same run
-once however often it receives the start, so a retry only saves time: giving up
-a start and placing its task elsewhere cost 0.15 s, more than the slack of
-short urgent jobs."""
-
-MAX_START_ATTEMPTS = 3
-"""Largest number of times that one run's start is sent."""
-
 PAUSE_SECONDS = 0.3
 """Time without any event that shows that this process stood still: it has a
 timer each 0.25 s, and each 0.1 s while there are runs."""
@@ -93,12 +84,14 @@
         self._list_requests = list_requests.ListRequests()
         self._successor_expected = False
         self._pauses = pauses.PauseWatch(PAUSE_SECONDS)
-        self._successor_expected = False
         self._last_handled_end_number = 0
         self._last_acknowledged_end_number = 0
         self._announced = announced_capacity.AnnouncedCapacity(
             capacity, self._clock
         )
+        self._retries = start_retries.StartRetries(
+            capacity, self._announced, self._clock
+        )
 
     @property
     def worker(self) -> workerapi.WorkerAnnounced | None:
@@ -301,29 +294,15 @@
 
     def _retry_start(self, run: runs.Run, now: float) -> list[object]:
         """Retry a start that has been unanswered for too long."""
-        if not self._can_retry_start(run, now):
-            return []
-        if now < run.start_sent_at + START_RETRY_SECONDS:
+        if not self._retries.is_due(run, now) or not self._sends_again():
             return []
-        if overcommit.must_give_up(run, self._blocks_retries(now)):
+        if self._retries.must_give_up(run, now):
             return self._give_up_start(run, 'no_room', now)
         return self._send_start(run, now)
 
-    def _blocks_retries(self, now: float) -> bool:
-        """Return whether starts that may not have begun aren't sent again."""
-        return (
-            self._capacity.blocks_retries
-            or self._announced.may_have_shrunk(now)
-        )
-
-    def _can_retry_start(self, run: runs.Run, now: float) -> bool:
-        if self.worker is None or run.confirmed_at or run.stopping:
-            return False
-        if not self._clock.known or self._successor_expected:
-            return False
-        if run.unanswered_start_count and self._blocks_retries(now):
-            return False
-        return run.start_count < MAX_START_ATTEMPTS
+    def _sends_again(self) -> bool:
+        """Return whether any start may be sent to the worker again."""
+        return self.worker is not None and not self._successor_expected
 
     def handle_start_answer(
         self, event: workerapi.StartAnswered, now: float
@@ -344,7 +323,7 @@
         if event.result is workerapi.StartResult.UNKNOWN:
             if (
                 run.unanswered_start_count
-                or run.start_count < MAX_START_ATTEMPTS
+                or run.start_count < start_retries.MAX_START_ATTEMPTS
             ):
                 # Another start is in transit, or will be sent at the next
                 # check.
@@ -687,11 +666,9 @@
 
     def next_due(self, now: float) -> float | None:
         """Return the instant of the next action, or ``None``."""
-        wakes = [
-            run.start_sent_at + START_RETRY_SECONDS
-            for run in self.runs.values()
-            if self._can_retry_start(run, now)
-        ]
+        wakes: list[float] = []
+        if self._sends_again():
+            wakes = self._retries.next_due(self.runs.values(), now)
         if self.runs:
             wakes.append(now + STOP_RETRY_SECONDS)
         request_at = self._list_requests.next_due()
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -33,38 +33,22 @@
 """Share of the ordinary jobs that are completed in time beside such clients,
 and after they have left."""
 
-PLAYS_AT_ONCE = 2
-"""Plays at a time on one machine: each takes up to four processors."""
-
 FEW_DESCRIPTORS = 1700
 """1,500 sockets, and those for files."""
 
 
 @contextlib.contextmanager
-def take_slot():
-    """Wait until one of the places for plays is free."""
-    folder = pathlib.Path(tempfile.gettempdir())
-    files = [
-        open(folder / f'agatepick-play-{os.getuid()}-{number}', 'w')
-        for number in range(PLAYS_AT_ONCE)
-    ]
-    try:
-        own = files[os.getpid() % PLAYS_AT_ONCE]
-        for file in files:
-            with contextlib.suppress(BlockingIOError):
-                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                break
-        else:
-            fcntl.flock(own, fcntl.LOCK_EX)
+def play_alone():
+    """Wait for the plays of other workers: each takes four processors."""
+    name = f'agatepick-play-{os.getuid()}'
+    with open(pathlib.Path(tempfile.gettempdir()) / name, 'w') as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
         yield
-    finally:
-        for file in files:
-            file.close()
 
 
 def check_play(tmp_path, *doses, **options):
     """Play some clients; no process ends, and ordinary jobs are served."""
-    with take_slot():
+    with play_alone():
         result = intake_rig.play(doses, tmp_path, **options)
     summary = result.describe()
     assert not result.passed, summary
@@ -109,7 +93,7 @@
 ):
     """Jobs that wait fill the memory by their tasks, not by their bytes."""
     dose = intake_rig.Dose(kind, 'route', count)
-    with take_slot():
+    with play_alone():
         result = intake_rig.play([dose], tmp_path, after_seconds=6.0)
     assert not result.passed, result.describe()
     assert not result.ended, result.describe()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,7 +26,7 @@
 from agatepick.platform import rows
 from agatepick.platform import settings
 from agatepick.platform import worker
-from agatepick.repeatable import run_controller
+from agatepick.repeatable import start_retries
 from agatepick.repeatable import workerapi
 from tests import platform_standins
 from tests import soak
@@ -582,7 +582,7 @@
             await recorder.get_event()
         proxy.silence_connections()
         results = []
-        for _ in range(run_controller.MAX_START_ATTEMPTS):
+        for _ in range(start_retries.MAX_START_ATTEMPTS):
             recorder.start(worker.MAX_CONNECTIONS + 1)
             results.append((await recorder.get_event()).result)
         assert results[-1] is workerapi.StartResult.STARTED
--- a/tests/test_run_controller.py
+++ b/tests/test_run_controller.py
@@ -12,6 +12,7 @@
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
 from agatepick.repeatable import speeds
+from agatepick.repeatable import start_retries
 from agatepick.repeatable import unowned
 from agatepick.repeatable import worker_clock
 from agatepick.repeatable import worker_state
@@ -91,7 +92,7 @@
     for step in range(1, 60):
         effects = controller.enforce_leases(NOW + step * 0.005)
         sent += len(filter_effects(effects, workerapi.StartRun))
-    assert sent == run_controller.MAX_START_ATTEMPTS
+    assert sent == start_retries.MAX_START_ATTEMPTS
 
 
 def test_an_answered_start_is_not_sent_again(controller):
@@ -106,7 +107,7 @@
 
     If its task were started elsewhere at once, it would have two runs.
     """
-    controller.enforce_leases(NOW + run_controller.START_RETRY_SECONDS + 0.001)
+    controller.enforce_leases(NOW + start_retries.START_RETRY_SECONDS + 0.001)
     now = NOW + 0.04
     effects = answer_start(controller, workerapi.StartResult.NO_ROOM, now)
     assert len(filter_effects(effects, workerapi.StopRun)) == 1
@@ -219,7 +220,7 @@
 
 def test_a_retry_that_was_not_sent_in_time_does_not_end_the_run(controller):
     """The first start got no answer and may still be carried out."""
-    controller.enforce_leases(NOW + run_controller.START_RETRY_SECONDS + 0.001)
+    controller.enforce_leases(NOW + start_retries.START_RETRY_SECONDS + 0.001)
     not_sent = workerapi.StartResult.NOT_SENT
     effects = answer_start(controller, not_sent, NOW + 0.2)
     assert filter_effects(effects, workerapi.StopRun)
