--- a/src/agatepick/platform/desired.py
+++ b/src/agatepick/platform/desired.py
@@ -143,7 +143,8 @@
     values: dict[str, typing.Any], name: str, default: float
 ) -> int:
     value = values.get(name, default)
-    if isinstance(value, int | float) and 1 <= value <= types.MAX_COUNT:
+    is_number = isinstance(value, int | float) and value is not True
+    if is_number and 1 <= value <= types.MAX_COUNT:
         return int(value)
     logs.warning(LOG, 'limit_bad', field=f'limits.{name}', used=default)
     return int(default)
--- a/tests/intake_rig.py
+++ b/tests/intake_rig.py
@@ -44,7 +44,21 @@
 """Interval and timeout of the balancer's readiness checks."""
 
 HOST = 'clubs.example'
-PLACES = {'route': '/dates/', 'none': '/nowhere/', 'ready': '/v1/ready'}
+PLACES = ('route', 'none', 'ready')
+"""Paths at the entries: of a queue, of none, and that of the balancer."""
+
+CONTROL = 'control'
+"""The address of an agent at which its worker announces itself."""
+
+PATHS = {
+    'route': '/dates/',
+    'none': '/nowhere/',
+    'ready': '/v1/ready',
+    CONTROL: '/v1/instances/x/heartbeat?',
+}
+PORTS = {'route': 0, 'none': 0, 'ready': 1, CONTROL: 2}
+"""Index of the port among those of a process."""
+
 LIMITS = {
     'max_header_bytes': 16384,
     'max_body_bytes': 262144,
@@ -75,7 +89,7 @@
 class Result:
     """What a play has shown.
 
-    :ivar most_mb: most memory of an entry, with bytes in its sockets.
+    :ivar most_mb: most memory of a process, with bytes in its sockets.
     :ivar passed: names of the processes that passed their memory.
     :ivar ended: names of the processes that ended by themselves.
     """
@@ -182,15 +196,16 @@
         await self._hand_in_jobs(self.after_seconds, self.result.after)
 
     def _start_clients(self, dose, number):
-        port = 1 if dose.place == 'ready' else 0
+        port = PORTS[dose.place]
+        targets = self.agents if dose.place == CONTROL else self.entries
         return subprocess.Popen(
             [
                 sys.executable,
                 '-m',
                 'tests.misbehaving_clients',
                 dose.kind,
-                *(f'127.0.0.1:{entry.ports[port]}' for entry in self.entries),
-                f'--path={PLACES[dose.place]}',
+                *(f'127.0.0.1:{target.ports[port]}' for target in targets),
+                f'--path={PATHS[dose.place]}',
                 f'--host={HOST}',
                 f'--count={dose.count}',
                 f'--number={1 + number * 100_000}',
@@ -250,8 +265,7 @@
             self.result.ended.add(process.name)
             return
         used = process.count_bytes(unread)
-        if process.role == 'entry':
-            self.result.most_mb = max(self.result.most_mb, used / MIB)
+        self.result.most_mb = max(self.result.most_mb, used / MIB)
         if used > process.memory_mb * MIB:
             self.result.passed.add(process.name)
             process.send_signal(signal.SIGKILL)
@@ -291,7 +305,7 @@
     """Play one kind of clients, and print what was seen."""
     parser = argparse.ArgumentParser(description=__doc__.partition('\n')[0])
     parser.add_argument('kind', choices=misbehaving_clients.KINDS)
-    parser.add_argument('place', choices=PLACES)
+    parser.add_argument('place', choices=PATHS)
     parser.add_argument('count', type=int)
     parser.add_argument('--seconds', type=float, default=5.0)
     parser.add_argument('--memory', type=int, default=MEMORY_MB)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -66,6 +66,15 @@
     check_play(tmp_path, dose, seconds=4.0, after_seconds=2.0)
 
 
+@pytest.mark.parametrize(
+    'kind', ['held_body', 'huge_chunked_body', 'tiny_chunks', 'idle']
+)
+def test_workers_are_heard_beside(kind, tmp_path):
+    """Clients at an agent's address keep its worker's announcements out."""
+    dose = intake_rig.Dose(kind, intake_rig.CONTROL, COUNTS[kind])
+    check_play(tmp_path, dose)
+
+
 @pytest.mark.parametrize(
     'kind', ['idle', 'half_body', 'half_head', 'slow_head']
 )
