Close idle connections only where many are open, and none with a request

Change: the time limit of idle connections counts only from half of an address's connections on, and neither it nor the limit of connections ends one whose next request has arrived.

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -28,6 +28,10 @@
 REFUSED_BYTES = limits.CONNECTION_BYTES + RECEIVE_BUFFER_BYTES
 """Bytes held for a connection that was refused and isn't closed yet."""
 
+CROWDED_SHARE = 0.5
+"""Share of an address's connections from which idle ones are closed after
+their time; before, a caller that comes back finds its own still open."""
+
 MIN_AGE_SECONDS = 0.01
 """Age from which a connection's standing still tells anything."""
 
@@ -74,6 +78,10 @@
         """Return whether the client has yet to read of its answer."""
         ...
 
+    def has_bytes(self) -> bool:
+        """Return whether the client has sent what wasn't read yet."""
+        ...
+
     def refuse(self, reason: Reason) -> None:
         """Refuse the unfinished request, and end the connection."""
         ...
@@ -241,6 +249,7 @@
         self.held = 0
         self.ended: collections.Counter[Reason] = collections.Counter()
         self._groups: dict[str, set[Connection]] = {}
+        self._most: dict[str, int] = {}
         self._unread_since: dict[Connection, float] = {}
         self._relieving = False
 
@@ -262,6 +271,7 @@
         :returns: ``None`` if there is no room for it.
         """
         members = self._groups.setdefault(group, set())
+        self._most[group] = most
         if len(members) >= most:
             count = max(1, int(most * RELIEF_SHARE))
             self._end_worst(members, count, Reason.CONNECTIONS)
@@ -312,11 +322,16 @@
         now = self.now()
         for conn in list(self):
             reason = conn.find_overdue(self.request_limits, now)
+            if reason is Reason.IDLE and not self._is_crowded(conn.group):
+                continue
             if reason is None:
                 reason = self._find_unread_answer(conn, now)
             if reason is not None:
                 self._end(conn, reason)
 
+    def _is_crowded(self, group: str) -> bool:
+        return self.count(group) > CROWDED_SHARE * self._most[group]
+
     def _find_unread_answer(
         self, conn: Connection, now: float
     ) -> Reason | None:
@@ -360,6 +375,9 @@
         return len(worst)
 
     def _end(self, conn: Connection, reason: Reason) -> None:
+        if conn.phase is Phase.IDLE and conn.peer.has_bytes():
+            # A request has just arrived, and would be lost.
+            return
         if conn.phase is not Phase.REFUSED:
             self.ended[reason] += 1
         if conn.phase is Phase.BODY and conn.held > REFUSED_BYTES:
--- a/src/agatepick/intake/server.py
+++ b/src/agatepick/intake/server.py
@@ -354,6 +354,10 @@
     def is_writing(self) -> bool:
         return not self._stream.closed() and self._stream.writing()
 
+    def has_bytes(self) -> bool:
+        stream = self._stream
+        return isinstance(stream, streams.LimitedStream) and stream.has_bytes()
+
     def refuse(self, reason: connections.Reason) -> None:
         if self.request is None:
             self.close()
@@ -375,6 +379,9 @@
     def is_writing(self) -> bool:
         return False
 
+    def has_bytes(self) -> bool:
+        return False
+
     def refuse(self, reason: connections.Reason) -> None:
         """Do nothing."""
 
--- a/src/agatepick/intake/stream.py
+++ b/src/agatepick/intake/stream.py
@@ -97,11 +97,16 @@
 
     def has_left(self) -> bool:
         """Return whether the client has closed its side."""
-        if self.closed():
-            return True
+        return self.closed() or self._poll(select.POLLRDHUP, _GONE)
+
+    def has_bytes(self) -> bool:
+        """Return whether the system holds bytes for this stream."""
+        return not self.closed() and self._poll(select.POLLIN, select.POLLIN)
+
+    def _poll(self, interest: int, events: int) -> bool:
         poll = select.poll()
-        poll.register(self.socket.fileno(), select.POLLRDHUP)
-        return any(found & _GONE for _, found in poll.poll(0))
+        poll.register(self.socket.fileno(), interest)
+        return any(found & events for _, found in poll.poll(0))
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what is there, and count it."""
