Close, and don't answer, who makes room for a new connection

Found by reading: a body of over 32 KiB that was ended for the limit of connections raised a KeyError, as no answer belongs to that reason, and an answered one would have kept its connection for a second. A refused request whose reads were under way was read on to its end. A caller that sent more while it waited counted as one that hadn't.

Change: only the limit of memory and late bodies are answered; a refused request hands its reader a future that ends with the connection; bytes that come during the wait mark their connection as one that may be ended.

Evidence: test_a_large_unfinished_body_makes_room_for_a_new_connection and test_who_sends_more_while_it_waits_may_lose_its_connection fail without the change; the test of a refused body's reads holds before too, as the system delivers nothing more there.

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -68,7 +68,6 @@
     BODY_TOO_LARGE = 'body_too_large'
     ANSWER_UNREAD = 'answer_unread'
     LEFT = 'left'
-    JOBS = 'jobs'
 
 
 class Peer(typing.Protocol):
@@ -136,6 +135,9 @@
         if self.phase is Phase.IDLE:
             self.phase = Phase.HEAD
             self.since = now
+        elif self.phase is Phase.ANSWERING:
+            # Nothing more is read until the answer has been sent.
+            self.stalled = True
         self.received += count
         self.progress_at = now
         self._update()
@@ -380,7 +382,9 @@
             return
         if conn.phase is not Phase.REFUSED:
             self.ended[reason] += 1
-        if conn.phase is Phase.BODY and conn.held > REFUSED_BYTES:
+        answers = reason in (Reason.MEMORY, Reason.BODY_LATE)
+        frees_memory = conn.held > REFUSED_BYTES
+        if conn.phase is Phase.BODY and answers and frees_memory:
             conn.peer.refuse(reason)
         else:
             conn.peer.close()
--- a/src/agatepick/intake/server.py
+++ b/src/agatepick/intake/server.py
@@ -238,7 +238,6 @@
             return
         if isinstance(stream, streams.LimitedStream):
             stream.conn = conn
-        peer.conn = conn
         server_conn = http1connection.HTTP1ServerConnection(
             stream, self._params
         )
@@ -311,7 +310,12 @@
                     raise
                 self._pause(sock, exc)
                 return
-            self.handle_stream(self._make_stream(conn), address)
+            try:
+                self.handle_stream(self._make_stream(conn), address)
+            except OSError as exc:
+                # TLS can't begin on a connection that the client has closed.
+                logs.info(LOG, 'client_left', reason=exc)
+                conn.close()
 
     def _pause(self, sock: socket.socket, exc: OSError) -> None:
         """Accept nothing for a moment, and end idle connections."""
@@ -345,8 +349,6 @@
     :ivar request: request whose body is being read.
     """
 
-    conn: connections.Connection
-
     def __init__(self, stream: iostream.IOStream):
         self._stream = stream
         self.request: _Request | None = None
@@ -409,7 +411,7 @@
         self._received = 0
         self._body = bytearray()
         self._keeps_body = False
-        self._refused = False
+        self._ended: asyncio.Future[None] | None = None
 
     def headers_received(
         self,
@@ -439,8 +441,8 @@
 
     def data_received(self, chunk: bytes) -> typing.Awaitable[None] | None:
         """Keep a part of the body."""
-        if self._refused:
-            return None
+        if self._ended is not None:
+            return self._ended
         self._received += len(chunk)
         if self._received > self._server.get_max_body_bytes():
             reason = connections.Reason.BODY_TOO_LARGE
@@ -451,7 +453,7 @@
 
     def finish(self) -> None:
         """Hand the request on."""
-        if self._refused or self._inner is None:
+        if self._ended is not None or self._inner is None:
             return
         inner = self._inner
         # The body isn't held beside that of the request.
@@ -482,7 +484,7 @@
         ended: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
-        self._refused = True
+        self._ended = ended
         self.drop_body()
         self._conn.begin_refusal(_now())
         stream = self._request_conn.stream
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -132,6 +132,25 @@
     assert peer.closed
 
 
+def test_a_large_unfinished_body_makes_room_for_a_new_connection(clients):
+    """Its connection would stay open for its refusal to be read."""
+    held = [clients.send_body(100_000) for _ in range(20)]
+    clients.now = 1.0
+    while clients.connections.count() < MOST:
+        clients.send_body(1).conn.begin_answer(0, clients.now)
+    assert clients.open().conn is not None
+    assert any(peer.closed for peer in held)
+    assert not any(peer.refused for peer in held)
+
+
+def test_who_sends_more_while_it_waits_may_lose_its_connection(clients):
+    waiting = clients.send_body(1000)
+    waiting.conn.begin_answer(0, clients.now)
+    assert not waiting.conn.may_be_ended()
+    waiting.conn.record_read(1, clients.now)
+    assert waiting.conn.may_be_ended()
+
+
 def test_no_connection_is_opened_while_all_wait_for_answers(clients):
     for _ in range(MOST):
         clients.send_body(10).conn.begin_answer(0, clients.now)
--- a/tests/test_intake_server.py
+++ b/tests/test_intake_server.py
@@ -253,6 +253,26 @@
     run(scenario, process_limits=few)
 
 
+def test_a_body_that_lost_its_room_is_read_no_further():
+    async def scenario(door):
+        reader, writer = await door.connect()
+        writer.write(make_post(200_000) + b'x' * 60_000)
+        await asyncio.sleep(0.1)
+        (conn,) = door.intake.connections
+        conn.peer.refuse(connections.Reason.MEMORY)
+        read = conn.received
+        writer.write(b'x' * 139_999)
+        status, answer = await read_answer(reader)
+        assert (status, answer['reason']) == (503, 'out_of_memory')
+        await asyncio.sleep(0.2)
+        assert conn.received <= read + 16 * limits.KIB
+        while door.intake.connections.count():
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    run(scenario)
+
+
 def test_what_was_sent_ahead_is_dropped_once_its_client_has_left():
     """The process worked on for a client that was gone."""
 
