Count reads by windows of time, and pause only for what was sent ahead

Crowds of ordinary requests waited for a pause as long as each batch of them, though none had sent ahead, and each read asked for a round of the event loop of its own. Reads are counted in windows of 20 ms now, and a pause precedes only batches of what was sent ahead.

--- a/src/agatepick/intake/turns.py
+++ b/src/agatepick/intake/turns.py
@@ -17,15 +17,17 @@
 MAX_BATCH = 64
 """Largest number of turns in a batch."""
 
-MAX_ROUND_COST = 4096
-"""Sum of the costs of reads after which a round of the event loop has taken
-some milliseconds for them."""
+WINDOW_SECONDS = 0.02
+MAX_WINDOW_COST = 4096
+"""Sum of the costs of reads, some milliseconds of work, after which further
+ones have to wait for turns until the window is over."""
 
 AHEAD_INTERVAL = 4
 """Every so many turns goes to what was sent ahead."""
 
 PAUSE_FACTOR = 1.0
-"""Pause after a batch, by the time that it took."""
+"""Pause before a batch of what was sent ahead, by the time that the one before
+took."""
 
 
 class Turn(typing.Protocol):
@@ -63,23 +65,23 @@
         self._taken = 0
         self._size = BatchSize()
         self._running = False
-        self._round_cost = 0
+        self._window_cost = 0
+        self._window_ends_at = 0.0
 
     def __len__(self) -> int:
         return len(self._first) + len(self._ahead)
 
     def spend(self, cost: int) -> None:
-        """Count a read in this round of the event loop."""
-        if not self._round_cost:
-            asyncio.get_running_loop().call_soon(self._begin_round)
-        self._round_cost += cost
-
-    def _begin_round(self) -> None:
-        self._round_cost = 0
+        """Count a read that didn't wait for a turn."""
+        self._window_cost += cost
 
     def is_busy(self) -> bool:
-        """Return whether much has been read in this round."""
-        return self._round_cost > MAX_ROUND_COST
+        """Return whether much has been read of late."""
+        now = time.monotonic()
+        if now >= self._window_ends_at:
+            self._window_ends_at = now + WINDOW_SECONDS
+            self._window_cost = 0
+        return self._window_cost > MAX_WINDOW_COST
 
     def wait(self, turn: Turn, ahead: bool) -> None:
         """Let something wait for its turn.
@@ -114,6 +116,8 @@
     def _end_batch(self, started_at: float) -> None:
         seconds = time.monotonic() - started_at
         self._size.record(seconds)
-        asyncio.get_running_loop().call_later(
-            PAUSE_FACTOR * seconds, self._start_batch
-        )
+        loop = asyncio.get_running_loop()
+        if self._first:
+            loop.call_soon(self._start_batch)
+        else:
+            loop.call_later(PAUSE_FACTOR * seconds, self._start_batch)
