Make room for new connections ten times a second at most

What callers saw: beside 3,000 idle clients, whose number is over the limit of connections, the entry closed a sixteenth of them for each new one that came, and they dialled again at once: thousands of dials a second.

Change: an address makes room at most each 0.1 s, and accepts nothing while it has none; new connections wait in the system's queue.

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -28,6 +28,10 @@
 REFUSED_BYTES = limits.CONNECTION_BYTES + RECEIVE_BUFFER_BYTES
 """Bytes held for a connection that was refused and isn't closed yet."""
 
+RELIEF_SECONDS = 0.1
+"""Shortest time from making room for new connections to doing so again.  Those
+that were closed dial again at once, and each dial costs processor time."""
+
 CROWDED_SHARE = 0.5
 """Share of an address's connections from which idle ones are closed after
 their time; before, a caller that comes back finds its own still open."""
@@ -252,6 +256,7 @@
         self.ended: collections.Counter[Reason] = collections.Counter()
         self._groups: dict[str, set[Connection]] = {}
         self._most: dict[str, int] = {}
+        self._next_relief_at: dict[str, float] = {}
         self._unread_since: dict[Connection, float] = {}
         self._relieving = False
 
@@ -272,19 +277,26 @@
         :param most: largest number of connections at that address.
         :returns: ``None`` if there is no room for it.
         """
-        members = self._groups.setdefault(group, set())
-        self._most[group] = most
-        if len(members) >= most:
-            count = max(1, int(most * RELIEF_SHARE))
-            self._end_worst(members, count, Reason.CONNECTIONS)
-        if len(members) >= most:
+        if not self.make_room(group, most):
             self.ended[Reason.CONNECTIONS] += 1
             return None
+        members = self._groups[group]
         conn = Connection(self, group, peer, self.now())
         members.add(conn)
         self.held += conn.held
         return conn
 
+    def make_room(self, group: str, most: int) -> bool:
+        """Return whether a connection may be added, ending others for it."""
+        members = self._groups.setdefault(group, set())
+        self._most[group] = most
+        now = self.now()
+        if len(members) >= most and now >= self._next_relief_at.get(group, 0):
+            self._next_relief_at[group] = now + RELIEF_SECONDS
+            count = max(1, int(most * RELIEF_SHARE))
+            self._end_worst(members, count, Reason.CONNECTIONS)
+        return len(members) < most
+
     def discard(self, conn: Connection) -> None:
         """Remove a connection that has been closed."""
         members = self._groups.get(conn.group, set())
--- a/src/agatepick/intake/server.py
+++ b/src/agatepick/intake/server.py
@@ -33,8 +33,8 @@
 ACCEPT_BATCH = 32
 """Connections that are accepted before others have their turn."""
 
-ACCEPT_PAUSE_SECONDS = 0.1
-"""Pause after the system had no descriptor for a new connection."""
+ACCEPT_PAUSE_SECONDS = 0.05
+"""Pause while there is no room or no descriptor for a new connection."""
 
 LINE_BYTES = limits.KIB
 """Room for the request line beside the fields of a head."""
@@ -297,9 +297,15 @@
             asyncio.get_running_loop().add_reader(number, self._accept, sock)
 
     def _accept(self, sock: socket.socket) -> None:
+        address = self.address
         for _ in range(ACCEPT_BATCH):
+            if not self.intake.connections.make_room(
+                address.name, address.max_connections
+            ):
+                self._pause(sock)
+                return
             try:
-                conn, address = sock.accept()
+                conn, peer = sock.accept()
             except BlockingIOError:
                 return
             except ConnectionAbortedError:
@@ -308,19 +314,23 @@
             except OSError as exc:
                 if exc.errno not in _NO_DESCRIPTOR:
                     raise
-                self._pause(sock, exc)
+                self._end_idle(exc)
+                self._pause(sock)
                 return
             try:
-                self.handle_stream(self._make_stream(conn), address)
+                self.handle_stream(self._make_stream(conn), peer)
             except OSError as exc:
                 # TLS can't begin on a connection that the client has closed.
                 logs.info(LOG, 'client_left', reason=exc)
                 conn.close()
 
-    def _pause(self, sock: socket.socket, exc: OSError) -> None:
-        """Accept nothing for a moment, and end idle connections."""
+    def _end_idle(self, exc: OSError) -> None:
+        """End idle connections, as the system has no descriptor left."""
         ended = self.intake.connections.end_idle()
         logs.warning(LOG, 'accept_failed', reason=exc, ended=ended)
+
+    def _pause(self, sock: socket.socket) -> None:
+        """Accept nothing for a moment; new connections wait meanwhile."""
         loop = asyncio.get_running_loop()
         loop.remove_reader(sock.fileno())
         loop.call_later(ACCEPT_PAUSE_SECONDS, self._listen, sock)
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -120,6 +120,19 @@
     assert sum(peer.closed for peer in idle) == 6
 
 
+def test_a_crowd_that_dials_again_makes_others_lose_few(clients):
+    """Closed clients dial again at once, and that filled the processor."""
+    for _ in range(MOST):
+        clients.open()
+    ended = clients.connections.ended
+    for step in range(1000):
+        clients.now = step / 1000.0
+        clients.connections.make_room('front', MOST)
+        clients.open()
+    assert ended[connections.Reason.CONNECTIONS] < 1000 + 11 * 6
+    assert clients.connections.count() <= MOST
+
+
 def test_an_idle_connection_whose_request_has_just_arrived_is_kept(clients):
     """The request would be lost, and come again after a second."""
     peer = clients.open(most=1)
