Rank connections by what their clients have sent

What callers saw: beside 800 clients with queries of 4,000 fields at no path 25 of 40 ordinary jobs were in time, 15 were refused as out_of_memory, on an idle machine.

Cause: a request that waits for its turn counts 44 KB of the process's own share, so a short one that had waited for half a second ranked above long ones that had just come.

Change: the rank is what the client has sent, by time. The limit itself counts everything, as before.

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -203,8 +203,13 @@
         return self.stalled or self.peer.is_writing()
 
     def rank(self, now: float) -> float:
-        """Return how much it holds for how little, as byte-seconds."""
-        return self.held * max(now - self.since, MIN_AGE_SECONDS)
+        """Return how much its client has sent for how long, as byte-seconds.
+
+        What the process holds beside that is alike for all, and would make a
+        short request that waits for its turn count as much as a long one.
+        """
+        sent = self.received + self.extra + limits.KIB
+        return sent * max(now - self.since, MIN_AGE_SECONDS)
 
     def find_overdue(
         self, request_limits: limits.RequestLimits, now: float
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -235,6 +235,22 @@
     assert slow.refused or slow.closed
 
 
+def test_short_requests_that_wait_for_their_turn_stay(clients):
+    """They were refused for long ones that came with them."""
+    short = [clients.open() for _ in range(20)]
+    for peer in short:
+        peer.conn.record_read(300, clients.now)
+        peer.conn.set_stalled(True)
+    clients.now = 0.2
+    for _ in range(200):
+        peer = clients.open('crowd', 2 * MOST)
+        peer.conn.record_read(16_000, clients.now)
+        peer.conn.set_stalled(True)
+        clients.now += 0.01
+    assert clients.connections.ended[connections.Reason.MEMORY]
+    assert not any(peer.closed or peer.refused for peer in short)
+
+
 def test_closed_connections_hold_nothing(clients):
     peers = [clients.send_body(10_000) for _ in range(20)]
     for peer in peers:
