--- a/src/agatepick/agentside/announce.py
+++ b/src/agatepick/agentside/announce.py
@@ -97,7 +97,7 @@
     address = intake.Address(
         'upstream',
         clients.limits.max_small_connections,
-        frozenset({'POST', 'PUT', 'PATCH', 'DELETE'}),
+        web.BODY_METHODS,
         drop_fields=False,
         max_body_bytes=MAX_REQUEST_BYTES,
         max_header_bytes=MAX_REQUEST_BYTES,
--- a/src/agatepick/api/web.py
+++ b/src/agatepick/api/web.py
@@ -33,6 +33,9 @@
 exhaust the memory."""
 BUSY_RETRY_SECONDS = 1.0
 
+BODY_METHODS = frozenset({'POST', 'PUT', 'PATCH', 'DELETE'})
+"""Methods whose bodies the handlers read."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -391,7 +394,7 @@
     address = intake.Address(
         'http',
         clients.limits.max_connections,
-        frozenset({'POST', 'PUT', 'PATCH', 'DELETE'}),
+        BODY_METHODS,
         drop_fields=False,
     )
     return intake.Server(app, clients, address, tls)
--- a/src/agatepick/intake/budget.py
+++ b/src/agatepick/intake/budget.py
@@ -10,6 +10,9 @@
 TASK_BYTES = 1500
 """Memory of a task from its submission to the answer of its job."""
 
+REFERENCE_BYTES = 100
+"""Memory of an earlier step that a step waits for."""
+
 LEFT_SHARE = 0.5
 """Largest share of the memory that is left which one job may take up.  Small
 jobs find room long after large ones are refused."""
@@ -47,4 +50,5 @@
     :param payload: bytes of its input.
     :param references: number of steps that its steps wait for, in all.
     """
-    return JOB_BYTES + payload + TASK_BYTES * tasks + 100 * references
+    of_steps = TASK_BYTES * tasks + REFERENCE_BYTES * references
+    return JOB_BYTES + payload + of_steps
