Give processes of tests ports that nothing else takes before they bind them

Cause: ports were chosen by binding to port 0 and closing the socket, so the system could hand the same port out again before the process had started.

A play says with which lines the log of a process ended, so that the next such end can be traced.

--- a/tests/intake_rig.py
+++ b/tests/intake_rig.py
@@ -44,6 +44,7 @@
 UNREAD_SECONDS = 0.5
 SOCKETS = pathlib.Path('/proc/net/tcp')
 LISTENING = b'0A'
+LOG_END_CHARACTERS = 2000
 READY_SECONDS = 1.0
 """Interval and timeout of the balancer's readiness checks."""
 
@@ -97,12 +98,13 @@
 
     :ivar most_mb: most memory of a process, with bytes in its sockets.
     :ivar passed: names of the processes that passed their memory.
-    :ivar ended: names of the processes that ended by themselves.
+    :ivar ended: end of its log by the name of each process that ended by
+        itself.
     """
 
     most_mb: float = 0.0
     passed: set[str] = dataclasses.field(default_factory=set)
-    ended: set[str] = dataclasses.field(default_factory=set)
+    ended: dict[str, str] = dataclasses.field(default_factory=dict)
     during: list[bool] = dataclasses.field(default_factory=list)
     after: list[bool] = dataclasses.field(default_factory=list)
     ready_misses: list[float] = dataclasses.field(default_factory=list)
@@ -113,7 +115,7 @@
     def describe(self):
         return (
             f'most_mb={self.most_mb:.0f} passed={sorted(self.passed)} '
-            f'ended={sorted(self.ended)} '
+            f'ended={self.ended} '
             f'during={sum(self.during)}/{len(self.during)} '
             f'after={sum(self.after)}/{len(self.after)} '
             f'ready_misses={len(self.ready_misses)} '
@@ -142,6 +144,11 @@
         bounds = (self.soak.descriptors, self.soak.descriptors)
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, bounds)
 
+    def read_log_end(self):
+        """Return the last lines that the process has written."""
+        text = pathlib.Path(self.log.name).read_text(errors='replace')
+        return text[-LOG_END_CHARACTERS:]
+
     def count_bytes(self, unread):
         """Return the memory in use, with unread bytes in sockets.
 
@@ -277,7 +284,7 @@
         if process.name in self.result.passed:
             return
         if process.process.poll() is not None:
-            self.result.ended.add(process.name)
+            self.result.ended.setdefault(process.name, process.read_log_end())
             return
         used = process.count_bytes(unread)
         self.result.most_mb = max(self.result.most_mb, used / MIB)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import base64
+import fcntl
 import json
+import os
+import pathlib
 import socket
+import tempfile
 
 from tornado import httpserver
 from tornado import netutil
@@ -14,13 +18,17 @@
 MUTE_SECONDS = 60.0
 """Delay of an answer that exceeds every timeout."""
 
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+"""Below the ports that the system hands out by itself, so that nothing takes
+one between its choice and the start, or a restart, of a process."""
+
 
 def start_server(app):
     """Start an HTTP server on a free port; return it and its address."""
-    (sock,) = netutil.bind_sockets(0, '127.0.0.1')
+    (port,) = find_free_ports(1)
     server = httpserver.HTTPServer(app)
-    server.add_sockets([sock])
-    return server, f'127.0.0.1:{sock.getsockname()[1]}'
+    server.add_sockets(netutil.bind_sockets(port, '127.0.0.1'))
+    return server, f'127.0.0.1:{port}'
 
 
 async def close_port(server):
@@ -36,16 +44,32 @@
 
 
 def find_free_ports(count):
-    """Return ports on which nothing listens."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return ports on which nothing listens, and that no other test has."""
+    path = pathlib.Path(tempfile.gettempdir()) / f'agatepick-{os.getuid()}'
+    with open(path.with_suffix('.ports'), 'a+') as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        file.seek(0)
+        port = int(file.read() or FIRST_PORT)
+        ports = []
+        while len(ports) < count:
+            if _is_free(port):
+                ports.append(port)
+            port = port + 1 if port < LAST_PORT else FIRST_PORT
+        file.truncate(0)
+        file.write(str(port))
     return ports
 
 
+def _is_free(port):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
 class Store:
     """A store of versioned rows with a feed, history loss and outages.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,23 @@
+import concurrent.futures
+import pathlib
+
 import pytest
 
+from tests import platform_standins
 from tests import soak
 from tests import soak_evidence
 
+SYSTEM_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+
+
+def test_processes_of_tests_side_by_side_have_ports_of_their_own():
+    """A port taken before a process binds it ends the process at its start."""
+    with concurrent.futures.ProcessPoolExecutor(4) as executor:
+        chosen = executor.map(platform_standins.find_free_ports, [50] * 40)
+    ports = [port for ports in chosen for port in ports]
+    assert len(set(ports)) == len(ports)
+    assert max(ports) < int(SYSTEM_PORTS.read_text().split()[0])
+
 
 @pytest.mark.parametrize(('seed', 'seconds'), [(1, 6.0), (2, 6.0), (26, 12.0)])
 def test_the_programs_keep_their_promises_under_faults(
