Make room for a connection only while somebody waits for one

Once an address had as many connections as it may, the turn of the loop that accepted the last one closed a sixteenth of them although nobody waited: it made room before it knew of a further client, and asked for room a second time for each connection that it opened. Idle callers had to dial again for nothing.

Cause, found by reading and shown by the new test: with four connections of four allowed, one was closed (3 == 4). The listening socket is asked now whether anybody waits, only where the address is full, and room is made once. The tests of the policy ask for room before they open, as the server does.

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -279,6 +279,10 @@
             return len(self._groups.get(group, ()))
         return sum(len(group) for group in self._groups.values())
 
+    def is_full(self, group: str, most: int) -> bool:
+        """Return whether an address has as many connections as it may."""
+        return self.count(group) >= most
+
     def open(self, group: str, most: int, peer: Peer) -> Connection | None:
         """Add a new connection.
 
@@ -286,25 +290,25 @@
         :param most: largest number of connections at that address.
         :returns: ``None`` if there is no room for it.
         """
-        if not self.make_room(group, most):
+        if self.is_full(group, most):
             self.ended[Reason.CONNECTIONS] += 1
             return None
-        members = self._groups[group]
+        self._most[group] = most
         conn = Connection(self, group, peer, self.now())
-        members.add(conn)
+        self._groups.setdefault(group, set()).add(conn)
         self.held += conn.held
         return conn
 
     def make_room(self, group: str, most: int) -> bool:
         """Return whether a connection may be added, ending others for it."""
-        members = self._groups.setdefault(group, set())
-        self._most[group] = most
         now = self.now()
-        if len(members) >= most and now >= self._next_relief_at.get(group, 0):
+        may_end = now >= self._next_relief_at.get(group, 0.0)
+        if self.is_full(group, most) and may_end:
             self._next_relief_at[group] = now + RELIEF_SECONDS
+            members = self._groups.get(group, set())
             count = max(1, int(most * RELIEF_SHARE))
             self._end_worst(members, count, Reason.CONNECTIONS)
-        return len(members) < most
+        return not self.is_full(group, most)
 
     def discard(self, conn: Connection) -> None:
         """Remove a connection that has been closed."""
--- a/src/agatepick/intake/server.py
+++ b/src/agatepick/intake/server.py
@@ -297,13 +297,14 @@
             asyncio.get_running_loop().add_reader(number, self._accept, sock)
 
     def _accept(self, sock: socket.socket) -> None:
-        address = self.address
         for _ in range(ACCEPT_BATCH):
-            if not self.intake.connections.make_room(
-                address.name, address.max_connections
-            ):
-                self._pause(sock)
-                return
+            if self._is_full():
+                if not streams.is_readable(sock):
+                    # Nobody waits, so nobody's connection is ended for it.
+                    return
+                if not self._make_room():
+                    self._pause(sock)
+                    return
             try:
                 conn, peer = sock.accept()
             except BlockingIOError:
@@ -324,6 +325,14 @@
                 logs.info(LOG, 'client_left', reason=exc)
                 conn.close()
 
+    def _is_full(self) -> bool:
+        most = self.address.max_connections
+        return self.intake.connections.is_full(self.address.name, most)
+
+    def _make_room(self) -> bool:
+        most = self.address.max_connections
+        return self.intake.connections.make_room(self.address.name, most)
+
     def _end_idle(self, exc: OSError) -> None:
         """End idle connections, as the system has no descriptor left."""
         ended = self.intake.connections.end_idle()
--- a/src/agatepick/intake/stream.py
+++ b/src/agatepick/intake/stream.py
@@ -97,16 +97,11 @@
 
     def has_left(self) -> bool:
         """Return whether the client has closed its side."""
-        return self.closed() or self._poll(select.POLLRDHUP, _GONE)
+        return self.closed() or _poll(self.socket, select.POLLRDHUP, _GONE)
 
     def has_bytes(self) -> bool:
         """Return whether the system holds bytes for this stream."""
-        return not self.closed() and self._poll(select.POLLIN, select.POLLIN)
-
-    def _poll(self, interest: int, events: int) -> bool:
-        poll = select.poll()
-        poll.register(self.socket.fileno(), interest)
-        return any(found & events for _, found in poll.poll(0))
+        return not self.closed() and is_readable(self.socket)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what is there, and count it."""
@@ -264,3 +259,14 @@
             # The reader may have been cancelled; the exception isn't an error
             # that nobody has seen.
             self.fut.exception()
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Return whether there are bytes to read, or connections to accept."""
+    return _poll(sock, select.POLLIN, select.POLLIN)
+
+
+def _poll(sock: socket.socket, interest: int, events: int) -> bool:
+    poll = select.poll()
+    poll.register(sock.fileno(), interest)
+    return any(found & events for _, found in poll.poll(0))
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -45,6 +45,7 @@
 
     def open(self, group='front', most=MOST):
         peer = Peer()
+        self.connections.make_room(group, most)
         peer.conn = self.connections.open(group, most, peer)
         return peer
 
--- a/tests/test_intake_server.py
+++ b/tests/test_intake_server.py
@@ -348,6 +348,18 @@
     run(scenario, max_connections=4)
 
 
+def test_no_connection_ends_while_nobody_waits_for_one():
+    """The last connection that fitted ended another, for nobody."""
+
+    async def scenario(door):
+        clients = [await door.connect() for _ in range(4)]
+        await asyncio.sleep(0.3)
+        assert door.intake.connections.count() == len(clients)
+        assert not door.ended
+
+    run(scenario, max_connections=4)
+
+
 def test_the_server_goes_on_after_the_system_had_no_descriptor():
     """The loop took all the processor time, and no connection ended."""
 
