Keep the connection of a client that comes back beside a crowd

The agents' logs show capacity_unknown 4 s after the first dials: none of them heard its worker.

Cause: the address is full of connections a quarter of a second old when the crowd arrives, so the worker's, idle since its announcement of up to a second ago, was the oldest and went first. Its next dial waited behind a thousand in the queue of new connections, of which 70 a second are taken.

Connections on which a request has been answered are ended only where there is no other. The policy's test failed before (the regular client was closed).

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -102,6 +102,7 @@
     :ivar since: instant at which the phase began.
     :ivar progress_at: instant at which bytes were read last.
     :ivar held: bytes that the process holds for it.
+    :ivar served: whether a request has been answered on it.
     """
 
     __slots__ = (
@@ -115,6 +116,7 @@
         'extra',
         'stalled',
         'held',
+        'served',
     )
 
     def __init__(
@@ -134,6 +136,7 @@
         self.extra = 0
         self.stalled = False
         self.held = limits.CONNECTION_BYTES
+        self.served = False
 
     def record_read(self, count: int, now: float) -> None:
         """Record bytes that were read."""
@@ -172,6 +175,8 @@
 
     def end_request(self, unread: int, now: float) -> None:
         """Wait for the next request."""
+        if self.phase is Phase.ANSWERING:
+            self.served = True
         self.phase = Phase.HEAD if unread else Phase.IDLE
         self.since = self.progress_at = now
         self.received = unread
@@ -300,14 +305,21 @@
         return conn
 
     def make_room(self, group: str, most: int) -> bool:
-        """Return whether a connection may be added, ending others for it."""
+        """Return whether a connection may be added, ending others for it.
+
+        Those go last on which a request has been answered: a client that comes
+        back regularly would have to wait behind a crowd that dials.
+        """
         now = self.now()
         may_end = now >= self._next_relief_at.get(group, 0.0)
         if self.is_full(group, most) and may_end:
             self._next_relief_at[group] = now + RELIEF_SECONDS
             members = self._groups.get(group, set())
+            fresh = [conn for conn in members if not conn.served]
             count = max(1, int(most * RELIEF_SHARE))
-            self._end_worst(members, count, Reason.CONNECTIONS)
+            ended = self._end_worst(fresh, count, Reason.CONNECTIONS)
+            if not ended:
+                self._end_worst(members, count, Reason.CONNECTIONS)
         return not self.is_full(group, most)
 
     def discard(self, conn: Connection) -> None:
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -121,6 +121,28 @@
     assert sum(peer.closed for peer in idle) == 6
 
 
+def test_a_client_that_comes_back_stays_connected_beside_a_crowd(clients):
+    """It had to wait behind the dials of thousands of idle clients."""
+    regular = clients.send_body(100)
+    regular.conn.begin_answer(0, clients.now)
+    regular.conn.end_request(0, clients.now)
+    for _ in range(20 * MOST):
+        clients.now += 0.002
+        clients.open()
+    assert clients.connections.ended[connections.Reason.CONNECTIONS] > 6
+    assert not regular.closed
+
+
+def test_clients_that_came_back_once_give_way_to_others(clients):
+    """All connections would stay with those who had one request answered."""
+    for _ in range(MOST):
+        conn = clients.send_body(100).conn
+        conn.begin_answer(0, clients.now)
+        conn.end_request(0, clients.now)
+    clients.now = 1.0
+    assert clients.open().conn is not None
+
+
 def test_a_crowd_that_dials_again_makes_others_lose_few(clients):
     """Closed clients dial again at once, and that filled the processor."""
     for _ in range(MOST):
