--- a/src/agatepick/intake/__init__.py
+++ b/src/agatepick/intake/__init__.py
@@ -1,12 +1,12 @@
 """Limits on what a process takes in from its clients."""
 
+from agatepick.intake.clients import Address
+from agatepick.intake.clients import Intake
 from agatepick.intake.limits import IntakeSettings
 from agatepick.intake.limits import ProcessLimits
 from agatepick.intake.limits import RequestLimits
-from agatepick.intake.server import Address
-from agatepick.intake.server import Intake
-from agatepick.intake.server import Refusal
-from agatepick.intake.server import Screen
+from agatepick.intake.refusals import Refusal
+from agatepick.intake.refusals import Screen
 from agatepick.intake.server import Server
 
 __all__ = [
