Watch all streams whose clients may leave in one place

The callers' endpoint and the servers' shared state had a DepartureWatch each, so two timers polled. The endpoint uses the shared one, and gets its limits and that from the same object.

--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -14,7 +14,6 @@
 
 from agatepick import intake
 from agatepick.intake import budget
-from agatepick.net import departures
 from agatepick.platform import quantities
 from agatepick.repeatable import entry
 from agatepick.repeatable import events
@@ -99,15 +98,14 @@
         reducer: entry.Entry,
         feed: typing.Callable[[object], None],
         clock: types.Clock,
-        job_budget: budget.JobBudget | None = None,
+        clients: intake.Intake | None = None,
     ):
+        clients = clients or intake.Intake(intake.ProcessLimits.from_config())
         self.entry = reducer
         self.feed = feed
         self.clock = clock
-        self.departures = departures.DepartureWatch()
-        self._budget = job_budget or budget.JobBudget(
-            intake.ProcessLimits.from_config().max_job_bytes
-        )
+        self.departures = clients.departures
+        self._budget = clients.jobs
         self._calls = itertools.count(1)
         self._waiting: dict[int, 'Queue'] = {}
         self._costs: dict[int, int] = {}
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -111,7 +111,7 @@
     )
     proc = _make_process(cfg, 'entry', reducer)
     clients = _make_intake(cfg, own)
-    front = ingress.Front(reducer, proc.feed, proc.clock, clients.jobs)
+    front = ingress.Front(reducer, proc.feed, proc.clock, clients)
     proc.register_handler(events.Reply, front.reply)
     proc.register_handler(events.CancelReply, front.reply_to_cancel)
     proc.listen(cfg.links)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -9,7 +9,6 @@
 
 from agatepick import exceptions
 from agatepick import intake
-from agatepick.intake import budget
 from agatepick.platform import desired
 from agatepick.platform import ingress
 from agatepick.platform import settings
@@ -33,8 +32,9 @@
     cfg = entry.EntryConfig('entry-0', 'talca')
     reducer = entry.Entry.from_config(cfg, random.Random(1))
     fed = []
-    jobs_budget = budget.JobBudget(max_job_bytes)
-    front = ingress.Front(reducer, fed.append, None, jobs_budget)
+    process_limits = intake.ProcessLimits(1, 1, 1 << 20, max_job_bytes)
+    clients = intake.Intake(process_limits)
+    front = ingress.Front(reducer, fed.append, None, clients)
     return front, fed
 
 
