Weigh few moves in a turn of the loop, each against few other runs

Cause, by a profile of an entry: three checks of its jobs took 0.55 s each, all of it in weighing 135 moves of slow runs, each against 140 other runs at its worker and at its target.

At most 16 moves are weighed in a turn, and 32 other runs tell on each, as what they show together is bounded anyway; the others come in the next turns. The new test weighed 100 moves in a turn before.

--- a/src/agatepick/repeatable/stragglers.py
+++ b/src/agatepick/repeatable/stragglers.py
@@ -46,6 +46,10 @@
 MIN_WEIGH_SECONDS = 0.05
 """Shortest pause between two times that a move is weighed."""
 
+MAX_WEIGHED = 16
+"""Largest number of moves that are weighed in one turn of the event loop, as
+each takes about a millisecond."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Straggler:
@@ -75,6 +79,8 @@
         self._pool = workers
         self._estimator = estimator
         self._weigher = weigher
+        self._weighed = 0
+        self._weighed_at = 0.0
 
     def mark_stragglers(
         self, job: owned_jobs.OwnedJob, now: float
@@ -98,10 +104,19 @@
         checked = [
             self._check(job, index, now)
             for index, due_at in due.items()
-            if now >= due_at
+            if now >= due_at and self._may_weigh(now)
         ]
         return [straggler for straggler in checked if straggler is not None]
 
+    def _may_weigh(self, now: float) -> bool:
+        """Return whether a run is checked now, and not in a later turn."""
+        if self._weigher is None:
+            return True
+        if now > self._weighed_at:
+            self._weighed_at = now
+            self._weighed = 0
+        return self._weighed < MAX_WEIGHED
+
     def _check(
         self, job: owned_jobs.OwnedJob, index: int, now: float
     ) -> Straggler | None:
@@ -110,6 +125,7 @@
             return None
         if self._weigher is None:
             return self._mark_straggler(job, index, now)
+        self._weighed += 1
         choice = self._weigher.choose(job, index, target, now)
         if not choice.moves:
             self._weigher.record_decline(job, index, choice)
--- a/src/agatepick/repeatable/weighing.py
+++ b/src/agatepick/repeatable/weighing.py
@@ -15,6 +15,10 @@
 from agatepick.repeatable import pool
 from agatepick.repeatable import run_ratios
 
+MAX_OTHERS = 32
+"""Largest number of other runs that are weighed: what they show together is
+bounded, and hundreds of short ones would take all the processor time."""
+
 SUSPECT_RATIO = 2.0
 """Ratio to its expected time from which a finished run is recorded only if its
 worker seems sound: otherwise the worker's fault would count as the task's."""
@@ -228,6 +232,8 @@
         # Runs of one step are long together if its estimate is too short.
         estimated = set() if known else {(job.spec.key, step)}
         for key in worker.placed:
+            if len(others) >= MAX_OTHERS:
+                break
             other = self._jobs.get(key[0])
             if other is None or other is job and key[1] == index:
                 continue
@@ -239,7 +245,7 @@
             others.append(
                 self._describe_open(other, key[1], worker, due_at, now)
             )
-        return tuple(others)
+        return tuple(others[:MAX_OTHERS])
 
     def _describe_ended(
         self, end: pool.EndedRun, slowness: float, due_at: float
--- a/tests/test_weighing.py
+++ b/tests/test_weighing.py
@@ -234,3 +234,25 @@
         at += 0.05
     reasons = [dict(each.note.fields)['reason'] for each in found]
     assert reasons == ['second']
+
+
+def test_hundreds_of_slow_runs_leave_processor_time(entry, monkeypatch):
+    """An entry stood still for half a second at each check of its jobs."""
+    weighed = []
+
+    def weigh(run, trust):
+        weighed.append(run)
+        return weigh_one(run, trust)
+
+    weigh_one = moves.weigh
+    monkeypatch.setattr(moves, 'weigh', weigh)
+    open_jobs = [entry.start(f'j-{number}') for number in range(100)]
+    noted = set()
+    for turn in range(40):
+        before = len(weighed)
+        for job in open_jobs:
+            at = NOW + 5.0 + 0.05 * turn
+            noted |= {(job.spec.key, run.note) for run in entry.check(job, at)}
+        assert len(weighed) - before <= stragglers.MAX_WEIGHED
+    assert max(len(run.others) for run in weighed) <= weighing.MAX_OTHERS
+    assert len({key for key, _ in noted}) == len(open_jobs)
