Refuse a job that has no memory before its tasks are made

The memory is reserved by the counts in the body. The new test fails when a task is made for a refused job, as it was before.

--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -111,24 +111,26 @@
         self._costs: dict[int, int] = {}
         self._cancels: dict[int, asyncio.Future[bool]] = {}
 
-    def submit(self, handler: 'Queue', job: jobs.Job) -> int:
-        """Submit a job to the entry and return the number of the call.
+    def reserve(self, body: '_Body') -> int:
+        """Reserve memory for a job, before its tasks are made.
 
-        :meth:`reply` delivers the answer.
-
-        :returns: 0 if there is no memory for it.
+        :returns: number of its call; 0 if there is no memory for it.
         """
-        references = sum(len(earlier) for earlier in job.after)
         cost = budget.estimate_job_bytes(
-            len(job.payload), len(job.tasks), references
+            len(body.spec),
+            sum(step.count for step in body.steps),
+            sum(len(step.after) for step in body.steps),
         )
         if not self._budget.reserve(cost):
             return 0
         call = next(self._calls)
         self._costs[call] = cost
+        return call
+
+    def submit(self, handler: 'Queue', call: int, job: jobs.Job) -> None:
+        """Submit a job to the entry; :meth:`reply` delivers its answer."""
         self._waiting[call] = handler
         self.feed(events.JobArrived(call, job))
-        return call
 
     def disconnect(self, call: int) -> None:
         """Notify the entry that a caller left before its answer was sent."""
@@ -177,10 +179,13 @@
             return intake.Refusal(404, 'no_such_queue')
         return None
 
-    def _remove(self, call: int) -> 'Queue | None':
-        handler = self._waiting.pop(call, None)
+    def release(self, call: int) -> None:
+        """Release the memory that was reserved for a job."""
         self._budget.release(self._costs.pop(call, 0))
-        return handler
+
+    def _remove(self, call: int) -> 'Queue | None':
+        self.release(call)
+        return self._waiting.pop(call, None)
 
 
 class Ready(web.RequestHandler):
@@ -212,17 +217,13 @@
         if not _KEY.fullmatch(key):
             self._refuse(404, 'no_such_path', 0.0)
             return
-        job = self._parse_job(route, key)
+        job = self._take_in_job(route, key)
         if job is None:
             return
         # The body isn't held beside the job.
         self.request.body = b''
         self._done = asyncio.get_running_loop().create_future()
-        self._call = self._front.submit(self, job)
-        if not self._call:
-            logs.info(LOG, 'job_refused', job=key, reason='too_many_tasks')
-            self._refuse(503, 'too_many_tasks', TOO_MANY_TASKS_RETRY_SECONDS)
-            return
+        self._front.submit(self, self._call, job)
         await self._wait_for_answer()
 
     async def _wait_for_answer(self) -> None:
@@ -302,14 +303,22 @@
             return None
         return route, self.request.path.removeprefix(route.prefix)
 
-    def _parse_job(self, route: routes.Route, key: str) -> jobs.Job | None:
+    def _take_in_job(self, route: routes.Route, key: str) -> jobs.Job | None:
+        """Return the job of the request, or refuse it."""
         try:
             deadline = self._get_deadline()
-            return parse_job(route, key, self.request.body, deadline)
+            body = parse_body(self.request.body)
+            self._call = self._front.reserve(body)
+            if self._call:
+                return make_job(route, key, body, deadline)
         except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+            self._front.release(self._call)
             logs.info(LOG, 'job_bad', job=key, reason=exc)
             self._refuse(400, str(exc), 0.0)
             return None
+        logs.info(LOG, 'job_refused', job=key, reason='too_many_tasks')
+        self._refuse(503, 'too_many_tasks', TOO_MANY_TASKS_RETRY_SECONDS)
+        return None
 
     def _get_deadline(self) -> float:
         """Return the instant at which the caller stops waiting."""
@@ -362,27 +371,45 @@
     :raises msgspec.MsgspecError: if a field has another type or is out of its
         range.
     """
+    return make_job(route, key, parse_body(data), deadline)
+
+
+def parse_body(data: bytes) -> _Body:
+    """Return the body of a caller's request, without its tasks.
+
+    It raises the same errors as :func:`parse_job`.
+    """
     body = _decode_body(data)
     if not body.best_effort or body.long_running or body.repeat_count:
         raise ValueError("best_effort: only jobs that needn't be kept")
     if sum(step.count for step in body.steps) > MAX_TASKS:
         raise ValueError(f'steps: count of more than {MAX_TASKS} tasks')
-    payload = body.spec.encode()
-    if len(payload) > MAX_SPEC_BYTES:
+    if len(body.spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f'spec: more than {MAX_SPEC_BYTES} bytes')
-    tasks: list[jobs.Task] = []
     for index, step in enumerate(body.steps):
         if step.gang:
             raise ValueError('gang: tasks that only work together')
         if any(not 0 <= earlier < index for earlier in step.after):
             raise ValueError("after: names a step that isn't an earlier one")
-        tasks += _make_tasks(key, index, step)
-    if not tasks:
+    if not any(step.count for step in body.steps):
         raise ValueError('steps: no task')
+    return body
+
+
+def make_job(
+    route: routes.Route, key: str, body: _Body, deadline: float
+) -> jobs.Job:
+    """Return a job with its tasks.
+
+    :param deadline: instant at which the caller stops waiting.
+    """
+    tasks: list[jobs.Task] = []
+    for index, step in enumerate(body.steps):
+        tasks += _make_tasks(key, index, step)
     return jobs.Job(
         key=key,
         route=route,
-        payload=payload,
+        payload=body.spec.encode(),
         tasks=tuple(tasks),
         after=tuple(frozenset(step.after) for step in body.steps),
         deadline=deadline,
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,11 +1,16 @@
 """Limits of callers' requests on the users' platform."""
 
+import asyncio
 import json
 import random
+import types
 
 import msgspec
 import pytest
+from tornado import httpclient
+from tornado import httpserver
 from tornado import httputil
+from tornado import netutil
 
 from agatepick import exceptions
 from agatepick import intake
@@ -113,17 +118,65 @@
         parse_job('\u00e9' * 2001)
 
 
+def submit(front, **step):
+    """Submit a job of one step; return the number of its call."""
+    fields = {'best_effort': True, 'spec': 'x', 'steps': [{**STEP, **step}]}
+    body = ingress.parse_body(json.dumps(fields).encode())
+    call = front.reserve(body)
+    if call:
+        job = ingress.make_job(ROUTE, KEY, body, 100.0)
+        front.submit(object(), call, job)
+    return call
+
+
 def test_a_job_without_memory_for_its_tasks_is_not_submitted():
     front, fed = make_front(1 << 20)
-    large = parse_job(steps=[{**STEP, 'count': 300}])
-    first = front.submit(object(), large)
+    first = submit(front, count=300)
     assert first
-    assert front.submit(object(), large) == 0
+    assert submit(front, count=300) == 0
     assert len(fed) == 1
-    assert front.submit(object(), parse_job())
+    assert submit(front)
     front.disconnect(first)
     assert isinstance(fed[-1], events.CallerLeft)
-    assert front.submit(object(), large)
+    assert submit(front, count=300)
+
+
+def test_a_job_that_is_not_taken_in_costs_little_time(monkeypatch):
+    """Thousands of tasks were made for each job, and dropped at once."""
+    made = []
+    monkeypatch.setattr(
+        ingress, 'make_job', lambda *args: made.append(args) or None
+    )
+    front, fed = make_front(1 << 10)
+    reducer_table = events.RoutesRead(routes.RouteTable(1, (ROUTE,)))
+    front.entry.reduce(reducer_table, 0.0)
+    answer = post(front, {'best_effort': True, 'spec': 'x', 'steps': [STEP]})
+    assert answer.code == 503
+    assert json.loads(answer.body) == {'reason': 'too_many_tasks'}
+    assert not made and not fed
+
+
+def post(front, body):
+    """Hand in a job over HTTP; return the answer."""
+
+    async def main():
+        front.clock = types.SimpleNamespace(now=lambda: 0.0)
+        server = httpserver.HTTPServer(ingress.make_application(front))
+        (sock,) = netutil.bind_sockets(0, '127.0.0.1')
+        server.add_sockets([sock])
+        url = f'http://127.0.0.1:{sock.getsockname()[1]}/q/{KEY}'
+        try:
+            return await httpclient.AsyncHTTPClient().fetch(
+                url,
+                method='POST',
+                headers={'Host': 'host'},
+                body=json.dumps(body),
+                raise_error=False,
+            )
+        finally:
+            server.stop()
+
+    return asyncio.run(main())
 
 
 def test_a_body_of_another_type_names_its_field():
