--- a/src/agatepick/repeatable/admission.py
+++ b/src/agatepick/repeatable/admission.py
@@ -394,9 +394,7 @@
         needed = 0.0
         key = self._waiting.sort_key_of(spec, latest_start)
         workers = self._pool.usable_workers(spec.route.pool, '', now)
-        for job in self._waiting.in_order():
-            if self._waiting.sort_key(job) > key:
-                break
+        for job in self._waiting.list_up_to(key):
             if job.spec.route.pool != spec.route.pool:
                 continue
             needed += spreading.compute_waiting_cores(job, len(workers))
--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -8,6 +8,7 @@
 a queue over its share (:mod:`~agatepick.repeatable.shares`) come last.
 """
 
+import bisect
 import collections
 import dataclasses
 import enum
@@ -109,6 +110,8 @@
         objective.
     :ivar objective_ends_at: instant at which the job must end to meet its
         objective, by its expected run time.
+    :ivar wide: whether it takes what other jobs leave.
+    :ivar urgent_from: instant by which its tasks are placed among others.
     :ivar started_at: instant at which its first task was sent to a worker.
     :ivar check_at: instant of the next check for stragglers.
     :ivar calls: requests that wait for its answer; more than one if a caller
@@ -133,6 +136,8 @@
         self.spec = spec
         self.arrived_at = now
         self.latest_start = latest_start
+        self.wide = is_wide(spec)
+        self.urgent_from = compute_urgent_from(spec, latest_start)
         self.objective_ends_at = latest_start + expected_seconds
         self.records = [TaskRecord() for _ in spec.tasks]
         self.waiting: collections.deque[int] = collections.deque()
@@ -144,6 +149,8 @@
         self.open_task_count = len(spec.tasks)
         self.run_seconds: dict[int, list[float]] = {}
         self.held_back = False
+        # Tasks of a step share one object of their needs.
+        self._are_alike = len({id(task.needs) for task in spec.tasks}) == 1
         self._open_by_step = [0] * len(spec.after)
         for task in spec.tasks:
             self._open_by_step[task.step] += 1
@@ -153,11 +160,6 @@
         """Whether any task may have started."""
         return self.started_at is not None
 
-    @property
-    def urgent_from(self) -> float:
-        """Instant by which its waiting tasks are placed among others."""
-        return compute_urgent_from(self.spec, self.latest_start)
-
     def mark_started(self, now: float) -> None:
         """Record that one of its tasks is sent to a worker."""
         if self.started_at is None:
@@ -226,6 +228,8 @@
 
     def sum_waiting_cores(self) -> float:
         """Return the cores that its waiting tasks need."""
+        if self._are_alike:
+            return len(self.waiting) * self.spec.tasks[0].needs.cpu
         return sum(self.spec.tasks[index].needs.cpu for index in self.waiting)
 
     def get_last_sent_at(self) -> float | None:
@@ -326,11 +330,20 @@
         self._jobs.sort(key=self.sort_key)
         return self._jobs
 
+    def list_up_to(self, key: SortKey) -> list[OwnedJob]:
+        """Return the jobs up to a position, the first to be placed first."""
+        in_order = self.in_order()
+        count = bisect.bisect_right(in_order, key, key=self.sort_key)
+        return in_order[:count]
+
     def sort_key(self, job: OwnedJob) -> SortKey:
         """Return the position of a job in the order."""
-        if job.started and not is_wide(job.spec):
+        if job.wide:
+            return True, True, job.urgent_from
+        if job.started:
             return False, False, job.latest_start
-        return self.sort_key_of(job.spec, job.latest_start)
+        over_share = self._shares.is_over(job.spec.route.name)
+        return True, over_share, job.latest_start
 
     def sort_key_of(self, spec: jobs.Job, latest_start: float) -> SortKey:
         """Return the position of a job of which no task has started.
--- a/src/agatepick/repeatable/placing.py
+++ b/src/agatepick/repeatable/placing.py
@@ -133,7 +133,6 @@
         without_room: list[int] = []
         deferred: list[int] = []
         held: list[int] = []
-        wide = owned_jobs.is_wide(job.spec)
         while job.waiting:
             if len(without_room) + len(held) >= MAX_UNPLACED_TASKS:
                 break
@@ -149,7 +148,7 @@
                 if spread.limited
                 else spreading.NO_AGENTS
             )
-            if wide:
+            if job.wide:
                 full |= current.find_crowded(job, index)
             if full and current.are_all_full(job, index, full):
                 held.append(index)
--- a/tests/test_owned_jobs.py
+++ b/tests/test_owned_jobs.py
@@ -1,5 +1,7 @@
 """Record of a job, and the order in which jobs wait."""
 
+import dataclasses
+
 import pytest
 
 from agatepick.repeatable import jobs
@@ -96,3 +98,35 @@
     for index in range(2):
         job.mark_finished(index, 0.1)
     assert not job.started_late()
+
+
+def test_a_wide_job_waits_behind_others_even_once_it_has_started():
+    """Its thousands of tasks would keep all workers until the last one."""
+    waiting = owned_jobs.WaitingQueue()
+    wide = make_job('wide', NOW, tasks=owned_jobs.WIDE_TASKS)
+    other = make_job('other', NOW + 5.0)
+    for job in (wide, other):
+        waiting.add(job)
+    start_task(wide, 0, NOW)
+    assert waiting.in_order() == [other, wide]
+
+
+def test_the_jobs_before_a_new_one_are_found_without_a_look_at_all():
+    waiting = owned_jobs.WaitingQueue()
+    queued = [make_job(f'j{index}', NOW + index) for index in range(5)]
+    for job in reversed(queued):
+        waiting.add(job)
+    key = waiting.sort_key(queued[2])
+    assert waiting.list_up_to(key) == queued[:3]
+    assert waiting.list_up_to((False, False, 0.0)) == []
+
+
+def test_the_cores_of_unlike_tasks_are_added_up():
+    job = make_job(tasks=3)
+    small = dataclasses.replace(job.spec.tasks[2], needs=types.Needs(1.0))
+    tasks = (*job.spec.tasks[:2], small)
+    spec = dataclasses.replace(job.spec, tasks=tasks)
+    unlike = owned_jobs.OwnedJob(1, spec, NOW, NOW, 0.1)
+    assert (job.sum_waiting_cores(), unlike.sum_waiting_cores()) == (18.0, 0.0)
+    unlike.queue_ready_tasks()
+    assert unlike.sum_waiting_cores() == 13.0
