--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -240,6 +240,7 @@
         return {
             'jobs_open': len(jobs_open),
             'jobs_waiting': len(self._waiting.in_order()),
+            'jobs_wide': sum(job.wide for job in jobs_open),
             'longest_wait_seconds': max(waits, default=0.0),
             'workers_usable': len(usable),
             'free_cores': sum(worker.free.cpu for worker in usable),
--- a/src/agatepick/repeatable/measures.py
+++ b/src/agatepick/repeatable/measures.py
@@ -25,6 +25,7 @@
 GAUGES = {
     'jobs_open': 'jobs whose callers wait for an answer',
     'jobs_waiting': 'jobs with tasks that wait for room',
+    'jobs_wide': 'jobs that take what others leave, by their many tasks',
     'longest_wait_seconds': 'age of the oldest job that has not begun',
     'workers_usable': 'workers to which runs may be sent now',
     'free_cores': 'cores that are free for more runs, as far as is known',
