Let clients that had answers before go ahead of crowds that dial again

Cause: an ordinary caller's request waits for its turn like those of the crowd that dial a thousand times a second, and is refused like them when memory for those that wait is short. What tells them apart is that it came on a connection on which a request has been answered.

Such a connection has a share of at least half of the turns, and counts an eighth when memory is short; new ones and what was sent ahead have a quarter each at least. The policy's test failed before (the regular client was closed).

--- a/src/agatepick/intake/connections.py
+++ b/src/agatepick/intake/connections.py
@@ -37,6 +37,9 @@
 """Share of an address's connections from which idle ones are closed after
 their time; before, a caller that comes back finds its own still open."""
 
+SERVED_FACTOR = 1 / 8
+"""Weight of what a client has sent that has had an answer before."""
+
 MIN_AGE_SECONDS = 0.01
 """Age from which a connection's standing still tells anything."""
 
@@ -218,7 +221,8 @@
         if self.phase is Phase.REFUSED:
             return math.inf
         sent = self.received + self.extra + limits.KIB
-        return sent * max(now - self.since, MIN_AGE_SECONDS)
+        weight = SERVED_FACTOR if self.served else 1.0
+        return weight * sent * max(now - self.since, MIN_AGE_SECONDS)
 
     def find_overdue(
         self, request_limits: limits.RequestLimits, now: float
--- a/src/agatepick/intake/stream.py
+++ b/src/agatepick/intake/stream.py
@@ -207,9 +207,14 @@
         """Return the bytes of a read at its turn."""
         self._turn = _StreamTurn(self, data, cost)
         self.conn.set_stalled(True)
-        self._queue.wait(self._turn, ahead=self._credit < 0)
+        self._queue.wait(self._turn, self._choose_group())
         return self._turn.fut
 
+    def _choose_group(self) -> turns.Group:
+        if self._credit < 0:
+            return turns.Group.AHEAD
+        return turns.Group.KNOWN if self.conn.served else turns.Group.NEW
+
     def end_turn(self, cost: int) -> None:
         """Go on reading after a wait for a read of some cost."""
         self._credit = TURN_CREDIT - cost
--- a/src/agatepick/intake/turns.py
+++ b/src/agatepick/intake/turns.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import enum
 import time
 import typing
 
@@ -22,8 +23,26 @@
 """Sum of the costs of reads, some milliseconds of work, after which further
 ones have to wait for turns until the window is over."""
 
-AHEAD_INTERVAL = 4
-"""Every so many turns goes to what was sent ahead."""
+
+class Group(enum.IntEnum):
+    """Who waits for a turn.
+
+    ``KNOWN`` has had an answer on its connection before, and ``AHEAD`` sends
+    ahead of its answers.
+    """
+
+    KNOWN = 0
+    NEW = 1
+    AHEAD = 2
+
+
+ORDERS = (
+    (Group.KNOWN, Group.NEW, Group.AHEAD),
+    (Group.NEW, Group.KNOWN, Group.AHEAD),
+    (Group.KNOWN, Group.NEW, Group.AHEAD),
+    (Group.AHEAD, Group.KNOWN, Group.NEW),
+)
+"""Which group is first, turn after turn: each has its share beside a crowd."""
 
 PAUSE_FACTOR = 1.0
 """Pause before a batch of what was sent ahead, by the time that the one before
@@ -55,13 +74,14 @@
 class TurnQueue:
     """Turns in the order in which they were asked for, a batch at a time.
 
-    Clients that haven't sent ahead come first, but not always: others would
-    never have their turn beside a crowd.
+    Clients that had an answer before and don't send ahead come first, but not
+    always: others would never have their turn beside a crowd.
     """
 
     def __init__(self) -> None:
-        self._first: collections.deque[Turn] = collections.deque()
-        self._ahead: collections.deque[Turn] = collections.deque()
+        self._groups: dict[Group, collections.deque[Turn]] = {
+            group: collections.deque() for group in Group
+        }
         self._taken = 0
         self._size = BatchSize()
         self._running = False
@@ -69,7 +89,7 @@
         self._window_ends_at = 0.0
 
     def __len__(self) -> int:
-        return len(self._first) + len(self._ahead)
+        return sum(len(group) for group in self._groups.values())
 
     def spend(self, cost: int) -> None:
         """Count a read that didn't wait for a turn."""
@@ -83,12 +103,9 @@
             self._window_cost = 0
         return self._window_cost > MAX_WINDOW_COST
 
-    def wait(self, turn: Turn, ahead: bool) -> None:
-        """Let something wait for its turn.
-
-        :param ahead: whether it was sent ahead.
-        """
-        (self._ahead if ahead else self._first).append(turn)
+    def wait(self, turn: Turn, group: Group) -> None:
+        """Let something wait for its turn."""
+        self._groups[group].append(turn)
         if not self._running:
             self._running = True
             asyncio.get_running_loop().call_soon(self._start_batch)
@@ -107,17 +124,16 @@
         loop.call_soon(loop.call_soon, self._end_batch, started_at)
 
     def _pop(self) -> Turn:
+        order = ORDERS[self._taken % len(ORDERS)]
         self._taken += 1
-        ahead_is_due = self._taken % AHEAD_INTERVAL == 0
-        if self._ahead and (ahead_is_due or not self._first):
-            return self._ahead.popleft()
-        return self._first.popleft()
+        group = next(group for group in order if self._groups[group])
+        return self._groups[group].popleft()
 
     def _end_batch(self, started_at: float) -> None:
         seconds = time.monotonic() - started_at
         self._size.record(seconds)
         loop = asyncio.get_running_loop()
-        if self._first:
+        if self._groups[Group.KNOWN] or self._groups[Group.NEW]:
             loop.call_soon(self._start_batch)
         else:
             loop.call_later(PAUSE_FACTOR * seconds, self._start_batch)
--- a/tests/test_intake_connections.py
+++ b/tests/test_intake_connections.py
@@ -274,6 +274,23 @@
     assert not any(peer.closed or peer.refused for peer in short)
 
 
+def test_a_client_that_had_answers_stays_beside_a_crowd_like_it(clients):
+    """Callers were refused for short requests of clients that dial again."""
+    regular = clients.send_body(300)
+    regular.conn.begin_answer(0, clients.now)
+    regular.conn.end_request(0, clients.now)
+    regular.conn.record_read(300, clients.now)
+    regular.conn.set_stalled(True)
+    clients.now = 0.2
+    for _ in range(2 * MOST):
+        clients.now += 0.01
+        peer = clients.open('crowd', 2 * MOST)
+        peer.conn.record_read(300, clients.now)
+        peer.conn.set_stalled(True)
+    assert clients.connections.ended[connections.Reason.MEMORY]
+    assert not regular.closed and not regular.refused
+
+
 def test_who_was_refused_makes_room_before_anybody_else(clients):
     """Refused crowds kept half of the memory, and others were refused."""
     waiting = [clients.open() for _ in range(MOST // 2)]
--- a/tests/test_intake_server.py
+++ b/tests/test_intake_server.py
@@ -407,7 +407,18 @@
     run(scenario)
 
 
-def test_what_was_not_sent_ahead_comes_first_but_not_always():
+@pytest.mark.parametrize(
+    'groups, expected',
+    [
+        ((turns.Group.AHEAD, turns.Group.NEW), 'NNNA'),
+        ((turns.Group.AHEAD, turns.Group.KNOWN), 'KKKA'),
+        ((turns.Group.NEW, turns.Group.KNOWN), 'KNKK'),
+        ((turns.Group.AHEAD, turns.Group.NEW, turns.Group.KNOWN), 'KNKA'),
+    ],
+)
+def test_known_clients_come_first_but_not_always(groups, expected):
+    """Callers waited behind crowds that dial again and again."""
+
     class Turn:
         def __init__(self, name):
             self.name = name
@@ -419,15 +430,15 @@
     async def main():
         queue = turns.TurnQueue()
         for _ in range(8):
-            queue.wait(Turn('ahead'), ahead=True)
-            queue.wait(Turn('first'), ahead=False)
+            for group in groups:
+                queue.wait(Turn(group.name[0]), group)
         while len(queue):
             await asyncio.sleep(0.001)
 
     taken = []
     asyncio.run(main())
-    assert taken[:8] == [*(['first'] * 3), 'ahead'] * 2
-    assert sorted(taken) == ['ahead'] * 8 + ['first'] * 8
+    assert ''.join(taken[:8]) == expected * 2
+    assert len(taken) == 8 * len(groups)
 
 
 @pytest.mark.parametrize('path', ['/none', '/half', '/reset'])
