--- a/src/agatepick/repeatable/run_controller.py
+++ b/src/agatepick/repeatable/run_controller.py
@@ -14,9 +14,11 @@
 from agatepick.repeatable import crash_evidence
 from agatepick.repeatable import health
 from agatepick.repeatable import list_requests
+from agatepick.repeatable import listed_ends
 from agatepick.repeatable import overdue_stops
 from agatepick.repeatable import pauses
 from agatepick.repeatable import reports
+from agatepick.repeatable import run_orders
 from agatepick.repeatable import run_times
 from agatepick.repeatable import runs
 from agatepick.repeatable import sharing
@@ -29,18 +31,10 @@
 from agatepick.repeatable import workerapi
 from agatepick import types
 
-STOP_RETRY_SECONDS = 0.1
-"""Pause before a stop is sent again.  One request in twenty may get no answer;
-the retry is sent well within the 1.3 s after which callers submit a job
-again."""
-
 PAUSE_SECONDS = 0.3
 """Time without any event that shows that this process stood still: it has a
 timer each 0.25 s, and each 0.1 s while there are runs."""
 
-NO_LIST_YET = -1
-"""Number of the last acknowledged end while no lists have arrived yet."""
-
 _RESULTS = (types.RunState.FINISHED, types.RunState.FAILED)
 
 
@@ -84,14 +78,16 @@
         self._list_requests = list_requests.ListRequests()
         self._successor_expected = False
         self._pauses = pauses.PauseWatch(PAUSE_SECONDS)
-        self._last_handled_end_number = 0
-        self._last_acknowledged_end_number = 0
         self._announced = announced_capacity.AnnouncedCapacity(
             capacity, self._clock
         )
         self._retries = start_retries.StartRetries(
             capacity, self._announced, self._clock
         )
+        self._orders = run_orders.RunOrders(
+            self.runs, self._unowned, self._state, self._clock, self._lease
+        )
+        self._ends = listed_ends.ListedEnds()
 
     @property
     def worker(self) -> workerapi.WorkerAnnounced | None:
@@ -214,11 +210,10 @@
         :param returned: whether it is the one that was lost, whose clock the
             orders of before refer to.
         """
-        self._last_handled_end_number = 0
         # Runs that an earlier incarnation of this process started continue
         # until their lease expires, and use capacity meanwhile: the next list
         # shows them.
-        self._last_acknowledged_end_number = NO_LIST_YET
+        self._ends.reset()
         self._unowned.reset()
         self._list_requests.reset(now)
         self._clock.reset()
@@ -256,41 +251,7 @@
             apart=spec.apart,
         )
         self.runs[spec.name] = run
-        return self._send_start(run, now)
-
-    def _send_start(self, run: runs.Run, now: float) -> list[object]:
-        run.start_count += 1
-        run.unanswered_start_count += 1
-        run.start_sent_at = now
-        lease_until = self._bound_start(now)
-        return [
-            workerapi.StartRun(
-                self._state.incarnation,
-                self._state.epoch,
-                run.ref,
-                run.name,
-                run.payload,
-                lease_until,
-                self._clock.convert(lease_until, now),
-            )
-        ]
-
-    def _bound_start(self, now: float) -> float:
-        """Return the instant of the worker's lease that a start carries."""
-        if self._must_lapse(now):
-            return self._lease.keep()
-        return self._lease.extend(now)
-
-    def _must_lapse(self, now: float) -> bool:
-        """Return whether only the lease's end may still end a run there.
-
-        The worker has one lease for all its runs.  If it were extended for the
-        others beside a run whose stops get no answer, that run would go on
-        while its task starts elsewhere.
-        """
-        return self._unowned.listed or any(
-            run.must_lapse(now) for run in self.runs.values()
-        )
+        return self._orders.start(run, now)
 
     def _retry_start(self, run: runs.Run, now: float) -> list[object]:
         """Retry a start that has been unanswered for too long."""
@@ -298,7 +259,7 @@
             return []
         if self._retries.must_give_up(run, now):
             return self._give_up_start(run, 'no_room', now)
-        return self._send_start(run, now)
+        return self._orders.start(run, now)
 
     def _sends_again(self) -> bool:
         """Return whether any start may be sent to the worker again."""
@@ -377,22 +338,7 @@
 
     def stop(self, run: runs.Run, now: float) -> list[object]:
         """Send a stop to the worker; it is repeated until acknowledged."""
-        if not self._state.incarnation or run.stop_acknowledged_at:
-            return []
-        if now < run.stop_sent_at + STOP_RETRY_SECONDS and run.stopping:
-            return []
-        run.stopping = True
-        run.stop_sent_at = now
-        run.first_stop_at = run.first_stop_at or now
-        run.stop_count += 1
-        return [
-            workerapi.StopRun(
-                self._state.incarnation,
-                self._state.epoch,
-                run.name,
-                run.ref.run,
-            )
-        ]
+        return self._orders.stop(run, now)
 
     def handle_stop_answer(
         self, event: workerapi.StopAnswered, now: float
@@ -418,7 +364,7 @@
             return []
         silent = self._list_requests.is_silent(now)
         acknowledged = (
-            self._last_acknowledged_end_number == self._last_handled_end_number
+            self._ends.acknowledged
             and self._unowned.earlier_over
             and not self._unowned.listed
             and self._clock.known
@@ -429,8 +375,7 @@
         lease_until = 0.0
         if not silent and not refused and self._should_extend_lease(now):
             lease_until = self._lease.extend(now)
-        first_request = self._last_acknowledged_end_number == NO_LIST_YET
-        waits = busy or not self._unowned.earlier_over and not first_request
+        waits = busy or not self._unowned.earlier_over and self._ends.listed
         waits = waits and self._clock.known
         wait = list_requests.WAIT_SECONDS if waits else 0.0
         self._list_requests.record_request(wait, now)
@@ -438,7 +383,7 @@
             workerapi.RequestLists(
                 self._state.incarnation,
                 self._state.epoch,
-                self._last_handled_end_number,
+                self._ends.last_number,
                 lease_until,
                 wait,
                 self._clock.convert(lease_until, now) if lease_until else 0.0,
@@ -464,7 +409,7 @@
         return (
             self._clock.known
             and self._has_renewed_run(now)
-            and not self._must_lapse(now)
+            and not self._orders.must_lapse(now)
         )
 
     def _has_renewed_run(self, now: float) -> bool:
@@ -484,15 +429,16 @@
         self._clock.add_list(event.reading, event.requested_at, now)
         self._announced.date()
         effects = self._crashes.record_answer(event.requested_at)
-        self._last_acknowledged_end_number = self._last_handled_end_number
+        self._ends.record_list()
         for end in event.ended:
             effects += self._handle_end(end, now)
         running = {(run.name, run.run) for run in event.running}
         for run in list(self.runs.values()):
             if (run.name, run.ref.run) in running:
                 self._crashes.review_listed(run)
-            else:
-                effects += self._end_if_absent(run, event.requested_at, now)
+            elif run.is_over_if_absent(event.requested_at, now):
+                over = types.RunState.OVER
+                effects += self._end_run(run, over, 'absent', now)
         effects += self._unowned.stop_listed(event, self._state.epoch, now)
         return effects
 
@@ -530,9 +476,8 @@
         return effects
 
     def _handle_end(self, end: workerapi.EndedRun, now: float) -> list[object]:
-        if end.number <= self._last_handled_end_number:
+        if not self._ends.record(end.number):
             return []
-        self._last_handled_end_number = end.number
         run = self.runs.get(end.name)
         if run is None or run.ref.run != end.run:
             return []
@@ -543,29 +488,6 @@
         }.get(end.kind, types.RunState.OVER)
         return self._end_run(run, state, end.reason, now)
 
-    def _end_if_absent(
-        self, run: runs.Run, lists_requested_at: float, now: float
-    ) -> list[object]:
-        """End a run that isn't in the worker's lists.
-
-        Only if the lists were requested after its start was answered.  If the
-        run is being stopped, they must have been requested after the answer to
-        its stop, from which on the worker doesn't start it any more, whatever
-        the answer to the start was; it may have got none.  The lists of a
-        worker that took the place of another show nothing of that one's runs.
-        """
-        if now < run.former_lease_over_at:
-            return []
-        if run.stopping:
-            if run.unanswered_start_count and not run.confirmed_at:
-                return []
-            answered_at = run.stop_acknowledged_at
-        else:
-            answered_at = run.confirmed_at
-        if not 0.0 < answered_at < lists_requested_at:
-            return []
-        return self._end_run(run, types.RunState.OVER, 'absent', now)
-
     def note_unowned(
         self, event: workerapi.ListsReceived, now: float
     ) -> list[object]:
@@ -670,7 +592,7 @@
         if self._sends_again():
             wakes = self._retries.next_due(self.runs.values(), now)
         if self.runs:
-            wakes.append(now + STOP_RETRY_SECONDS)
+            wakes.append(now + run_orders.STOP_RETRY_SECONDS)
         request_at = self._list_requests.next_due()
         if (
             self._state.incarnation
--- a/src/agatepick/repeatable/runs.py
+++ b/src/agatepick/repeatable/runs.py
@@ -96,6 +96,24 @@
         allowed_until = self.first_stop_at + leases.STOP_ALLOWANCE_SECONDS
         return self.stopping and now >= allowed_until
 
+    def is_over_if_absent(self, lists_requested_at: float, now: float) -> bool:
+        """Return whether it has ended if it isn't in the worker's lists.
+
+        Only if the lists were requested after its start was answered.  If it
+        is being stopped, they must have been requested after the answer to its
+        stop, from which on the worker doesn't start it any more, whatever the
+        answer to the start was; it may have got none.  The lists of a worker
+        that took the place of another show nothing of that one's runs.
+        """
+        if now < self.former_lease_over_at:
+            return False
+        answered_at = self.confirmed_at
+        if self.stopping:
+            if self.unanswered_start_count and not self.confirmed_at:
+                return False
+            answered_at = self.stop_acknowledged_at
+        return 0.0 < answered_at < lists_requested_at
+
 
 def run_note(name: str, run: Run, reason: str) -> core.Note:
     """Return a note on one run."""
