--- a/src/agatepick/repeatable/entry.py
+++ b/src/agatepick/repeatable/entry.py
@@ -18,6 +18,7 @@
 from agatepick.repeatable import estimating
 from agatepick.repeatable import events
 from agatepick.repeatable import faults
+from agatepick.repeatable import job_checks
 from agatepick.repeatable import job_notes
 from agatepick.repeatable import jobs
 from agatepick.repeatable import kinds
@@ -114,6 +115,14 @@
             self._admission,
             cfg.switches.capacity_guard,
         )
+        self._checks = job_checks.JobChecks(
+            self._jobs,
+            self._admission,
+            self._stragglers,
+            self._shrinking,
+            self._suspects,
+            self._end_job,
+        )
         self._resubmitted = resubmitted.Resubmitted()
         self._jobs_by_call: dict[int, owned_jobs.OwnedJob] = {}
         self._checked_at = 0.0
@@ -504,11 +513,13 @@
         effects += faults.contain('shares', self._update_shares, now)
         for worker in self._membership.find_expired(now):
             effects += self._outcomes.requeue_all(worker, 'agent_silent', now)
-        effects += faults.contain('capacity', self._end_without_room, now)
-        effects += faults.contain('suspects', self._judge_suspects, now)
+        effects += faults.contain(
+            'capacity', self._checks.end_without_room, now
+        )
+        effects += faults.contain('suspects', self._checks.judge_suspects, now)
         for job in self._jobs.open_jobs():
             try:
-                effects += self._check_job(job, now)
+                effects += self._checks.check(job, now)
             except Exception as exc:
                 effects += self._fail_job(job, 'check', exc, now)
         return effects
@@ -516,65 +527,6 @@
     def _update_shares(self, now: float) -> list[object]:
         return self._admission.update_shares(self._jobs.open_jobs(), now)
 
-    def _end_without_room(self, now: float) -> list[object]:
-        effects: list[object] = []
-        for ending in self._shrinking.find_endings(now):
-            effects += self._end_job(ending.job, ending.answer, now)
-        return effects
-
-    def _judge_suspects(self, now: float) -> list[object]:
-        effects: list[object] = []
-        for given_up in self._suspects.judge(now):
-            effects += self._give_up(given_up, now)
-        return effects
-
-    def _give_up(self, given_up: suspects.GivenUp, now: float) -> list[object]:
-        """Answer the job of a task that crashes its workers."""
-        key, index = given_up.key
-        job = self._jobs.get(key)
-        if job is None or job.answered:
-            return []
-        note = core.note(
-            'task_given_up', job=key, index=index, count=given_up.count
-        )
-        answer = jobs.Answer(jobs.Verdict.FAILED, 'crashes_workers')
-        return [note, *self._end_job(job, answer, now)]
-
-    def _check_job(self, job: owned_jobs.OwnedJob, now: float) -> list[object]:
-        if now >= job.spec.deadline:
-            answer = self._make_unfinished_answer(job, 'deadline')
-            if not job.started:
-                answer = jobs.Answer(jobs.Verdict.NOT_RUN, 'deadline', 1.0)
-            return self._end_job(job, answer, now)
-        if not job.started and now >= job.latest_start:
-            self._admission.record_start(job, False)
-            after = self._admission.pick_retry_delay()
-            answer = jobs.Answer(
-                jobs.Verdict.NOT_RUN, 'waited_too_long', after
-            )
-            return self._end_job(job, answer, now)
-        if job.fit_unknown and not job.started:
-            refusal = self._admission.find_late_refusal(job.spec, now)
-            if refusal is not None:
-                answer = jobs.Answer(
-                    jobs.Verdict.NOT_RUN, refusal.reason, refusal.retry_after
-                )
-                return self._end_job(job, answer, now)
-        slow_runs = self._stragglers.mark_stragglers(job, now)
-        stops = owned_jobs.stop_runs(
-            job, [run.index for run in slow_runs if run.moves]
-        )
-        return [*[run.note for run in slow_runs], *stops]
-
-    def _make_unfinished_answer(
-        self, job: owned_jobs.OwnedJob, reason: str, retry_after: float = 0.0
-    ) -> jobs.Answer:
-        """Return the answer for a started job that isn't done in time."""
-        count = len(job.spec.tasks)
-        if self._suspects.has_bounded_task(job.spec.key, count):
-            return jobs.Answer(jobs.Verdict.FAILED, 'crashes_workers')
-        return jobs.Answer(jobs.Verdict.GIVEN_UP, reason, retry_after)
-
     def _on_stop(self, event: core.StopRequested, now: float) -> list[object]:
         self._stopping.request(now)
         return [core.note('stopping', jobs=len(self._jobs_by_call))]
@@ -583,10 +535,9 @@
         effects: list[object] = []
         if self._stopping.must_give_up(now):
             for job in self._jobs.open_jobs():
-                answer = self._make_unfinished_answer(job, 'stopping', 1.0)
-                if not job.started:
-                    verdict = jobs.Verdict.NOT_RUN
-                    answer = jobs.Answer(verdict, 'stopping', 1.0)
+                answer = self._checks.make_unfinished_answer(
+                    job, 'stopping', 1.0
+                )
                 effects += self._end_job(job, answer, now)
         if self._stopping.try_exit(bool(self._jobs_by_call), now):
             effects.append(core.Exit())
