--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -148,8 +148,8 @@
         ingress, 'make_job', lambda *args: made.append(args) or None
     )
     front, fed = make_front(1 << 10)
-    reducer_table = events.RoutesRead(routes.RouteTable(1, (ROUTE,)))
-    front.entry.reduce(reducer_table, 0.0)
+    table = events.RoutesRead(routes.RouteTable(1, (ROUTE,)))
+    front.entry.reduce(table, 0.0)
     answer = post(front, {'best_effort': True, 'spec': 'x', 'steps': [STEP]})
     assert answer.code == 503
     assert json.loads(answer.body) == {'reason': 'too_many_tasks'}
