Tell the place of a waiting job in one rule

A wide job's place stood beside that of others, though both follow from whether a job waits last and from when it is urgent.

--- a/src/agatepick/repeatable/owned_jobs.py
+++ b/src/agatepick/repeatable/owned_jobs.py
@@ -338,12 +338,10 @@
 
     def sort_key(self, job: OwnedJob) -> SortKey:
         """Return the position of a job in the order."""
-        if job.wide:
-            return True, True, job.urgent_from
-        if job.started:
+        if job.started and not job.wide:
             return False, False, job.latest_start
-        over_share = self._shares.is_over(job.spec.route.name)
-        return True, over_share, job.latest_start
+        last = job.wide or self._shares.is_over(job.spec.route.name)
+        return True, last, job.urgent_from
 
     def sort_key_of(self, spec: jobs.Job, latest_start: float) -> SortKey:
         """Return the position of a job of which no task has started.
