Make what a process's servers share from its settings in one place

The same nested call stood four times, at the callers' door, its stand-alone server, the upstream's address and the platform's programs. No behaviour changes.

--- a/src/agatepick/agentside/announce.py
+++ b/src/agatepick/agentside/announce.py
@@ -86,7 +86,7 @@
     :param clients: what the HTTP servers of the process share.
     """
     if clients is None:
-        clients = intake.Intake(intake.ProcessLimits.from_config())
+        clients = intake.Intake.from_config()
     handler_args = {'feed': feed, 'cfg': cfg}
     app = tornado.web.Application(
         [('/v1/upstream', _UpstreamHandler, handler_args)],
--- a/src/agatepick/intake/clients.py
+++ b/src/agatepick/intake/clients.py
@@ -39,6 +39,18 @@
         self._checking = False
         self._reported: dict[connections.Reason, int] = {}
 
+    @classmethod
+    def from_config(
+        cls,
+        cfg: limits.IntakeSettings = limits.IntakeSettings(),
+        memory_mb: float = 0.0,
+        descriptors: float = 0.0,
+    ) -> 'Intake':
+        """Return that of a process; see :class:`limits.ProcessLimits`."""
+        return cls(
+            limits.ProcessLimits.from_config(cfg, memory_mb, descriptors)
+        )
+
     @property
     def request_limits(self) -> limits.RequestLimits:
         """Limits of each request."""
--- a/src/agatepick/platform/ingress.py
+++ b/src/agatepick/platform/ingress.py
@@ -100,7 +100,7 @@
         clock: types.Clock,
         clients: intake.Intake | None = None,
     ):
-        clients = clients or intake.Intake(intake.ProcessLimits.from_config())
+        clients = clients or intake.Intake.from_config()
         self.entry = reducer
         self.feed = feed
         self.clock = clock
--- a/src/agatepick/platform/programs.py
+++ b/src/agatepick/platform/programs.py
@@ -228,10 +228,8 @@
 def _make_intake(
     cfg: settings.NodeSettings, own: policies.Settings
 ) -> intake.Intake:
-    return intake.Intake(
-        intake.ProcessLimits.from_config(
-            own.limits, cfg.memory_mb, cfg.descriptors
-        )
+    return intake.Intake.from_config(
+        own.limits, cfg.memory_mb, cfg.descriptors
     )
 
 
@@ -271,7 +269,7 @@
         whose machine isn't known by default.
     :param screen: refuses requests by their heads.
     """
-    clients = clients or intake.Intake(intake.ProcessLimits.from_config())
+    clients = clients or intake.Intake.from_config()
     options = intake.Address(
         'front',
         clients.limits.max_connections,
