--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -1,7 +1,8 @@
 """Stand-ins of the platform, the workers and the clients, for review/9 on.
 
 Standard library only.  The programs under test run as separate processes with
-the commands of deploy/system.toml; everything else runs in this process.
+the commands of deploy/system.toml; everything else runs in this process.  Each
+machine has a loopback address of its own.
 """
 
 import asyncio
@@ -231,11 +232,19 @@
             self.writer.close()
 
 
+_ports_taken = set()
+
+
 def free_port(host):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing listens at, another one at each call."""
+    while True:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if (host, port) not in _ports_taken:
+            _ports_taken.add((host, port))
+            return port
 
 
 def free_address(host):
@@ -484,6 +493,11 @@
             return self._answer(rows=self._changes(params['table'], after))
         if name == '/v1/rows-tx':
             value = json.loads(body)
+            for row in value.get('expected', ()):
+                name = row['table'], row['key']
+                present = self.rows[name][1] if name in self.rows else 0
+                if present != row.get('row_version', 0):
+                    return 412, {'rows': [], 'row_version': self.version}
             for row in value.get('set_keys', ()):
                 self.put(
                     row['table'], row['key'], base64.b64decode(row['value'])
@@ -1064,7 +1078,8 @@
                 broken = await play(rig)
             rig.record.add('the rule was BROKEN' if broken else 'the rule held')
             return int(broken)
-        except (CannotRun, TimeoutError, OSError) as exc:
+        except Exception as exc:
+            # An exit with 1 would say that the rule was broken.
             rig.record.add(f'could not run: {exc!r}')
             return 2
         finally:
